--- a/crates/barleyspar/src/arguments.rs
+++ b/crates/barleyspar/src/arguments.rs
@@ -8,6 +8,7 @@
 /// Help text.
 pub const USAGE: &str = "\
 usage: barleyspar node --config FILE
+       barleyspar gateway --policy FILE
        barleyspar check FILE...
        barleyspar apply FILE... [--wait] [--read-at POSITION] REMOTE
        barleyspar delete KIND NAME REMOTE
@@ -62,6 +63,8 @@
     Help,
     /// Run a node.
     Node { config: PathBuf },
+    /// Run a gateway on the users' platform.
+    Gateway { policy: PathBuf },
     /// Check files.
     Check { files: Vec<PathBuf> },
     /// Ask a node.
@@ -73,6 +76,7 @@
     words: Vec<String>,
     remote: Remote,
     config: Option<PathBuf>,
+    policy: Option<PathBuf>,
     wait: bool,
     read_at: Option<u64>,
 }
@@ -85,6 +89,7 @@
         match argument {
             Long("help") | Short('h') => return Ok(Command::Help),
             Long("config") => given.config = Some(parser.value()?.into()),
+            Long("policy") => given.policy = Some(parser.value()?.into()),
             Long("wait") => given.wait = true,
             Long("read-at") => given.read_at = Some(parser.value()?.parse()?),
             Long("server") => given.remote.server = parser.value()?.string()?,
@@ -121,6 +126,10 @@
             let config = given.config.ok_or("--config is missing")?;
             return Ok(Command::Node { config });
         }
+        "gateway" => {
+            let policy = given.policy.ok_or("--policy is missing")?;
+            return Ok(Command::Gateway { policy });
+        }
         "check" => return Ok(Command::Check { files: files()? }),
         "apply" => Action::Apply {
             files: files()?,
--- a/crates/barleyspar/src/errors.rs
+++ b/crates/barleyspar/src/errors.rs
@@ -27,6 +27,20 @@
     /// The node failed.
     #[error("barleyspar node: {0}")]
     Node(#[from] NodeError),
+    /// The gateway failed.
+    #[error("barleyspar gateway: {0}")]
+    Gateway(#[from] barleyspar_gateway::NodeError),
+    /// The platform's settings cannot be used.
+    #[error("barleyspar gateway: {0}")]
+    Settings(#[from] barleyspar_dialect::SettingsError),
+    /// A policy file cannot be used.
+    #[error("{file}: {cause}")]
+    Policy {
+        /// The file.
+        file: String,
+        /// Why.
+        cause: String,
+    },
     /// The asynchronous runtime could not be started.
     #[error("barleyspar: runtime: {0}")]
     Runtime(std::io::Error),
@@ -48,11 +62,13 @@
     /// The process's exit code.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::File(_) | Self::Files(_) => EXIT_BAD_INPUT,
+            Self::File(_) | Self::Files(_) | Self::Settings(_) | Self::Policy { .. } => {
+                EXIT_BAD_INPUT
+            }
             Self::Refused(_) => EXIT_REFUSED,
             Self::Unknown(_) => EXIT_UNKNOWN,
             Self::NotInForce(_) => EXIT_NOT_IN_FORCE,
-            Self::Node(_) | Self::Runtime(_) | Self::Unreachable(_) => EXIT_FAILED,
+            Self::Node(_) | Self::Gateway(_) | Self::Runtime(_) | Self::Unreachable(_) => EXIT_FAILED,
         }
     }
 }
--- a/crates/barleyspar/src/main.rs
+++ b/crates/barleyspar/src/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod commands;
 mod errors;
+mod gateway;
 mod node;
 
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
             Ok(())
         }
         Command::Node { config } => node::run(&config),
+        Command::Gateway { policy } => gateway::run(&policy),
         Command::Check { files } => check::run(&files),
         Command::Remote(remote, action) => commands::run(&remote, &action),
     };
--- /dev/null
+++ b/crates/catalog/src/dialect.rs
@@ -0,0 +1,71 @@
+//! The port behind which a platform's names, formats and calls stand.
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, request, response};
+use thiserror::Error;
+
+use crate::{
+    AnswerFacts, Configuration, Forward, Order, OrderAnswer, Report, RequestFacts, Runner,
+    StoreAnswer, StoreCall, StoreError,
+};
+
+/// Why bytes of the platform could not be understood.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{what}: {cause}")]
+pub struct DialectError {
+    /// What was being read.
+    pub what: String,
+    /// Why it failed.
+    pub cause: String,
+}
+
+/// An object in the store.
+#[derive(Debug)]
+pub enum StoredObject {
+    /// The operators' configuration.
+    Configuration(Box<Configuration>),
+    /// A runner's entry.
+    Runner(Box<Runner>),
+    /// Something that is none of these.
+    Other,
+}
+
+/// Translates between the product's types and a platform's wire. Pure: no I/O,
+/// no state, no decision.
+pub trait Dialect: Send + Sync + 'static {
+    /// Reads the head of a client's request.
+    fn read_request(&self, head: &request::Parts) -> RequestFacts;
+    /// The headers with which a client's request goes to a runner.
+    fn forwarded_headers(&self, client: &HeaderMap, forward: &Forward) -> HeaderMap;
+    /// Reads the head of a runner's answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerFacts;
+    /// The headers with which a runner's answer goes to the client.
+    fn returned_headers(&self, runner: &HeaderMap) -> HeaderMap;
+    /// Headers of an answer of the system's own to the request `request_id`.
+    fn own_headers(&self, request_id: Option<&str>) -> HeaderMap;
+    /// Asks a runner for its report.
+    fn report_call(&self, runner: &str) -> Request<Bytes>;
+    /// Reads a runner's report.
+    fn read_report(&self, status: StatusCode, body: &[u8]) -> Result<Report, DialectError>;
+    /// Gives a runner an order.
+    fn order_call(&self, order: &Order) -> Request<Bytes>;
+    /// Reads a runner's answer to an order.
+    fn read_order_answer(&self, status: StatusCode) -> OrderAnswer;
+    /// Makes a call to the store.
+    fn store_call(&self, call: &StoreCall) -> Request<Bytes>;
+    /// Reads the store's answer to a call.
+    fn read_store_answer(
+        &self,
+        call: &StoreCall,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Result<StoreAnswer, StoreError>;
+    /// Prefix of the keys in the store that hold the configuration and runners.
+    fn watched_prefixes(&self) -> Vec<String>;
+    /// Reads a value of the store.
+    fn read_object(&self, key: &str, value: &[u8]) -> Result<StoredObject, DialectError>;
+    /// The id of the runner whose entry `key` is.
+    fn runner_of_key<'a>(&self, key: &'a str) -> Option<&'a str>;
+    /// Path on which readiness is asked for.
+    fn readiness_path(&self) -> &str;
+}
--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,27 @@
+//! What a gateway knows of the world, as typed values: configuration, routes,
+//! runners, orders, the key-value store's calls; and [`Dialect`], the port
+//! through which a platform's names and formats are translated.
+//!
+//! Nothing here does I/O or decides.
+
+mod answer;
+mod configuration;
+mod dialect;
+mod order;
+mod request;
+mod routes;
+mod runner;
+mod settings;
+mod store;
+
+pub use answer::AnswerFacts;
+pub use configuration::{
+    Backend, ClientLimits, Configuration, EngineSpec, ModelSpec, RequestKind, Route, Service,
+};
+pub use dialect::{Dialect, DialectError, StoredObject};
+pub use order::{Order, OrderAction, OrderAnswer, Report};
+pub use request::{Forward, ModelReference, RequestFacts};
+pub use routes::RouteTable;
+pub use runner::{HeldModel, Runner, RunnerState, WeightCopies};
+pub use settings::{Bounds, MachineLimits, NodeSettings};
+pub use store::{Event, Item, StoreAnswer, StoreCall, StoreError, Transaction, Write};
--- /dev/null
+++ b/crates/catalog/src/runner.rs
@@ -0,0 +1,61 @@
+//! Runners as discovery shows them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Whether a runner takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunnerState {
+    /// It does.
+    Available,
+    /// It is leaving and takes none.
+    Draining,
+}
+
+/// A model in a runner's accelerator memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// The model.
+    pub model: Arc<str>,
+    /// Version of its weights.
+    pub version: u64,
+    /// Its adapters that are loaded.
+    pub adapters: Vec<Arc<str>>,
+}
+
+/// Copies of weights that a runner keeps outside accelerator memory.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WeightCopies {
+    /// Models in host memory.
+    pub memory: Vec<Arc<str>>,
+    /// Models on disk.
+    pub disk: Vec<Arc<str>>,
+}
+
+/// One incarnation of a runner.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Runner {
+    /// The incarnation's id.
+    pub id: Arc<str>,
+    /// The service it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: RunnerState,
+    /// Time until it is gone, where it said so.
+    pub remaining: Option<Duration>,
+    /// How much longer it stays slow from its start.
+    pub warming: Duration,
+    /// Orders taken.
+    pub sequence: u64,
+    /// Models held; empty for plain services.
+    pub models: Vec<HeldModel>,
+    /// Copies of weights.
+    pub copies: WeightCopies,
+}
--- /dev/null
+++ b/crates/catalog/src/settings.rs
@@ -0,0 +1,56 @@
+//! Settings of a gateway process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a gateway is told when it starts.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Unique name of the node.
+    pub name: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where readiness is asked for.
+    pub readiness_address: SocketAddr,
+    /// Where other nodes send datagrams.
+    pub peer_address: SocketAddr,
+    /// The key-value store.
+    pub store_address: SocketAddr,
+    /// Shortest time to live of a lease that the store grants.
+    pub minimum_lease: Duration,
+    /// Limits of the machine.
+    pub limits: MachineLimits,
+    /// Bounds that the site promises.
+    pub bounds: Bounds,
+}
+
+/// Limits of the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Bytes of memory of the process.
+    pub memory_bytes: u64,
+    /// Sockets and files of the process.
+    pub descriptors: u32,
+}
+
+/// Bounds that the site promises or expects.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Time from the request to stop until the process is killed.
+    pub grace_period: Duration,
+    /// Retries per request over all nodes.
+    pub retry_ratio: f64,
+    /// Window in which retries are counted.
+    pub retry_window: Duration,
+    /// Retries over all nodes in a window beyond the ratio.
+    pub retry_extra: f64,
+    /// Time within which only one node may give a runner orders.
+    pub lease_duration: Duration,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Duration,
+    /// Factor by which loads in a window may exceed the store's rate.
+    pub load_overage: f64,
+}
--- /dev/null
+++ b/crates/dispatch/src/choice.rs
@@ -0,0 +1,68 @@
+//! Which of the runners that could take a request gets it.
+
+use std::time::Instant;
+
+use crate::dispatcher::Query;
+use crate::runner::RunnerEntry;
+
+/// Cost of going to another zone, in units of a full runner.
+const OTHER_ZONE_COST: f64 = 0.05;
+/// Cost of leaving the runner that keeps the prompt's shared parts.
+const OTHER_CACHE_COST: f64 = 0.12;
+/// Cost of a runner that always fails, beyond the best one's failures.
+const FAILURE_COST: f64 = 4.0;
+/// Cost of taking twice as long as the fastest.
+const SLOWNESS_COST: f64 = 0.15;
+/// Largest ratio of response times that counts.
+const LARGEST_SLOWNESS: f64 = 8.0;
+/// Cost of a runner that is still slow from its start.
+const WARMING_COST: f64 = 0.3;
+
+/// The cheapest of `candidates` for `query`, as an index.
+pub fn cheapest(
+    candidates: &[&RunnerEntry],
+    query: &Query,
+    own_zone: &str,
+    now: Instant,
+) -> Option<usize> {
+    let best_failure = candidates
+        .iter()
+        .map(|entry| entry.health.failure_rate(now))
+        .fold(f64::INFINITY, f64::min);
+    let best_response = candidates
+        .iter()
+        .filter_map(|entry| entry.health.response_seconds())
+        .fold(f64::INFINITY, f64::min);
+    let cached_at = query.affinity.and_then(|key| preferred(candidates, key));
+    let cost = |index: usize| {
+        let entry = candidates[index];
+        let mut cost = f64::from(entry.total_in_flight()) / f64::from(entry.runner.slots.max(1));
+        cost += FAILURE_COST * (entry.health.failure_rate(now) - best_failure);
+        cost += slowness(entry.health.response_seconds(), best_response);
+        if &*entry.runner.zone != own_zone {
+            cost += OTHER_ZONE_COST;
+        }
+        if cached_at.is_some_and(|cached| cached != index) {
+            cost += OTHER_CACHE_COST;
+        }
+        if !entry.runner.warming.is_zero() {
+            cost += WARMING_COST;
+        }
+        cost
+    };
+    (0..candidates.len()).min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
+}
+
+fn slowness(response: Option<f64>, best: f64) -> f64 {
+    match response {
+        Some(response) if best > 0.0 && best.is_finite() => {
+            SLOWNESS_COST * ((response / best).min(LARGEST_SLOWNESS) - 1.0)
+        }
+        _ => 0.0,
+    }
+}
+
+/// The candidate that rendezvous hashing picks for `key`: the same at every node.
+fn preferred(candidates: &[&RunnerEntry], key: u64) -> Option<usize> {
+    (0..candidates.len()).max_by_key(|index| barleyspar_domain::rank(&key, &*candidates[*index].runner.id))
+}
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,148 @@
+//! What a node has seen of a runner's behaviour.
+
+use std::time::{Duration, Instant};
+
+/// Half-life of what was seen.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+/// Weight of the assumption that a runner is sound.
+const PRIOR_SUCCESSES: f64 = 3.0;
+/// Failures to respond in a row after which a runner is left alone.
+const FAILURES_UNTIL_BLOCKED: u32 = 2;
+/// Shortest and longest time a runner is left alone.
+const SHORTEST_BLOCK: Duration = Duration::from_millis(500);
+const LONGEST_BLOCK: Duration = Duration::from_secs(4);
+/// Weight of the newest response time.
+const RESPONSE_WEIGHT: f64 = 0.3;
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection came up.
+    Unreachable,
+    /// The connection broke, or its bytes were no proper answer.
+    Broken,
+    /// Nothing came in the time given.
+    Silent,
+    /// The runner answered that it failed.
+    Error,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer, its first byte after this time.
+    Success { first_byte: Duration },
+    /// The runner is full or busy with an order and refused; it did not run.
+    Busy,
+    /// The runner does not hold what was asked for; it did not run.
+    NotHeld,
+    /// Another runner has the address; it did not run.
+    WrongRunner,
+    /// The attempt failed.
+    Failed(Failure),
+    /// The client left or its time was up: says nothing of the runner.
+    Abandoned,
+}
+
+/// Behaviour seen, fading with time.
+#[derive(Debug)]
+pub struct Health {
+    seen_at: Instant,
+    successes: f64,
+    failures: f64,
+    failures_in_row: u32,
+    blocked_until: Option<Instant>,
+    busy_until: Option<Instant>,
+    block: Duration,
+    response_seconds: Option<f64>,
+}
+
+impl Health {
+    /// A runner of which nothing is known.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            seen_at: now,
+            successes: 0.0,
+            failures: 0.0,
+            failures_in_row: 0,
+            blocked_until: None,
+            busy_until: None,
+            block: SHORTEST_BLOCK,
+            response_seconds: None,
+        }
+    }
+
+    /// Takes in a success.
+    pub fn succeeded(&mut self, now: Instant, first_byte: Duration) {
+        self.fade(now);
+        self.successes += 1.0;
+        self.failures_in_row = 0;
+        self.block = SHORTEST_BLOCK;
+        self.blocked_until = None;
+        let sample = first_byte.as_secs_f64();
+        self.response_seconds = Some(self.response_seconds.map_or(sample, |known| {
+            known + RESPONSE_WEIGHT * (sample - known)
+        }));
+    }
+
+    /// Takes in a failure.
+    pub fn failed(&mut self, now: Instant, failure: Failure) {
+        self.fade(now);
+        self.failures += 1.0;
+        if failure == Failure::Error {
+            return;
+        }
+        self.failures_in_row += 1;
+        if failure == Failure::Unreachable || self.failures_in_row >= FAILURES_UNTIL_BLOCKED {
+            self.block_for(now, self.block);
+            self.block = (self.block * 2).min(LONGEST_BLOCK);
+        }
+    }
+
+    /// Leaves the runner alone for `time`.
+    pub fn block_for(&mut self, now: Instant, time: Duration) {
+        let until = now + time;
+        if self.blocked_until.is_none_or(|known| known < until) {
+            self.blocked_until = Some(until);
+        }
+    }
+
+    /// The runner refused for want of room: gives it no work for `time`.
+    pub fn busy_for(&mut self, now: Instant, time: Duration) {
+        self.busy_until = Some(now + time);
+    }
+
+    /// Whether the runner refused a moment ago for want of room.
+    pub fn is_busy(&self, now: Instant) -> bool {
+        self.busy_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the runner is being left alone.
+    pub fn is_blocked(&self, now: Instant) -> bool {
+        self.blocked_until.is_some_and(|until| now < until)
+    }
+
+    /// Part of the attempts that failed, 0 to 1.
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let kept = self.kept(now);
+        let failures = self.failures * kept;
+        failures / (failures + self.successes * kept + PRIOR_SUCCESSES)
+    }
+
+    /// Usual time until the first byte, in seconds.
+    pub fn response_seconds(&self) -> Option<f64> {
+        self.response_seconds
+    }
+
+    fn kept(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.seen_at).as_secs_f64();
+        0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+
+    fn fade(&mut self, now: Instant) {
+        let kept = self.kept(now);
+        self.successes *= kept;
+        self.failures *= kept;
+        self.seen_at = now;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decides which runner gets a request, and when: queue, load, health, retry
+//! budget and demand. A state machine without I/O and without a clock of its
+//! own; one task drives it.
+
+mod budget;
+mod choice;
+mod demand;
+mod dispatcher;
+mod health;
+mod queue;
+mod runner;
+mod split;
+
+pub use budget::{BudgetLimits, RetryBudget};
+pub use demand::DemandItem;
+pub use dispatcher::{Acquired, AttemptKind, Dispatcher, Grant, PermitId, Query, Refusal, RefusalReason, Ticket};
+pub use health::{Failure, Outcome};
+pub use runner::{RunnerKey, runner_key};
+pub use split::Splitter;
--- /dev/null
+++ b/crates/dispatch/src/runner.rs
@@ -0,0 +1,121 @@
+//! A runner as the dispatcher keeps it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use barleyspar_catalog::{HeldModel, ModelReference, Runner, RunnerState};
+
+use crate::health::Health;
+
+/// A runner's incarnation in messages between nodes.
+pub type RunnerKey = u32;
+
+/// The key of the runner with this id.
+pub fn runner_key(id: &str) -> RunnerKey {
+    barleyspar_domain::rank("runner", id) as RunnerKey
+}
+
+/// Time for which a runner is thought not to hold what it said it lacks.
+const NOT_HELD_TIME: Duration = Duration::from_millis(1500);
+
+/// A runner with what this node knows of it.
+#[derive(Debug)]
+pub struct RunnerEntry {
+    /// The runner as discovery or the placement leader showed it last.
+    pub runner: Arc<Runner>,
+    /// Attempts of this node in flight.
+    pub in_flight: u32,
+    /// Tokens of those attempts.
+    pub tokens: u64,
+    /// Attempts of other nodes in flight, as they said last.
+    pub peer_in_flight: u32,
+    /// Behaviour seen.
+    pub health: Health,
+    /// Whether it takes new work, for attempts that are about to be sent.
+    pub open: Arc<AtomicBool>,
+    lacking: HashMap<ModelReference, Instant>,
+}
+
+impl RunnerEntry {
+    /// A runner that has just been discovered.
+    pub fn new(runner: Runner, now: Instant) -> Self {
+        Self {
+            runner: Arc::new(runner),
+            in_flight: 0,
+            tokens: 0,
+            peer_in_flight: 0,
+            health: Health::new(now),
+            open: Arc::new(AtomicBool::new(true)),
+            lacking: HashMap::new(),
+        }
+    }
+
+    /// Takes in a newer entry. A runner that was draining stays so: an entry
+    /// that says otherwise is older than it looks.
+    pub fn update(&mut self, mut newer: Runner) {
+        if self.runner.state == RunnerState::Draining {
+            newer.state = RunnerState::Draining;
+        }
+        if newer.sequence < self.runner.sequence {
+            newer.sequence = self.runner.sequence;
+            newer.models = self.runner.models.clone();
+        }
+        if newer.models != self.runner.models {
+            self.lacking.clear();
+        }
+        if newer.state == RunnerState::Draining {
+            self.close();
+        }
+        self.runner = Arc::new(newer);
+    }
+
+    /// Tells attempts that are about to be sent that the runner is leaving.
+    pub fn close(&self) {
+        self.open.store(false, Ordering::Relaxed);
+    }
+
+    /// Takes in what the runner holds, from its own report.
+    pub fn update_models(&mut self, sequence: u64, models: Vec<HeldModel>) {
+        if sequence < self.runner.sequence {
+            return;
+        }
+        self.lacking.clear();
+        let runner = Arc::make_mut(&mut self.runner);
+        runner.sequence = sequence;
+        runner.models = models;
+    }
+
+    /// Remembers that the runner said it does not hold `wanted`.
+    pub fn lacks(&mut self, wanted: ModelReference, now: Instant) {
+        self.lacking.insert(wanted, now + NOT_HELD_TIME);
+    }
+
+    /// Whether the runner takes new work.
+    pub fn is_open(&self) -> bool {
+        self.runner.state == RunnerState::Available
+    }
+
+    /// Whether the runner holds `wanted`, as far as this node knows.
+    pub fn holds(&self, wanted: &ModelReference, now: Instant) -> bool {
+        if self.lacking.get(wanted).is_some_and(|until| now < *until) {
+            return false;
+        }
+        let held = self
+            .runner
+            .models
+            .iter()
+            .find(|held| held.model == wanted.model);
+        match (&wanted.adapter, held) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(adapter), Some(held)) => held.adapters.contains(adapter),
+        }
+    }
+
+    /// Attempts of all nodes in flight.
+    pub fn total_in_flight(&self) -> u32 {
+        self.in_flight + self.peer_in_flight
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/split.rs
@@ -0,0 +1,55 @@
+//! Splits a route's traffic over its backends by weight.
+//!
+//! Smooth weighted round robin: each node's own requests follow the weights as
+//! closely as whole requests can, so all nodes' do.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use barleyspar_catalog::Route;
+
+/// Credits of the backends of each route.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    credits: HashMap<Arc<str>, Vec<(Arc<str>, i64)>>,
+}
+
+impl Splitter {
+    /// The backend for the next request on `route`.
+    pub fn pick(&mut self, route: &Route) -> Arc<str> {
+        if let [only] = route.backends.as_slice() {
+            return only.service.clone();
+        }
+        let credits = self.credits.entry(route.name.clone()).or_default();
+        let same = credits.len() == route.backends.len()
+            && credits
+                .iter()
+                .zip(&route.backends)
+                .all(|(credit, backend)| credit.0 == backend.service);
+        if !same {
+            *credits = route
+                .backends
+                .iter()
+                .map(|backend| (backend.service.clone(), 0))
+                .collect();
+        }
+        let mut total = 0;
+        for (credit, backend) in credits.iter_mut().zip(&route.backends) {
+            credit.1 += i64::from(backend.weight);
+            total += i64::from(backend.weight);
+        }
+        let richest = credits
+            .iter_mut()
+            .max_by_key(|credit| credit.1)
+            .expect("a route has backends");
+        richest.1 -= total;
+        richest.0.clone()
+    }
+
+    /// Forgets routes that are gone.
+    pub fn retain(&mut self, routes: &[Arc<Route>]) {
+        let names: std::collections::HashSet<&Arc<str>> =
+            routes.iter().map(|route| &route.name).collect();
+        self.credits.retain(|name, _| names.contains(name));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,213 @@
+//! One attempt at one runner, up to the head of its answer.
+
+use std::time::Duration;
+
+use barleyspar_catalog::{AnswerFacts, Forward, Runner};
+use barleyspar_dispatch::{Failure, Outcome};
+use barleyspar_domain::Verdict;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::context::Context;
+use crate::dispatch::Permit;
+use crate::upstream::{Checkout, Connection};
+
+/// Time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request as it is sent to runners.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// The client's method.
+    pub method: Method,
+    /// The client's path and query.
+    pub target: Uri,
+    /// The client's headers.
+    pub headers: HeaderMap,
+    /// The client's body.
+    pub body: Bytes,
+    /// Id of the client's attempt.
+    pub request_id: Option<String>,
+}
+
+/// An attempt that got the head of an answer.
+#[derive(Debug)]
+pub struct Answered {
+    /// The attempt's permit.
+    pub permit: Permit,
+    /// The connection on which the body comes.
+    pub connection: Connection,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// What the head says.
+    pub facts: AnswerFacts,
+    /// The body.
+    pub body: Incoming,
+    /// Time until the head came.
+    pub waited: Duration,
+}
+
+/// An attempt that got none.
+#[derive(Debug)]
+pub struct AttemptError {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Whether any byte of it left.
+    pub sent: bool,
+    /// What it says of the runner.
+    pub outcome: Outcome,
+    /// What happened.
+    pub cause: String,
+}
+
+impl AttemptError {
+    fn unsent(outcome: Outcome, cause: String) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            sent: false,
+            outcome,
+            cause,
+        }
+    }
+
+    fn unknown(failure: Failure, cause: String) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            sent: true,
+            outcome: Outcome::Failed(failure),
+            cause,
+        }
+    }
+}
+
+/// Sends `outgoing` to the permit's runner and waits for the head of the answer
+/// until `patience`. An error gives the permit back.
+pub async fn attempt(
+    context: &Context,
+    permit: Permit,
+    outgoing: &Outgoing,
+    forward: Forward,
+    patience: Instant,
+) -> Result<Answered, AttemptError> {
+    match attempt_with(context, &permit, outgoing, forward, patience).await {
+        Ok(parts) => {
+            let (connection, head, facts, body, waited) = parts;
+            Ok(Answered {
+                permit,
+                connection,
+                status: head.status,
+                headers: head.headers,
+                facts,
+                body,
+                waited,
+            })
+        }
+        Err(error) => {
+            permit.finish(error.outcome);
+            Err(error)
+        }
+    }
+}
+
+type HeadParts = (
+    Connection,
+    http::response::Parts,
+    AnswerFacts,
+    Incoming,
+    Duration,
+);
+
+async fn attempt_with(
+    context: &Context,
+    permit: &Permit,
+    outgoing: &Outgoing,
+    forward: Forward,
+    patience: Instant,
+) -> Result<HeadParts, AttemptError> {
+    let mut connection = connect(context, permit.runner(), patience).await?;
+    if !permit.is_open() {
+        let cause = "the runner began to leave".to_owned();
+        return Err(AttemptError::unsent(Outcome::Abandoned, cause));
+    }
+    let request = build(context, outgoing, forward);
+    let sent_at = Instant::now();
+    let answer = timeout_at(patience, connection.send(request)).await;
+    let waited = sent_at.elapsed();
+    let response = match answer {
+        Err(_) => {
+            let cause = "no head of an answer in time".to_owned();
+            return Err(AttemptError::unknown(Failure::Silent, cause));
+        }
+        Ok(Err(error)) if !error.sent => {
+            return Err(AttemptError::unsent(
+                Outcome::Abandoned,
+                format!("connection closed before the request: {}", error.cause),
+            ));
+        }
+        Ok(Err(error)) => return Err(AttemptError::unknown(Failure::Broken, error.cause)),
+        Ok(Ok(response)) => response,
+    };
+    let (head, body) = response.into_parts();
+    let facts = context.dialect.read_answer(&head);
+    check_head(&head, &facts, outgoing)?;
+    Ok((connection, head, facts, body, waited))
+}
+
+/// Refuses a head that cannot be the answer to this request.
+fn check_head(
+    head: &http::response::Parts,
+    facts: &AnswerFacts,
+    outgoing: &Outgoing,
+) -> Result<(), AttemptError> {
+    let foreign = match (&facts.request_id, &outgoing.request_id) {
+        (Some(answered), Some(asked)) => answered != asked,
+        _ => false,
+    };
+    let broken = |cause: &str| AttemptError::unknown(Failure::Broken, cause.to_owned());
+    if foreign {
+        return Err(broken("the answer belongs to another request"));
+    }
+    if head.status.is_success() && !facts.signed {
+        return Err(broken("the success is not signed"));
+    }
+    if facts.encoded {
+        return Err(broken("the body is encoded"));
+    }
+    Ok(())
+}
+
+async fn connect(
+    context: &Context,
+    runner: &Runner,
+    patience: Instant,
+) -> Result<Connection, AttemptError> {
+    let share = context.connection_share(&runner.service);
+    let slot = match context.pool.checkout(&runner.id, share) {
+        Checkout::Idle(connection) => return Ok(*connection),
+        Checkout::Open(slot) => slot,
+        Checkout::Full => {
+            let cause = "no connection left in this node's share".to_owned();
+            return Err(AttemptError::unsent(Outcome::Busy, cause));
+        }
+    };
+    let left = patience.saturating_duration_since(Instant::now());
+    Connection::open(runner.address, CONNECT_TIMEOUT.min(left), Some(slot))
+        .await
+        .map_err(|error| {
+            AttemptError::unsent(Outcome::Failed(Failure::Unreachable), error.to_string())
+        })
+}
+
+fn build(context: &Context, outgoing: &Outgoing, forward: Forward) -> Request<Bytes> {
+    let mut request = Request::new(outgoing.body.clone());
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.target.clone();
+    *request.headers_mut() = context
+        .dialect
+        .forwarded_headers(&outgoing.headers, &forward);
+    request
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,46 @@
+//! What all parts of a gateway share.
+
+use std::sync::Arc;
+
+use barleyspar_catalog::{Dialect, NodeSettings, RouteTable};
+use tokio::sync::watch;
+
+use crate::dispatch::DispatchHandle;
+use crate::inflight::InFlight;
+use crate::lifecycle::Lifecycle;
+use crate::upstream::Pool;
+
+/// Shared by all tasks of a gateway; everything in it is immutable, a handle
+/// or a channel.
+#[derive(Clone)]
+pub struct Context {
+    /// The platform's names and formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// Settings of the process.
+    pub settings: Arc<NodeSettings>,
+    /// The routes in force; `None` until a configuration is known.
+    pub routes: watch::Receiver<Option<Arc<RouteTable>>>,
+    /// The dispatcher.
+    pub dispatch: DispatchHandle,
+    /// Connections to runners.
+    pub pool: Arc<Pool>,
+    /// Whether the process is being stopped.
+    pub lifecycle: Lifecycle,
+    /// Callers' requests in flight.
+    pub requests: Arc<InFlight>,
+}
+
+impl Context {
+    /// Connections that this node may have to one runner of `service`.
+    pub fn connection_share(&self, service: &str) -> u32 {
+        /// The rest covers nodes that do not know of each other yet.
+        const USED_PART: f64 = 0.8;
+        let routes = self.routes.borrow();
+        let limit = routes
+            .as_ref()
+            .and_then(|table| table.configuration().services.get(service))
+            .map_or(u32::MAX, |service| service.connection_limit);
+        let share = f64::from(limit) * USED_PART / f64::from(self.dispatch.nodes());
+        (share as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/discovery.rs
@@ -0,0 +1,128 @@
+//! Turns the store's changes into what the parts of a gateway need.
+
+use std::sync::Arc;
+
+use barleyspar_catalog::{Event, Item, RouteTable, Runner, StoredObject};
+use tokio::sync::{mpsc, watch};
+
+use crate::context::Context;
+use crate::peers::{MEMBER_PREFIX, PeerHandle};
+use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle};
+use crate::watch::Change;
+
+/// Where changes go.
+pub struct Discovery {
+    /// What all parts share.
+    pub context: Context,
+    /// The routes in force.
+    pub routes: watch::Sender<Option<Arc<RouteTable>>>,
+    /// The placement task.
+    pub placement: PlacementHandle,
+    /// The peers task.
+    pub peers: PeerHandle,
+    /// Who leads the placement.
+    pub leader: watch::Sender<Option<LeaderRecord>>,
+}
+
+impl Discovery {
+    /// Passes changes on until they end.
+    pub async fn run(self, mut changes: mpsc::Receiver<Change>) {
+        while let Some(change) = changes.recv().await {
+            match change {
+                Change::Everything(items) => self.everything(items),
+                Change::Event(Event::Written(item)) => self.written(&item),
+                Change::Event(Event::Removed { key, .. }) => self.removed(&key),
+            }
+        }
+    }
+
+    fn everything(&self, items: Vec<Item>) {
+        let keys: Vec<Arc<str>> = items
+            .iter()
+            .filter_map(|item| self.context.dialect.runner_of_key(&item.key))
+            .map(Arc::from)
+            .collect();
+        let members: Vec<&str> = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(MEMBER_PREFIX))
+            .collect();
+        self.peers.retain(&members);
+        if !items.iter().any(|item| item.key == LEADER_KEY) {
+            self.leader.send_replace(None);
+        }
+        for item in &items {
+            self.written(item);
+        }
+        self.context.dispatch.retain_runners(keys.clone());
+        self.placement.retain_runners(keys);
+    }
+
+    fn written(&self, item: &Item) {
+        if item.key == LEADER_KEY {
+            let record = LeaderRecord::decode(&item.value, item.revision);
+            if let Some(record) = &record {
+                tracing::info!(event = "placement_leader", node = &*record.node, token = record.token);
+            }
+            self.leader.send_replace(record);
+            return;
+        }
+        if let Some(name) = item.key.strip_prefix(MEMBER_PREFIX) {
+            self.peers.joined(name, &item.value);
+            return;
+        }
+        match self.context.dialect.read_object(&item.key, &item.value) {
+            Ok(StoredObject::Configuration(configuration)) => self.configure(*configuration),
+            Ok(StoredObject::Runner(runner)) => self.runner(*runner, item.revision),
+            Ok(StoredObject::Other) => {}
+            Err(error) => tracing::warn!(event = "object_unreadable", key = item.key, %error),
+        }
+    }
+
+    fn removed(&self, key: &str) {
+        if key == LEADER_KEY {
+            self.leader.send_replace(None);
+        } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+            self.peers.left(name);
+        } else if let Some(id) = self.context.dialect.runner_of_key(key) {
+            tracing::info!(event = "runner_gone", runner = id);
+            self.context.dispatch.remove_runner(id.into());
+            self.placement.remove_runner(id.into());
+        }
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    fn configure(&self, configuration: barleyspar_catalog::Configuration) {
+        let known = self
+            .context
+            .routes
+            .borrow()
+            .as_ref()
+            .map(|table| table.configuration().version);
+        if known.is_some_and(|version| version >= configuration.version) {
+            return;
+        }
+        let version = configuration.version;
+        let configuration = Arc::new(configuration);
+        self.context.dispatch.configure(configuration.clone());
+        self.placement.configure(configuration.clone());
+        let routes = configuration.routes.len();
+        self.routes
+            .send_replace(Some(Arc::new(RouteTable::new(configuration))));
+        tracing::info!(event = "configuration_in_force", version, routes);
+    }
+
+    fn runner(&self, runner: Runner, revision: u64) {
+        tracing::info!(
+            event = "runner_entry",
+            runner = &*runner.id,
+            service = &*runner.service,
+            zone = &*runner.zone,
+            state = ?runner.state,
+            sequence = runner.sequence,
+            models = runner.models.len(),
+            revision
+        );
+        self.placement.update_runner(runner.clone());
+        self.context.dispatch.update_runner(runner);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,358 @@
+//! The task that owns the dispatcher, and handles to it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use barleyspar_catalog::{Configuration, HeldModel, Route, Runner};
+use barleyspar_dispatch::{
+    Acquired, DemandItem, Dispatcher, Grant, Outcome, PermitId, Query, Refusal, RunnerKey,
+    Splitter, Ticket,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// Time between two looks at the queue when nothing happens.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3600);
+
+/// A request's place in the queue, chosen by the request.
+type CallId = u64;
+
+/// Leave to send one attempt to one runner. Dropping it gives it back.
+#[derive(Debug)]
+pub struct Permit {
+    grant: Grant,
+    handle: DispatchHandle,
+    finished: bool,
+}
+
+impl Permit {
+    /// The runner.
+    pub fn runner(&self) -> &Arc<Runner> {
+        &self.grant.runner
+    }
+
+    /// Runners that could have been taken.
+    pub fn candidates(&self) -> usize {
+        self.grant.candidates
+    }
+
+    /// Attempts at the runner before this one.
+    pub fn in_flight(&self) -> u32 {
+        self.grant.in_flight
+    }
+
+    /// Whether the runner still takes new work.
+    pub fn is_open(&self) -> bool {
+        self.grant.open.load(Ordering::Relaxed)
+    }
+
+    /// Tells how the attempt goes while it goes on.
+    pub fn observe(&self, outcome: Outcome) {
+        self.handle
+            .send(Command::Observe(self.grant.permit, outcome));
+    }
+
+    /// Gives the permit back.
+    pub fn finish(mut self, outcome: Outcome) {
+        self.finished = true;
+        self.handle.send(Command::Finish(self.grant.permit, outcome));
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.handle
+                .send(Command::Finish(self.grant.permit, Outcome::Abandoned));
+        }
+    }
+}
+
+enum Command {
+    Acquire {
+        call: CallId,
+        query: Box<Query>,
+        reply: oneshot::Sender<Result<Permit, Refusal>>,
+    },
+    Cancel(CallId),
+    Finish(PermitId, Outcome),
+    Observe(PermitId, Outcome),
+    Split(Arc<Route>, oneshot::Sender<Arc<str>>),
+    Configure(Arc<Configuration>),
+    UpdateRunner(Box<Runner>),
+    RemoveRunner(Arc<str>),
+    RetainRunners(Vec<Arc<str>>),
+    UpdateModels(Arc<str>, u64, Vec<HeldModel>),
+    PeerLoad(Arc<str>, Vec<(RunnerKey, u32)>),
+    SetNodes(usize),
+    Snapshot(oneshot::Sender<Snapshot>),
+}
+
+/// What this node tells other nodes of itself.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// Attempts in flight by runner.
+    pub load: Vec<(RunnerKey, u32)>,
+    /// Demand by model.
+    pub demand: Vec<DemandItem>,
+}
+
+/// What changes without a message and is read often.
+#[derive(Debug, Default)]
+struct Shared {
+    nodes: AtomicU32,
+    urgent: AtomicBool,
+    calls: AtomicU64,
+}
+
+/// A handle to the dispatcher's task.
+#[derive(Debug, Clone)]
+pub struct DispatchHandle {
+    // Bounded by the requests in flight: each has one command on its way.
+    commands: mpsc::UnboundedSender<Command>,
+    shared: Arc<Shared>,
+}
+
+/// Cancels a call that is dropped while it waits; no effect once it is answered.
+struct CancelOnDrop<'a> {
+    handle: &'a DispatchHandle,
+    call: CallId,
+}
+
+impl Drop for CancelOnDrop<'_> {
+    fn drop(&mut self) {
+        self.handle.send(Command::Cancel(self.call));
+    }
+}
+
+impl DispatchHandle {
+    fn send(&self, command: Command) {
+        // The task ends only with the process.
+        let _ = self.commands.send(command);
+    }
+
+    /// Asks for a runner; waits as long as the dispatcher lets it.
+    pub async fn acquire(&self, query: Query) -> Option<Result<Permit, Refusal>> {
+        let call = self.shared.calls.fetch_add(1, Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::Acquire {
+            call,
+            query: Box::new(query),
+            reply,
+        });
+        let _cancel = CancelOnDrop { handle: self, call };
+        answer.await.ok()
+    }
+
+    /// The backend for the next request on `route`.
+    pub async fn split(&self, route: &Arc<Route>) -> Arc<str> {
+        if let [only] = route.backends.as_slice() {
+            return only.service.clone();
+        }
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::Split(route.clone(), reply));
+        answer
+            .await
+            .unwrap_or_else(|_| route.backends[0].service.clone())
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, configuration: Arc<Configuration>) {
+        self.send(Command::Configure(configuration));
+    }
+
+    /// Takes in a runner's entry.
+    pub fn update_runner(&self, runner: Runner) {
+        self.send(Command::UpdateRunner(Box::new(runner)));
+    }
+
+    /// Forgets a runner.
+    pub fn remove_runner(&self, id: Arc<str>) {
+        self.send(Command::RemoveRunner(id));
+    }
+
+    /// Forgets all runners but those in `kept`.
+    pub fn retain_runners(&self, kept: Vec<Arc<str>>) {
+        self.send(Command::RetainRunners(kept));
+    }
+
+    /// Takes in what a runner holds.
+    pub fn update_models(&self, id: Arc<str>, sequence: u64, models: Vec<HeldModel>) {
+        self.send(Command::UpdateModels(id, sequence, models));
+    }
+
+    /// Takes in another node's load.
+    pub fn set_peer_load(&self, node: Arc<str>, load: Vec<(RunnerKey, u32)>) {
+        self.send(Command::PeerLoad(node, load));
+    }
+
+    /// Sets how many nodes share limits.
+    pub fn set_nodes(&self, nodes: usize) {
+        self.shared.nodes.store(nodes as u32, Ordering::Relaxed);
+        self.send(Command::SetNodes(nodes));
+    }
+
+    /// Nodes that share limits.
+    pub fn nodes(&self) -> u32 {
+        self.shared.nodes.load(Ordering::Relaxed).max(1)
+    }
+
+    /// This node's load and demand.
+    pub async fn snapshot(&self) -> Option<Snapshot> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::Snapshot(reply));
+        answer.await.ok()
+    }
+
+    /// Whether a request has begun to wait since the last call.
+    pub fn take_urgent(&self) -> bool {
+        self.shared.urgent.swap(false, Ordering::Relaxed)
+    }
+}
+
+/// Starts the task. `urgent` is notified when a request begins to wait.
+pub fn start(dispatcher: Dispatcher, urgent: Arc<tokio::sync::Notify>) -> DispatchHandle {
+    let (commands, inbox) = mpsc::unbounded_channel();
+    let handle = DispatchHandle {
+        commands,
+        shared: Arc::default(),
+    };
+    let task = DispatchTask {
+        dispatcher,
+        splitter: Splitter::default(),
+        replies: HashMap::new(),
+        tickets: HashMap::new(),
+        handle: handle.clone(),
+        urgent,
+    };
+    tokio::spawn(task.run(inbox));
+    handle
+}
+
+struct DispatchTask {
+    dispatcher: Dispatcher,
+    splitter: Splitter,
+    replies: HashMap<Ticket, (CallId, oneshot::Sender<Result<Permit, Refusal>>)>,
+    tickets: HashMap<CallId, Ticket>,
+    handle: DispatchHandle,
+    urgent: Arc<tokio::sync::Notify>,
+}
+
+impl DispatchTask {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Command>) {
+        loop {
+            let pause = self.pause();
+            tokio::select! {
+                command = inbox.recv() => match command {
+                    Some(command) => self.handle_command(command),
+                    None => return,
+                },
+                () = tokio::time::sleep(pause) => {}
+            }
+            while let Ok(command) = inbox.try_recv() {
+                self.handle_command(command);
+            }
+            self.answer_waiting();
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        self.dispatcher
+            .next_refusal()
+            .map_or(LONGEST_PAUSE, |at| {
+                at.saturating_duration_since(now()) + Duration::from_millis(1)
+            })
+    }
+
+    fn handle_command(&mut self, command: Command) {
+        match command {
+            Command::Acquire { call, query, reply } => self.acquire(call, *query, reply),
+            Command::Cancel(call) => {
+                if let Some(ticket) = self.tickets.remove(&call) {
+                    self.replies.remove(&ticket);
+                    self.dispatcher.cancel(ticket);
+                }
+            }
+            Command::Finish(permit, outcome) => self.dispatcher.finish(permit, outcome, now()),
+            Command::Observe(permit, outcome) => self.dispatcher.observe(permit, outcome, now()),
+            Command::Split(route, reply) => {
+                let _ = reply.send(self.splitter.pick(&route));
+            }
+            Command::Configure(configuration) => {
+                self.splitter.retain(&configuration.routes);
+                self.dispatcher.set_configuration(configuration);
+            }
+            Command::UpdateRunner(runner) => self.dispatcher.update_runner(*runner, now()),
+            Command::RemoveRunner(id) => self.dispatcher.remove_runner(&id),
+            Command::RetainRunners(kept) => self.dispatcher.retain_runners(&kept),
+            Command::UpdateModels(id, sequence, models) => {
+                self.dispatcher.update_models(&id, sequence, models);
+            }
+            Command::PeerLoad(node, load) => self.dispatcher.set_peer_load(node, load, now()),
+            Command::SetNodes(nodes) => self.dispatcher.set_nodes(nodes),
+            Command::Snapshot(reply) => {
+                let _ = reply.send(Snapshot {
+                    load: self.dispatcher.own_load(),
+                    demand: self.dispatcher.demand(now()),
+                });
+            }
+        }
+    }
+
+    fn acquire(
+        &mut self,
+        call: CallId,
+        query: Query,
+        reply: oneshot::Sender<Result<Permit, Refusal>>,
+    ) {
+        match self.dispatcher.acquire(query, now()) {
+            Acquired::Granted(grant) => self.reply(reply, Ok(grant)),
+            Acquired::Refused(refusal) => {
+                self.call_leader();
+                self.reply(reply, Err(refusal));
+            }
+            Acquired::Waiting(ticket) => {
+                self.replies.insert(ticket, (call, reply));
+                self.tickets.insert(call, ticket);
+                self.call_leader();
+            }
+        }
+    }
+
+    fn call_leader(&self) {
+        self.handle.shared.urgent.store(true, Ordering::Relaxed);
+        self.urgent.notify_one();
+    }
+
+    fn reply(
+        &self,
+        reply: oneshot::Sender<Result<Permit, Refusal>>,
+        answer: Result<Grant, Refusal>,
+    ) {
+        let answer = answer.map(|grant| Permit {
+            grant,
+            handle: self.handle.clone(),
+            finished: false,
+        });
+        // A permit that nobody takes gives itself back when it is dropped.
+        let _ = reply.send(answer);
+    }
+
+    fn answer_waiting(&mut self) {
+        if self.dispatcher.waiting() == 0 {
+            return;
+        }
+        for (ticket, answer) in self.dispatcher.poll(now()) {
+            if let Some((call, reply)) = self.replies.remove(&ticket) {
+                self.tickets.remove(&call);
+                self.reply(reply, answer);
+            }
+        }
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,211 @@
+//! A client's request on its way: what it asked for, where it has been, and
+//! what is known about whether it ran.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{Forward, ModelReference, RequestFacts, RequestKind, Route, Runner};
+use barleyspar_dispatch::{AttemptKind, Query};
+use barleyspar_domain::Verdict;
+use tokio::time::Instant;
+
+use crate::attempt::{AttemptError, Outgoing};
+use crate::context::Context;
+use crate::inflight::InFlightGuard;
+use crate::journal;
+
+/// Rejections by runners that one request may collect.
+const MOST_REJECTIONS: u32 = 2;
+/// Attempts of which nothing was sent that one request may collect.
+const MOST_UNSENT: u32 = 4;
+/// Shortest time after which a silent runner is left for another one.
+const SHORTEST_STALL: Duration = Duration::from_millis(300);
+/// Shortest time after which a silent stream is left, before its first event.
+const SHORTEST_STREAM_STALL: Duration = Duration::from_millis(1200);
+
+/// A request on its way.
+pub struct Exchange {
+    /// What all parts share.
+    pub context: Context,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service that its traffic split chose.
+    pub service: Arc<str>,
+    /// Whether the service's runners hold models.
+    pub has_engine: bool,
+    /// What the request's head says.
+    pub facts: RequestFacts,
+    /// The request as it goes to runners.
+    pub outgoing: Outgoing,
+    /// When it came.
+    pub received: Instant,
+    /// When its time is up.
+    pub deadline: Instant,
+    /// When the client last got something, or began to wait.
+    pub heard: Instant,
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    excluded: Vec<Arc<str>>,
+    runs: u32,
+    rejections: u32,
+    unsent: u32,
+    ended: bool,
+    _in_flight: InFlightGuard,
+}
+
+impl Exchange {
+    /// A request that has been read whole.
+    pub fn new(
+        context: Context,
+        route: Arc<Route>,
+        service: Arc<str>,
+        facts: RequestFacts,
+        outgoing: Outgoing,
+        received: Instant,
+        deadline: Instant,
+    ) -> Self {
+        let in_flight = context.requests.enter();
+        let has_engine = context.routes.borrow().as_ref().is_some_and(|table| {
+            let services = &table.configuration().services;
+            services
+                .get(&service)
+                .is_some_and(|service| service.engine.is_some())
+        });
+        Self {
+            context,
+            route,
+            service,
+            has_engine,
+            facts,
+            outgoing,
+            received,
+            deadline,
+            heard: received,
+            verdict: Verdict::NotRun,
+            excluded: Vec::new(),
+            runs: 0,
+            rejections: 0,
+            unsent: 0,
+            ended: false,
+            _in_flight: in_flight,
+        }
+    }
+
+    /// The request's id in logs.
+    pub fn id(&self) -> &str {
+        self.outgoing.request_id.as_deref().unwrap_or("-")
+    }
+
+    /// Time until the deadline.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// What to ask the dispatcher for.
+    pub fn query(&self, attempt: AttemptKind, may_wait: bool) -> Query {
+        let silent = self.heard.elapsed();
+        Query {
+            service: self.service.clone(),
+            wanted: self.wanted(),
+            priority: self.route.priority,
+            tokens: self.facts.prompt_tokens + self.facts.answer_tokens,
+            affinity: self.affinity(),
+            deadline: self.deadline.into_std(),
+            target_latency: self.route.target_latency,
+            patience: self
+                .route
+                .stream_patience
+                .map(|patience| patience.saturating_sub(silent)),
+            excluded: self.excluded.clone(),
+            attempt,
+            may_wait,
+        }
+    }
+
+    fn wanted(&self) -> Option<ModelReference> {
+        self.facts.model.clone().filter(|_| self.has_engine)
+    }
+
+    /// Requests with the same model and shared parts have the same key.
+    fn affinity(&self) -> Option<u64> {
+        let wanted = self.wanted()?;
+        Some(barleyspar_domain::rank(&wanted, &self.facts.shared_prefix))
+    }
+
+    /// What the runner is told along with the request.
+    pub fn forward(&self, runner: &Runner, last_event_id: Option<String>) -> Forward {
+        Forward {
+            runner: runner.id.clone(),
+            remaining: Some(self.left()),
+            priority: self.has_engine.then_some(self.route.priority),
+            last_event_id,
+        }
+    }
+
+    /// Whether another runner may be tried after one at which it may have run.
+    pub fn may_run_again(&self) -> bool {
+        self.route.repeatable()
+            && self.runs < self.route.maximum_attempts
+            && self.left() > Duration::from_millis(50)
+    }
+
+    /// Until when a silent runner is waited for, given that there are `others`.
+    pub fn head_patience(&self, others: bool) -> Instant {
+        let another = self.route.repeatable() && self.runs + 1 < self.route.maximum_attempts;
+        if !(another && others) {
+            return self.deadline;
+        }
+        self.deadline.min(Instant::now() + self.stall())
+    }
+
+    /// Time after which silence before the first byte is a failure.
+    pub fn stall(&self) -> Duration {
+        let target = self.route.target_latency.unwrap_or_default();
+        match self.route.kind {
+            RequestKind::Streaming => (target * 3 / 2).max(SHORTEST_STREAM_STALL),
+            _ => (target * 2).max(SHORTEST_STALL),
+        }
+    }
+
+    /// Takes in an attempt that failed: the next one's kind, if there is one.
+    pub fn after_failure(&mut self, runner: &Arc<str>, error: &AttemptError) -> Option<AttemptKind> {
+        journal::attempt_failed(self.id(), runner, error);
+        self.excluded.push(runner.clone());
+        if !error.sent {
+            self.unsent += 1;
+            return (self.unsent <= MOST_UNSENT).then_some(AttemptKind::Unsent);
+        }
+        self.ran_at(runner, error.verdict);
+        self.may_run_again().then_some(AttemptKind::Retry)
+    }
+
+    /// Takes in that the request may have run at `runner`.
+    pub fn ran_at(&mut self, runner: &Arc<str>, verdict: Verdict) {
+        self.verdict = self.verdict.and(verdict);
+        self.runs += 1;
+        if !self.excluded.contains(runner) {
+            self.excluded.push(runner.clone());
+        }
+    }
+
+    /// Takes in that `runner` refused to run it: whether to try another.
+    pub fn after_rejection(&mut self, runner: &Arc<str>) -> bool {
+        self.excluded.push(runner.clone());
+        self.rejections += 1;
+        self.rejections <= MOST_REJECTIONS
+    }
+
+    /// Says in the log how the request ended.
+    pub fn end(&mut self, status: u16, reason: &str) {
+        self.ended = true;
+        journal::ended(self.id(), status, self.verdict, self.received.elapsed(), reason);
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(0, "client_left");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The gateway: takes callers' requests over HTTP, finds each a runner, relays
+//! the answer; follows the platform's store; and leads the placement of models
+//! while it holds the lease for that.
+
+mod answers;
+mod attempt;
+mod body;
+mod context;
+mod discovery;
+mod dispatch;
+mod events;
+mod exchange;
+mod inflight;
+mod journal;
+mod lifecycle;
+mod listener;
+mod node;
+mod peers;
+mod placement;
+mod readiness;
+mod relay;
+mod request;
+mod store;
+mod stream;
+mod upstream;
+mod watch;
+
+pub use events::{EventSplitter, EventTooLong, StreamEvent};
+pub use node::{NodeError, run};
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,229 @@
+//! Starts a gateway and ends it.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{Dialect, NodeSettings};
+use barleyspar_dispatch::{BudgetLimits, Dispatcher};
+use barleyspar_loading::{Planner, PlannerSettings};
+use barleyspar_policy::Program;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::context::Context;
+use crate::discovery::Discovery;
+use crate::lifecycle::{Lifecycle, Stage};
+use crate::listener::{self, ListenerLimits};
+use crate::placement::{self, LeaseKeeper, PlacementTask};
+use crate::store::Store;
+use crate::{dispatch, peers, readiness, request, watch as store_watch};
+
+/// Changes of the store that may wait to be taken in.
+const CHANGES: usize = 64;
+/// Descriptors kept for runners, the store and files.
+const OTHER_DESCRIPTORS: usize = 1200;
+/// Fewest callers' connections.
+const FEWEST_CONNECTIONS: usize = 64;
+/// Time after the request to stop in which new connections may still come.
+const STILL_FOUND: Duration = Duration::from_millis(2600);
+/// Time before the kill at which what is left is cut.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Time between two looks at idle connections.
+const SWEEP: Duration = Duration::from_secs(2);
+
+/// Why a gateway could not run.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address could not be used.
+    #[error("{what} {address}: {cause}")]
+    Address {
+        /// What the address is for.
+        what: &'static str,
+        /// The address.
+        address: String,
+        /// Why.
+        cause: io::Error,
+    },
+    /// Signals cannot be taken.
+    #[error("signals: {0}")]
+    Signals(io::Error),
+}
+
+/// Runs a gateway until it is told to stop.
+pub async fn run(
+    settings: NodeSettings,
+    dialect: Arc<dyn Dialect>,
+    policy: Program,
+) -> Result<(), NodeError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let (stage, lifecycle) = Lifecycle::running();
+    let context = start(settings, dialect, policy, lifecycle).await?;
+    tokio::spawn(log_hangups(hangup));
+    let _ = terminate.recv().await;
+    tracing::info!(event = "stopping", reason = "SIGTERM");
+    drain(&context, &stage).await;
+    tracing::info!(event = "stopped");
+    Ok(())
+}
+
+async fn log_hangups(mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        tracing::info!(event = "settings_signal");
+    }
+}
+
+/// Serves on until nothing comes any more, then until nothing is left.
+async fn drain(context: &Context, stage: &watch::Sender<Stage>) {
+    let deadline = Instant::now() + context.settings.bounds.grace_period - KILL_MARGIN;
+    stage.send_replace(Stage::Draining);
+    sleep(STILL_FOUND).await;
+    stage.send_replace(Stage::Closing);
+    let left = deadline.saturating_duration_since(Instant::now());
+    let _ = timeout(left, context.requests.idle()).await;
+}
+
+async fn start(
+    settings: NodeSettings,
+    dialect: Arc<dyn Dialect>,
+    policy: Program,
+    lifecycle: Lifecycle,
+) -> Result<Context, NodeError> {
+    let settings = Arc::new(settings);
+    let urgent = Arc::new(Notify::new());
+    let (routes_sender, routes) = watch::channel(None);
+    let now = Instant::now().into_std();
+    let dispatcher = Dispatcher::new(settings.zone.clone(), budget(&settings), now);
+    let context = Context {
+        dialect: dialect.clone(),
+        settings: settings.clone(),
+        routes,
+        dispatch: dispatch::start(dispatcher, urgent.clone()),
+        pool: Arc::default(),
+        lifecycle,
+        requests: Arc::default(),
+    };
+    let store = Store::new(settings.store_address, dialect);
+    let (placement_handle, placement_inbox) = placement::channel();
+    let (peer_handle, peer_inbox) = peers::channel();
+    let (leader_sender, leader) = watch::channel(None);
+    let (held, lease) = watch::channel(None);
+    let (changes_sender, changes) = mpsc::channel(CHANGES);
+
+    let socket = UdpSocket::bind(settings.peer_address)
+        .await
+        .map_err(|cause| address_error("peer address", settings.peer_address, cause))?;
+    let callers = listener::bind(settings.caller_address)
+        .await
+        .map_err(|cause| address_error("caller address", settings.caller_address, cause))?;
+    let questions = listener::bind(settings.readiness_address)
+        .await
+        .map_err(|cause| address_error("readiness address", settings.readiness_address, cause))?;
+
+    let discovery = Discovery {
+        context: context.clone(),
+        routes: routes_sender,
+        placement: placement_handle.clone(),
+        peers: peer_handle.clone(),
+        leader: leader_sender,
+    };
+    let planner = Planner::new(PlannerSettings { policy }, now);
+    let placement_task = PlacementTask::new(
+        context.clone(),
+        planner,
+        lease,
+        peer_handle,
+        placement_handle.clone(),
+        placement_inbox,
+    );
+    let peer_task = peers::PeerTask::new(
+        context.clone(),
+        socket,
+        peer_inbox,
+        leader.clone(),
+        placement_handle,
+        urgent,
+    );
+    let lease_keeper = LeaseKeeper {
+        context: context.clone(),
+        store: store.clone(),
+        leader,
+        held,
+    };
+    tokio::spawn(discovery.run(changes));
+    tokio::spawn(store_watch::follow(store.clone(), changes_sender));
+    tokio::spawn(peers::register(store, context.clone()));
+    tokio::spawn(peer_task.run());
+    tokio::spawn(placement_task.run());
+    tokio::spawn(lease_keeper.run());
+    tokio::spawn(sweep(context.clone()));
+    serve(&context, callers, questions);
+    tracing::info!(event = "started", node = &*settings.name, zone = &*settings.zone);
+    Ok(context)
+}
+
+fn address_error(what: &'static str, address: std::net::SocketAddr, cause: io::Error) -> NodeError {
+    NodeError::Address {
+        what,
+        address: address.to_string(),
+        cause,
+    }
+}
+
+fn budget(settings: &NodeSettings) -> BudgetLimits {
+    BudgetLimits {
+        ratio: settings.bounds.retry_ratio,
+        window: settings.bounds.retry_window,
+        extra: settings.bounds.retry_extra,
+    }
+}
+
+fn serve(
+    context: &Context,
+    callers: tokio::net::TcpListener,
+    questions: tokio::net::TcpListener,
+) {
+    let descriptors = context.settings.limits.descriptors as usize;
+    let connections = descriptors
+        .saturating_sub(OTHER_DESCRIPTORS)
+        .max(FEWEST_CONNECTIONS);
+    let limits_context = context.clone();
+    let limits = move || {
+        let routes = limits_context.routes.borrow();
+        let limits = routes
+            .as_ref()
+            .map(|table| table.configuration().limits.clone())
+            .unwrap_or_default();
+        ListenerLimits {
+            connections,
+            header_bytes: limits.header_bytes,
+            idle_timeout: limits.idle_timeout,
+        }
+    };
+    let serving = context.clone();
+    let handle = move |request| {
+        let context = serving.clone();
+        request::serve(context, request)
+    };
+    let lifecycle = context.lifecycle.clone();
+    tokio::spawn(listener::serve(callers, limits.clone(), lifecycle, handle));
+    let asked = context.clone();
+    let answer = move |request| {
+        let context = asked.clone();
+        async move { readiness::answer(&context, &request) }
+    };
+    let (_, forever) = Lifecycle::running();
+    tokio::spawn(listener::serve(questions, limits, forever, answer));
+}
+
+/// Closes connections that rest too long.
+async fn sweep(context: Context) {
+    loop {
+        sleep(SWEEP).await;
+        context.pool.sweep(|_| true);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,376 @@
+//! What nodes tell each other: load, demand, and what runners hold.
+//!
+//! Datagrams, repeated: each makes the one before it needless, so losing some
+//! does no harm.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_dispatch::{DemandItem, RunnerKey};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, sleep};
+
+use crate::context::Context;
+use crate::placement::{LeaderRecord, PlacementHandle};
+
+/// Prefix of the members' keys in the store.
+pub const MEMBER_PREFIX: &str = "barleyspar/node/";
+/// Time between two messages to each peer, at the least.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between messages for each peer: bounds what a node sends at size.
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
+/// Time between two messages of demand when requests begin to wait.
+const URGENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a member is counted after the last sign of it.
+const COUNTED_FOR: Duration = Duration::from_secs(15);
+/// Largest datagram.
+const DATAGRAM_BYTES: usize = 1200;
+/// Largest datagram that is read.
+const RECEIVE_BYTES: usize = 64 * 1024;
+
+/// A model with its adapters, as messages carry it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HeldMessage {
+    /// The model.
+    pub model: Arc<str>,
+    /// Version of its weights.
+    pub version: u64,
+    /// Its adapters.
+    pub adapters: Vec<Arc<str>>,
+}
+
+/// A message between nodes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// Attempts in flight by runner.
+    Load {
+        /// The sender.
+        node: Arc<str>,
+        /// Where the sender takes messages.
+        address: SocketAddr,
+        /// The counts.
+        in_flight: Vec<(RunnerKey, u32)>,
+    },
+    /// Demand, for the placement leader.
+    Demand {
+        /// The sender.
+        node: Arc<str>,
+        /// Its demand.
+        items: Vec<DemandItem>,
+    },
+    /// What a runner holds, from the placement leader.
+    Held {
+        /// The runner.
+        runner: Arc<str>,
+        /// Orders it has taken.
+        sequence: u64,
+        /// Its models.
+        models: Vec<HeldMessage>,
+    },
+}
+
+impl Message {
+    /// The message's bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("messages have only plain data")
+    }
+
+    /// Reads a message.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        rmp_serde::from_slice(bytes).ok()
+    }
+}
+
+enum Command {
+    Joined(Arc<str>, SocketAddr),
+    Left(Arc<str>),
+    Retain(Vec<Arc<str>>),
+    Broadcast(Message),
+}
+
+/// A handle to the peers task.
+#[derive(Debug, Clone)]
+pub struct PeerHandle {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl PeerHandle {
+    /// A member stands in the store.
+    pub fn joined(&self, name: &str, value: &[u8]) {
+        if let Ok(address) = rmp_serde::from_slice(value) {
+            let _ = self.commands.send(Command::Joined(name.into(), address));
+        }
+    }
+
+    /// A member no longer stands in the store.
+    pub fn left(&self, name: &str) {
+        let _ = self.commands.send(Command::Left(name.into()));
+    }
+
+    /// Only `members` stand in the store.
+    pub fn retain(&self, members: &[&str]) {
+        let members = members.iter().map(|name| Arc::from(*name)).collect();
+        let _ = self.commands.send(Command::Retain(members));
+    }
+
+    /// Sends a message to all peers.
+    pub fn broadcast(&self, message: Message) {
+        let _ = self.commands.send(Command::Broadcast(message));
+    }
+}
+
+/// The value of this node's key in the store.
+pub fn member_value(address: SocketAddr) -> Vec<u8> {
+    rmp_serde::to_vec(&address).expect("an address is plain data")
+}
+
+#[derive(Debug)]
+struct Member {
+    address: SocketAddr,
+    stored: bool,
+    seen: Instant,
+}
+
+/// The task that owns the socket and the list of members.
+pub struct PeerTask {
+    context: Context,
+    socket: UdpSocket,
+    members: HashMap<Arc<str>, Member>,
+    leader: watch::Receiver<Option<LeaderRecord>>,
+    placement: PlacementHandle,
+    urgent: Arc<Notify>,
+    commands: mpsc::UnboundedReceiver<Command>,
+}
+
+/// Creates the handle; [`PeerTask::new`] takes the other end.
+pub fn channel() -> (PeerHandle, PeerInbox) {
+    let (commands, inbox) = mpsc::unbounded_channel();
+    (PeerHandle { commands }, PeerInbox(inbox))
+}
+
+/// The receiving end of a [`PeerHandle`].
+pub struct PeerInbox(mpsc::UnboundedReceiver<Command>);
+
+impl PeerTask {
+    /// A task on `socket`.
+    pub fn new(
+        context: Context,
+        socket: UdpSocket,
+        inbox: PeerInbox,
+        leader: watch::Receiver<Option<LeaderRecord>>,
+        placement: PlacementHandle,
+        urgent: Arc<Notify>,
+    ) -> Self {
+        Self {
+            context,
+            socket,
+            members: HashMap::new(),
+            leader,
+            placement,
+            urgent,
+            commands: inbox.0,
+        }
+    }
+
+    /// Sends and receives until the process ends.
+    pub async fn run(mut self) {
+        let mut buffer = vec![0; RECEIVE_BYTES];
+        let mut next_load = Instant::now();
+        let mut next_demand = Instant::now();
+        let mut demand_wanted = false;
+        loop {
+            let urgent = self.urgent.clone();
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, _)) = received {
+                        self.receive(&buffer[..length]);
+                    }
+                }
+                command = self.commands.recv() => match command {
+                    Some(command) => self.command(command).await,
+                    None => return,
+                },
+                () = urgent.notified() => demand_wanted = true,
+                () = tokio::time::sleep_until(next_load) => {
+                    self.send_load().await;
+                    next_load = Instant::now() + self.interval();
+                }
+                () = tokio::time::sleep_until(next_demand), if demand_wanted => {
+                    demand_wanted = false;
+                    next_demand = Instant::now() + URGENT_INTERVAL;
+                    if let Some(snapshot) = self.context.dispatch.snapshot().await {
+                        self.send_demand(snapshot.demand).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        SHORTEST_INTERVAL.max(INTERVAL_PER_PEER * self.members.len() as u32)
+    }
+
+    fn receive(&mut self, bytes: &[u8]) {
+        match Message::decode(bytes) {
+            Some(Message::Load {
+                node,
+                address,
+                in_flight,
+            }) => {
+                self.saw(node.clone(), address);
+                self.context.dispatch.set_peer_load(node, in_flight);
+            }
+            Some(Message::Demand { node, items }) => self.placement.demand(node, items),
+            Some(Message::Held {
+                runner,
+                sequence,
+                models,
+            }) => {
+                let models = models.into_iter().map(from_message).collect();
+                self.context.dispatch.update_models(runner, sequence, models);
+            }
+            None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
+        }
+    }
+
+    fn saw(&mut self, node: Arc<str>, address: SocketAddr) {
+        if node == self.context.settings.name {
+            return;
+        }
+        let known = self.members.contains_key(&node);
+        let member = self.members.entry(node).or_insert(Member {
+            address,
+            stored: false,
+            seen: Instant::now(),
+        });
+        member.address = address;
+        member.seen = Instant::now();
+        if !known {
+            self.count();
+        }
+    }
+
+    async fn command(&mut self, command: Command) {
+        match command {
+            Command::Joined(name, address) => {
+                self.saw(name.clone(), address);
+                if let Some(member) = self.members.get_mut(&name) {
+                    member.stored = true;
+                }
+            }
+            Command::Left(name) => {
+                if let Some(member) = self.members.get_mut(&name) {
+                    member.stored = false;
+                }
+            }
+            Command::Retain(names) => {
+                for (name, member) in &mut self.members {
+                    member.stored &= names.contains(name);
+                }
+            }
+            Command::Broadcast(message) => self.send_all(&message).await,
+        }
+    }
+
+    /// Forgets members without a sign of life and counts the rest.
+    fn count(&mut self) {
+        self.members
+            .retain(|_, member| member.stored || member.seen.elapsed() < COUNTED_FOR);
+        self.context.dispatch.set_nodes(self.members.len() + 1);
+    }
+
+    async fn send_load(&mut self) {
+        self.count();
+        let Some(snapshot) = self.context.dispatch.snapshot().await else {
+            return;
+        };
+        let message = Message::Load {
+            node: self.context.settings.name.clone(),
+            address: self.context.settings.peer_address,
+            in_flight: snapshot.load,
+        };
+        self.send_all(&message).await;
+        self.send_demand(snapshot.demand).await;
+    }
+
+    /// Sends demand to the leader, in as many datagrams as it takes.
+    async fn send_demand(&mut self, items: Vec<DemandItem>) {
+        let leader = self.leader.borrow().clone();
+        let Some(leader) = leader else {
+            return;
+        };
+        let node = self.context.settings.name.clone();
+        if leader.node == node {
+            self.placement.demand(node, items);
+            return;
+        }
+        let message = Message::Demand { node, items };
+        self.send(&message, leader.address).await;
+    }
+
+    async fn send_all(&self, message: &Message) {
+        let bytes = message.encode();
+        for member in self.members.values() {
+            let _ = self.socket.send_to(&bytes, member.address).await;
+        }
+    }
+
+    async fn send(&self, message: &Message, address: SocketAddr) {
+        let bytes = message.encode();
+        if bytes.len() > DATAGRAM_BYTES {
+            tracing::debug!(bytes = bytes.len(), "long datagram");
+        }
+        let _ = self.socket.send_to(&bytes, address).await;
+    }
+}
+
+fn from_message(message: HeldMessage) -> barleyspar_catalog::HeldModel {
+    barleyspar_catalog::HeldModel {
+        model: message.model,
+        version: message.version,
+        adapters: message.adapters,
+    }
+}
+
+/// Registers this node in the store under a lease, and keeps it there.
+pub async fn register(store: crate::store::Store, context: Context) {
+    const TIME_TO_LIVE: Duration = Duration::from_secs(12);
+    const RENEWAL: Duration = Duration::from_secs(4);
+    const TIMEOUT: Duration = Duration::from_secs(2);
+    const PAUSE: Duration = Duration::from_millis(700);
+    use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError, Transaction, Write};
+    loop {
+        let grant = StoreCall::GrantLease {
+            time_to_live: TIME_TO_LIVE,
+        };
+        let Ok(StoreAnswer::Lease { lease, .. }) = store.call(&grant, TIMEOUT).await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        let put = StoreCall::Commit(Transaction {
+            writes: vec![Write {
+                key: format!("{MEMBER_PREFIX}{}", context.settings.name),
+                value: member_value(context.settings.peer_address).into(),
+                lease,
+            }],
+            ..Transaction::default()
+        });
+        if !matches!(store.call(&put, TIMEOUT).await, Ok(StoreAnswer::Committed { .. })) {
+            // The key may be written yet; without its lease it cannot stay.
+            let _ = store.call(&StoreCall::EndLease { lease }, TIMEOUT).await;
+            sleep(PAUSE).await;
+            continue;
+        }
+        loop {
+            sleep(RENEWAL).await;
+            let renew = StoreCall::RenewLease { lease };
+            if let Err(StoreError::LeaseGone) = store.call(&renew, TIMEOUT).await {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement/mod.rs
@@ -0,0 +1,118 @@
+//! The placement of models: who leads it, and the leader's orders.
+
+mod lease;
+mod order;
+mod task;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use barleyspar_catalog::{Configuration, Runner};
+use barleyspar_dispatch::DemandItem;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+pub use lease::LeaseKeeper;
+pub use task::PlacementTask;
+
+use order::{OrderResult, ReportResult};
+
+/// Key under which the leader stands in the store.
+pub const LEADER_KEY: &str = "barleyspar/placement/leader";
+
+/// Who leads the placement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaderRecord {
+    /// The node.
+    pub node: Arc<str>,
+    /// Where it takes messages.
+    pub address: SocketAddr,
+    /// Its fencing token.
+    pub token: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct LeaderValue {
+    node: Arc<str>,
+    address: SocketAddr,
+}
+
+impl LeaderRecord {
+    /// Reads the leader's value, written at `revision`.
+    pub fn decode(value: &[u8], revision: u64) -> Option<Self> {
+        let value: LeaderValue = rmp_serde::from_slice(value).ok()?;
+        Some(Self {
+            node: value.node,
+            address: value.address,
+            token: revision,
+        })
+    }
+
+    /// The value of a leader.
+    pub fn encode(node: &Arc<str>, address: SocketAddr) -> Vec<u8> {
+        let value = LeaderValue {
+            node: node.clone(),
+            address,
+        };
+        rmp_serde::to_vec(&value).expect("a leader is plain data")
+    }
+}
+
+/// Messages to the placement task.
+enum Command {
+    Configure(Arc<Configuration>),
+    UpdateRunner(Box<Runner>),
+    RemoveRunner(Arc<str>),
+    RetainRunners(Vec<Arc<str>>),
+    Demand(Arc<str>, Vec<DemandItem>),
+    Ordered(OrderResult),
+    Reported(ReportResult),
+}
+
+/// A handle to the placement task.
+#[derive(Debug, Clone)]
+pub struct PlacementHandle {
+    // Bounded by runners and nodes: each has few messages on their way.
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+/// The receiving end of a [`PlacementHandle`].
+pub struct PlacementInbox(mpsc::UnboundedReceiver<Command>);
+
+/// Creates the handle; [`PlacementTask::new`] takes the other end.
+pub fn channel() -> (PlacementHandle, PlacementInbox) {
+    let (commands, inbox) = mpsc::unbounded_channel();
+    (PlacementHandle { commands }, PlacementInbox(inbox))
+}
+
+impl PlacementHandle {
+    fn send(&self, command: Command) {
+        // The task ends only with the process.
+        let _ = self.commands.send(command);
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, configuration: Arc<Configuration>) {
+        self.send(Command::Configure(configuration));
+    }
+
+    /// Takes in a runner's entry.
+    pub fn update_runner(&self, runner: Runner) {
+        self.send(Command::UpdateRunner(Box::new(runner)));
+    }
+
+    /// Forgets a runner.
+    pub fn remove_runner(&self, id: Arc<str>) {
+        self.send(Command::RemoveRunner(id));
+    }
+
+    /// Forgets all runners but those in `kept`.
+    pub fn retain_runners(&self, kept: Vec<Arc<str>>) {
+        self.send(Command::RetainRunners(kept));
+    }
+
+    /// Takes in a node's demand.
+    pub fn demand(&self, node: Arc<str>, items: Vec<DemandItem>) {
+        self.send(Command::Demand(node, items));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement/order.rs
@@ -0,0 +1,148 @@
+//! One order to one runner, or one look at its report.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{Order, OrderAnswer, Report, Runner};
+use barleyspar_loading::Lease;
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use crate::context::Context;
+use crate::upstream::{Checkout, Connection};
+
+/// Time for a connection to a runner to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Bytes of an answer that are read.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// Why a call to a runner got no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// It may have been done, or may be done later.
+    #[error("no answer: {0}")]
+    Unanswered(String),
+}
+
+/// How an order ended.
+#[derive(Debug)]
+pub struct OrderResult {
+    /// The runner.
+    pub runner: Arc<str>,
+    /// The order.
+    pub order: Order,
+    /// The runner's answer.
+    pub answer: Result<OrderAnswer, CallError>,
+}
+
+/// How a look at a report ended.
+#[derive(Debug)]
+pub struct ReportResult {
+    /// The runner.
+    pub runner: Arc<str>,
+    /// Its report.
+    pub report: Result<Report, String>,
+}
+
+/// Gives `order`, if `lease` allows it at the very moment of writing.
+pub async fn give(
+    context: Context,
+    runner: Runner,
+    order: Order,
+    lease: watch::Receiver<Option<Lease>>,
+) -> OrderResult {
+    let request = context.dialect.order_call(&order);
+    let token = order.fencing_token;
+    let allowed = move || {
+        let now = Instant::now().into_std();
+        lease
+            .borrow()
+            .is_some_and(|lease| lease.token == token && lease.may_order(now))
+    };
+    let answer = call(&context, &runner, request, allowed)
+        .await
+        .map(|(status, _)| context.dialect.read_order_answer(status));
+    OrderResult {
+        runner: runner.id,
+        order,
+        answer,
+    }
+}
+
+/// Reads a runner's report.
+pub async fn read_report(context: Context, runner: Runner) -> ReportResult {
+    let request = context.dialect.report_call(&runner.id);
+    let report = call(&context, &runner, request, || true)
+        .await
+        .map_err(|error| error.to_string())
+        .and_then(|(status, body)| {
+            context
+                .dialect
+                .read_report(status, &body)
+                .map_err(|error| error.to_string())
+        });
+    ReportResult {
+        runner: runner.id,
+        report,
+    }
+}
+
+async fn call(
+    context: &Context,
+    runner: &Runner,
+    mut request: Request<Bytes>,
+    allowed: impl Fn() -> bool,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let mut connection = connect(context, runner).await?;
+    if let Ok(host) = HeaderValue::from_str(&runner.address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    if !allowed() {
+        return Err(CallError::NotSent("the lease does not last".to_owned()));
+    }
+    let until = Instant::now() + ANSWER_TIMEOUT;
+    let unanswered = |cause: String| CallError::Unanswered(cause);
+    let response = timeout_at(until, connection.send(request))
+        .await
+        .map_err(|_| unanswered("time is up".to_owned()))?
+        .map_err(|error| {
+            if error.sent {
+                unanswered(error.cause)
+            } else {
+                CallError::NotSent(error.cause)
+            }
+        })?;
+    let (head, body) = response.into_parts();
+    let facts = context.dialect.read_answer(&head);
+    let body = timeout_at(until, Limited::new(body, ANSWER_BYTES).collect())
+        .await
+        .map_err(|_| unanswered("time is up".to_owned()))?
+        .map_err(|error| unanswered(error.to_string()))?
+        .to_bytes();
+    context
+        .pool
+        .put_back(&runner.id, connection, facts.keep_alive_seconds);
+    Ok((head.status, body))
+}
+
+async fn connect(context: &Context, runner: &Runner) -> Result<Connection, CallError> {
+    let share = context.connection_share(&runner.service);
+    let slot = match context.pool.checkout(&runner.id, share) {
+        Checkout::Idle(connection) => return Ok(*connection),
+        Checkout::Open(slot) => slot,
+        Checkout::Full => return Err(CallError::NotSent("no connection left".to_owned())),
+    };
+    Connection::open(runner.address, CONNECT_TIMEOUT, Some(slot))
+        .await
+        .map_err(|error| CallError::NotSent(error.to_string()))
+}
--- /dev/null
+++ b/crates/gateway/src/placement/task.rs
@@ -0,0 +1,382 @@
+//! The task that leads the placement while this node holds the lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{
+    Configuration, Order, OrderAction, OrderAnswer, Report, Runner, RunnerState,
+};
+use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView, Source};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::context::Context;
+use crate::peers::{HeldMessage, Message, PeerHandle};
+use crate::placement::lease::holder;
+use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
+use crate::placement::{Command, PlacementHandle, PlacementInbox};
+
+/// Time between two looks at what is to be done.
+const TICK: Duration = Duration::from_millis(100);
+/// Age of what a report says.
+const REPORT_LAG: Duration = Duration::from_millis(130);
+/// Time until a report is read again.
+const REPORT_AGAIN: Duration = Duration::from_millis(250);
+/// Time until a runner that gave no report is asked again.
+const REPORT_RETRY: Duration = Duration::from_millis(500);
+
+/// A runner with its entry and what the leader does there.
+struct Entry {
+    runner: Runner,
+    view: RunnerView,
+    report_at: Option<Instant>,
+    asking: bool,
+    ordering: bool,
+}
+
+/// The task.
+pub struct PlacementTask {
+    context: Context,
+    planner: Planner,
+    book: DemandBook,
+    configuration: Arc<Configuration>,
+    entries: BTreeMap<Arc<str>, Entry>,
+    lease: watch::Receiver<Option<Lease>>,
+    leading: Option<u64>,
+    peers: PeerHandle,
+    handle: PlacementHandle,
+    inbox: mpsc::UnboundedReceiver<Command>,
+}
+
+impl PlacementTask {
+    /// A task that orders while `lease` is held.
+    pub fn new(
+        context: Context,
+        planner: Planner,
+        lease: watch::Receiver<Option<Lease>>,
+        peers: PeerHandle,
+        handle: PlacementHandle,
+        inbox: PlacementInbox,
+    ) -> Self {
+        Self {
+            context,
+            planner,
+            book: DemandBook::default(),
+            configuration: Arc::default(),
+            entries: BTreeMap::new(),
+            lease,
+            leading: None,
+            peers,
+            handle,
+            inbox: inbox.0,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut next = Instant::now() + TICK;
+        loop {
+            let mut lease = self.lease.clone();
+            tokio::select! {
+                command = self.inbox.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+                _ = lease.changed() => {}
+                () = sleep_until(next), if self.leading.is_some() => {}
+            }
+            while let Ok(command) = self.inbox.try_recv() {
+                self.command(command);
+            }
+            self.follow_lease();
+            if self.leading.is_some() {
+                self.read_reports();
+                self.order();
+            }
+            next = Instant::now() + TICK;
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Configure(configuration) => self.configuration = configuration,
+            Command::UpdateRunner(runner) => self.update_runner(*runner),
+            Command::RemoveRunner(id) => {
+                self.entries.remove(&id);
+            }
+            Command::RetainRunners(kept) => self.entries.retain(|id, _| kept.contains(id)),
+            Command::Demand(node, items) => self.book.update(node, items, now()),
+            Command::Ordered(result) => self.ordered(result),
+            Command::Reported(result) => self.reported(result),
+        }
+    }
+
+    /// Begins or ends leading as the lease says.
+    fn follow_lease(&mut self) {
+        let token = self.lease.borrow_and_update().map(|lease| lease.token);
+        if token == self.leading {
+            return;
+        }
+        self.leading = token;
+        self.planner.restart(now());
+        for entry in self.entries.values_mut() {
+            entry.view.reported = false;
+            entry.view.ordered = None;
+            entry.report_at = Some(Instant::now());
+        }
+    }
+
+    fn update_runner(&mut self, runner: Runner) {
+        let has_engine = self
+            .configuration
+            .services
+            .get(&runner.service)
+            .is_some_and(|service| service.engine.is_some());
+        if !has_engine && runner.models.is_empty() {
+            return;
+        }
+        let entry = self.entries.entry(runner.id.clone()).or_insert_with(|| Entry {
+            view: RunnerView::new(&runner),
+            runner: runner.clone(),
+            report_at: Some(Instant::now()),
+            asking: false,
+            ordering: false,
+        });
+        if runner.state == RunnerState::Draining {
+            entry.view.open = false;
+        }
+        if runner.sequence >= entry.view.sequence && !entry.view.reported {
+            entry.view.models = runner.models.clone();
+        }
+        if !runner.copies.memory.is_empty() || !runner.copies.disk.is_empty() {
+            entry.view.copies = runner.copies.clone();
+        }
+        entry.runner = runner;
+    }
+
+    fn read_reports(&mut self) {
+        let now = Instant::now();
+        for entry in self.entries.values_mut() {
+            let due = entry.report_at.is_some_and(|at| at <= now);
+            if !due || entry.asking || !entry.view.open {
+                continue;
+            }
+            entry.asking = true;
+            entry.report_at = None;
+            let (context, runner) = (self.context.clone(), entry.runner.clone());
+            let handle = self.handle.clone();
+            tokio::spawn(async move {
+                handle.send(Command::Reported(read_report(context, runner).await));
+            });
+        }
+    }
+
+    fn reported(&mut self, result: ReportResult) {
+        let Some(entry) = self.entries.get_mut(&result.runner) else {
+            return;
+        };
+        entry.asking = false;
+        let report = match result.report {
+            Ok(report) => report,
+            Err(cause) => {
+                tracing::info!(event = "report_failed", runner = &*result.runner, cause);
+                entry.view.reported = false;
+                entry.report_at = Some(Instant::now() + REPORT_RETRY);
+                return;
+            }
+        };
+        tracing::info!(
+            event = "report",
+            runner = &*result.runner,
+            sequence = report.sequence,
+            known_sequence = entry.view.sequence,
+            busy = report.busy,
+            models = report.models.len(),
+            pending = report.pending_adapters.len(),
+            in_memory = report.copies.memory.len(),
+            on_disk = report.copies.disk.len()
+        );
+        if report.sequence < entry.view.sequence {
+            entry.report_at = Some(Instant::now() + REPORT_AGAIN);
+            return;
+        }
+        take_report(entry, report);
+        self.publish(&result.runner);
+    }
+
+    /// Tells all nodes what a runner holds.
+    fn publish(&self, runner: &Arc<str>) {
+        let Some(entry) = self.entries.get(runner) else {
+            return;
+        };
+        let view = &entry.view;
+        let models: Vec<_> = view
+            .models
+            .iter()
+            .filter(|held| !view.unloads(&held.model))
+            .cloned()
+            .collect();
+        let message = Message::Held {
+            runner: runner.clone(),
+            sequence: view.sequence,
+            models: models
+                .iter()
+                .map(|held| HeldMessage {
+                    model: held.model.clone(),
+                    version: held.version,
+                    adapters: held.adapters.clone(),
+                })
+                .collect(),
+        };
+        self.peers.broadcast(message);
+        self.context
+            .dispatch
+            .update_models(runner.clone(), view.sequence, models);
+    }
+
+    fn order(&mut self) {
+        let lease = *self.lease.borrow();
+        let Some(lease) = lease.filter(|lease| lease.may_order(now())) else {
+            return;
+        };
+        let mut views: Vec<RunnerView> = self
+            .entries
+            .values()
+            .map(|entry| entry.view.clone())
+            .collect();
+        let orders = self
+            .planner
+            .plan(&self.configuration, &mut views, &mut self.book, now());
+        for order in orders {
+            self.give(order, lease.token);
+        }
+    }
+
+    fn give(&mut self, planned: PlannedOrder, token: u64) {
+        let Some(entry) = self.entries.get_mut(&planned.runner) else {
+            return;
+        };
+        if entry.ordering {
+            return;
+        }
+        entry.ordering = true;
+        entry.view.ordered = Some(planned.action.clone());
+        entry.report_at = None;
+        let order = Order {
+            runner: planned.runner.clone(),
+            action: planned.action,
+            holder: holder(&self.context),
+            fencing_token: token,
+            expected_sequence: entry.view.sequence,
+        };
+        tracing::info!(
+            event = "order",
+            runner = &*order.runner,
+            action = order.action.name(),
+            model = &**order.action.model(),
+            adapter = order.action.adapter().map(|name| &**name),
+            source = ?planned.source,
+            token,
+            sequence = order.expected_sequence
+        );
+        let (context, runner) = (self.context.clone(), entry.runner.clone());
+        let (handle, lease) = (self.handle.clone(), self.lease.clone());
+        if !order.action.is_load() {
+            self.publish(&planned.runner);
+        }
+        tokio::spawn(async move {
+            handle.send(Command::Ordered(give(context, runner, order, lease).await));
+        });
+    }
+
+    fn ordered(&mut self, result: OrderResult) {
+        let load_time = self.load_time(&result);
+        let Some(entry) = self.entries.get_mut(&result.runner) else {
+            return;
+        };
+        entry.ordering = false;
+        let action = result.order.action.name();
+        match &result.answer {
+            Ok(answer) => {
+                tracing::info!(event = "order_answered", runner = &*result.runner, action, answer = ?answer);
+            }
+            Err(error) => {
+                tracing::info!(event = "order_unanswered", runner = &*result.runner, action, %error);
+            }
+        }
+        let later = |delay: Duration| Some(Instant::now() + delay);
+        match result.answer {
+            Ok(OrderAnswer::Accepted | OrderAnswer::AlreadyHolds) => {
+                accepted(entry, &result.order);
+                entry.report_at = later(load_time + REPORT_LAG);
+            }
+            Err(CallError::NotSent(_)) => {
+                entry.view.ordered = None;
+                entry.report_at = later(REPORT_AGAIN);
+            }
+            Ok(_) | Err(CallError::Unanswered(_)) => {
+                entry.view.reported = false;
+                entry.report_at = later(REPORT_LAG);
+            }
+        }
+    }
+
+    /// Time until the order is expected to be done.
+    fn load_time(&self, result: &OrderResult) -> Duration {
+        let OrderAction::LoadModel { model } = &result.order.action else {
+            return Duration::ZERO;
+        };
+        let spec = self.entries.get(&result.runner).and_then(|entry| {
+            let service = self.configuration.services.get(&entry.runner.service)?;
+            let spec = service.engine.as_ref()?.models.get(model)?;
+            Some(match entry.view.source(model) {
+                Source::Memory => spec.memory_load,
+                Source::Disk => spec.disk_load,
+                Source::Remote => spec.remote_load,
+            })
+        });
+        spec.unwrap_or_default()
+    }
+}
+
+/// Takes in a report that is not older than what is known.
+fn take_report(entry: &mut Entry, report: Report) {
+    let view = &mut entry.view;
+    view.reported = true;
+    view.sequence = report.sequence;
+    view.busy = report.busy;
+    view.models = report.models;
+    view.pending_adapters = report.pending_adapters;
+    if !report.copies.memory.is_empty() || !report.copies.disk.is_empty() {
+        view.copies = report.copies;
+    }
+    if !entry.ordering && !view.busy {
+        view.ordered = None;
+    }
+    let settled = !view.busy && view.pending_adapters.is_empty();
+    entry.report_at = (!settled).then(|| Instant::now() + REPORT_AGAIN);
+}
+
+/// Takes in that the runner accepted `order`.
+fn accepted(entry: &mut Entry, order: &Order) {
+    let view = &mut entry.view;
+    view.sequence = order.expected_sequence + 1;
+    match &order.action {
+        OrderAction::LoadModel { .. } | OrderAction::UnloadModel { .. } => view.busy = true,
+        OrderAction::LoadAdapter { model, adapter } => {
+            view.ordered = None;
+            view.pending_adapters.push((model.clone(), adapter.clone()));
+        }
+        OrderAction::UnloadAdapter { model, adapter } => {
+            view.ordered = None;
+            for held in view.models.iter_mut().filter(|held| held.model == *model) {
+                held.adapters.retain(|name| name != adapter);
+            }
+        }
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,129 @@
+//! Passes runners' answers on to clients.
+
+use barleyspar_dispatch::{Failure, Outcome};
+use bytes::{Bytes, BytesMut};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use tokio::time::timeout_at;
+
+use crate::attempt::Answered;
+use crate::body::{AnswerBody, CutOff};
+use crate::exchange::Exchange;
+use crate::request::WHOLE_ANSWER_BYTES;
+use crate::stream::StreamRelay;
+
+/// What became of an answer that is not a stream.
+pub enum Relayed {
+    /// It goes to the client.
+    Answer(Response<AnswerBody>),
+    /// The runner says that it failed; this is what it said.
+    Failed(Response<AnswerBody>),
+    /// It is too long to be collected: what was read, and the rest.
+    Pieces(Bytes, Box<Answered>),
+    /// It broke off.
+    Broken,
+}
+
+/// Collects an answer and passes it on whole.
+pub async fn whole(exchange: &mut Exchange, mut answered: Answered) -> Relayed {
+    let mut collected = BytesMut::new();
+    loop {
+        let frame = match timeout_at(exchange.deadline, answered.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(_))) | Err(_) => {
+                tracing::info!(
+                    event = "answer_broken",
+                    request = exchange.id(),
+                    runner = &*answered.permit.runner().id
+                );
+                answered.permit.finish(Outcome::Failed(Failure::Broken));
+                return Relayed::Broken;
+            }
+        };
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() > WHOLE_ANSWER_BYTES {
+            return Relayed::Pieces(collected.freeze(), Box::new(answered));
+        }
+    }
+    let failed = answered.status.is_server_error();
+    let response = head(exchange, &answered, AnswerBody::whole(collected.freeze()));
+    let outcome = if failed {
+        Outcome::Failed(Failure::Error)
+    } else {
+        Outcome::Success {
+            first_byte: answered.waited,
+        }
+    };
+    finish(exchange, answered, outcome);
+    if failed {
+        return Relayed::Failed(response);
+    }
+    exchange.end(response.status().as_u16(), "answered");
+    Relayed::Answer(response)
+}
+
+/// The head of the runner's answer, with a body.
+fn head(exchange: &Exchange, answered: &Answered, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = answered.status;
+    *response.headers_mut() = exchange
+        .context
+        .dialect
+        .returned_headers(&answered.headers);
+    response
+}
+
+/// Ends an attempt after a whole answer and keeps its connection.
+pub fn finish(exchange: &Exchange, answered: Answered, outcome: Outcome) {
+    let runner = answered.permit.runner().id.clone();
+    exchange.context.pool.put_back(
+        &runner,
+        answered.connection,
+        answered.facts.keep_alive_seconds,
+    );
+    answered.permit.finish(outcome);
+}
+
+/// Passes a long answer on as it comes.
+pub fn pieces(
+    mut exchange: Exchange,
+    collected: Bytes,
+    mut answered: Box<Answered>,
+) -> Response<AnswerBody> {
+    let (sender, body) = AnswerBody::pieces();
+    let response = head(&exchange, &answered, body);
+    let status = response.status().as_u16();
+    tokio::spawn(async move {
+        let mut next = Some(collected);
+        while let Some(piece) = next {
+            if sender.send(Ok(piece)).await.is_err() {
+                return;
+            }
+            next = match timeout_at(exchange.deadline, answered.body.frame()).await {
+                Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
+                Ok(None) => None,
+                Ok(Some(Err(_))) | Err(_) => {
+                    let _ = sender.send(Err(CutOff)).await;
+                    exchange.end(status, "answer_broken");
+                    return;
+                }
+            };
+        }
+        let first_byte = answered.waited;
+        finish(&exchange, *answered, Outcome::Success { first_byte });
+        exchange.end(status, "answered");
+    });
+    response
+}
+
+/// Passes a stream of events on.
+pub fn events(exchange: Exchange, answered: Answered) -> Response<AnswerBody> {
+    let (sender, body) = AnswerBody::pieces();
+    let response = head(&exchange, &answered, body);
+    debug_assert_eq!(response.status(), StatusCode::OK);
+    tokio::spawn(StreamRelay::new(exchange, sender).run(answered));
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,310 @@
+//! From a client's request to the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{RequestFacts, Route};
+use barleyspar_dispatch::{AttemptKind, Failure, Outcome};
+use barleyspar_domain::Verdict;
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, Response, StatusCode, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::answers::{OwnAnswer, close_if_draining};
+use crate::attempt::{Answered, Outgoing, attempt};
+use crate::body::AnswerBody;
+use crate::context::Context;
+use crate::exchange::Exchange;
+use crate::journal;
+use crate::relay;
+
+/// Time a request is held where neither client nor route says.
+const USUAL_DEADLINE: Duration = Duration::from_secs(60);
+/// Time for a client to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When to come back to a node that knows no configuration yet.
+const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When to come back after runners rejected the request.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Bytes of an answer that are collected before it is passed on.
+pub const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
+/// Time to read a rejection's body, so that its connection can be used again.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// What comes after an attempt.
+enum Next {
+    /// The answer for the client.
+    Answer(Response<AnswerBody>),
+    /// Another attempt.
+    Again(AttemptKind),
+}
+
+/// Serves one request.
+pub async fn serve(context: Context, request: Request<Incoming>) -> Response<AnswerBody> {
+    let received = Instant::now();
+    let (head, body) = request.into_parts();
+    let facts = context.dialect.read_request(&head);
+    let request_id = facts.request_id.clone();
+    match admit(&context, head, body, facts, received).await {
+        Ok(exchange) => {
+            let mut response = run(exchange).await;
+            close_if_draining(&context, &mut response);
+            response
+        }
+        Err(answer) => {
+            let id = request_id.as_deref().unwrap_or("-");
+            let status = answer.status.as_u16();
+            journal::ended(id, status, answer.verdict, received.elapsed(), answer.reason);
+            answer.into_response(&context, request_id.as_deref())
+        }
+    }
+}
+
+/// Finds the request's route and reads its body.
+async fn admit(
+    context: &Context,
+    head: request::Parts,
+    body: Incoming,
+    facts: RequestFacts,
+    received: Instant,
+) -> Result<Exchange, OwnAnswer> {
+    let table = context.routes.borrow().clone();
+    let Some(table) = table else {
+        return Err(OwnAnswer::refused("no_configuration", STARTING_RETRY_AFTER));
+    };
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let route = table
+        .find(host, head.uri.path())
+        .cloned()
+        .ok_or(OwnAnswer::rejected(StatusCode::NOT_FOUND, "no_route"))?;
+    let configuration = table.configuration();
+    let body = read_body(body, configuration.limits.body_bytes).await?;
+    let service = context.dispatch.split(&route).await;
+    let deadline = received + time_allowed(&facts, &route);
+    let version = configuration.version;
+    let exchange = Exchange::new(
+        context.clone(),
+        route,
+        service,
+        facts.clone(),
+        outgoing(head, body, facts.request_id),
+        received,
+        deadline,
+    );
+    journal::accepted(
+        exchange.id(),
+        &exchange.route,
+        version,
+        &exchange.service,
+        exchange.left(),
+    );
+    Ok(exchange)
+}
+
+fn time_allowed(facts: &RequestFacts, route: &Route) -> Duration {
+    let by_client = facts.deadline.unwrap_or(USUAL_DEADLINE);
+    by_client.min(route.timeout.unwrap_or(USUAL_DEADLINE))
+}
+
+fn outgoing(head: request::Parts, body: Bytes, request_id: Option<String>) -> Outgoing {
+    let target = head
+        .uri
+        .path_and_query()
+        .and_then(|target| target.as_str().parse().ok())
+        .unwrap_or(head.uri);
+    Outgoing {
+        method: head.method,
+        target,
+        headers: head.headers,
+        body,
+        request_id,
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, OwnAnswer> {
+    let collected = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::rejected(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+        )),
+        Ok(Err(_)) => Err(OwnAnswer::rejected(StatusCode::BAD_REQUEST, "body_broken")),
+        Err(_) => Err(OwnAnswer::rejected(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+        )),
+    }
+}
+
+/// Tries runners until there is an answer.
+async fn run(mut exchange: Exchange) -> Response<AnswerBody> {
+    let mut kind = AttemptKind::First;
+    let mut fallback = None;
+    loop {
+        let answered = match try_once(&mut exchange, kind, fallback.take()).await {
+            Ok(answered) => answered,
+            Err(Next::Answer(response)) => return response,
+            Err(Next::Again(next)) => {
+                kind = next;
+                continue;
+            }
+        };
+        if answered.facts.event_stream && answered.status == StatusCode::OK {
+            return relay::events(exchange, answered);
+        }
+        match relay::whole(&mut exchange, answered).await {
+            relay::Relayed::Answer(response) => return response,
+            relay::Relayed::Pieces(collected, answered) => {
+                return relay::pieces(exchange, collected, answered);
+            }
+            relay::Relayed::Failed(response) if exchange.may_run_again() => {
+                fallback = Some(response);
+                kind = AttemptKind::Retry;
+            }
+            relay::Relayed::Failed(response) => return response,
+            relay::Relayed::Broken if exchange.may_run_again() => kind = AttemptKind::Retry,
+            relay::Relayed::Broken => return own(&mut exchange, broken_answer("answer_broken")),
+        }
+    }
+}
+
+fn broken_answer(reason: &'static str) -> OwnAnswer {
+    OwnAnswer::failed(StatusCode::BAD_GATEWAY, Verdict::MayHaveRun, reason)
+}
+
+fn own(exchange: &mut Exchange, answer: OwnAnswer) -> Response<AnswerBody> {
+    exchange.end(answer.status.as_u16(), answer.reason);
+    answer.into_response(&exchange.context, exchange.outgoing.request_id.as_deref())
+}
+
+/// One attempt. `fallback` is the answer if no runner can be had any more.
+async fn try_once(
+    exchange: &mut Exchange,
+    kind: AttemptKind,
+    fallback: Option<Response<AnswerBody>>,
+) -> Result<Answered, Next> {
+    let may_wait = fallback.is_none();
+    let asked = Instant::now();
+    let query = exchange.query(kind, may_wait);
+    let permit = match exchange.context.dispatch.acquire(query).await {
+        Some(Ok(permit)) => permit,
+        Some(Err(refusal)) => {
+            journal::refused(exchange.id(), refusal, exchange.verdict);
+            let answer = match fallback {
+                Some(response) => response,
+                None => refuse(exchange, refusal.reason.name(), refusal.retry_after),
+            };
+            return Err(Next::Answer(answer));
+        }
+        None => return Err(Next::Answer(refuse(exchange, "stopping", REJECTED_RETRY_AFTER))),
+    };
+    journal::chosen(exchange.id(), &permit, asked.elapsed());
+    let runner = permit.runner().clone();
+    let forward = exchange.forward(&runner, None);
+    let patience = exchange.head_patience(permit.candidates() > 1);
+    let context = exchange.context.clone();
+    match attempt(&context, permit, &exchange.outgoing, forward, patience).await {
+        Ok(answered) => after_head(exchange, &runner.id, answered).await,
+        Err(error) => match exchange.after_failure(&runner.id, &error) {
+            Some(kind) => Err(Next::Again(kind)),
+            None => Err(Next::Answer(give_up(exchange))),
+        },
+    }
+}
+
+/// The answer to a request that no further runner is tried for.
+fn give_up(exchange: &mut Exchange) -> Response<AnswerBody> {
+    if exchange.verdict == Verdict::NotRun {
+        return refuse(exchange, "unreachable", REJECTED_RETRY_AFTER);
+    }
+    let verdict = exchange.verdict;
+    let answer = if exchange.left().is_zero() {
+        OwnAnswer::failed(StatusCode::GATEWAY_TIMEOUT, verdict, "deadline")
+    } else {
+        OwnAnswer::failed(StatusCode::BAD_GATEWAY, verdict, "attempt_failed")
+    };
+    own(exchange, answer)
+}
+
+/// A refusal, or a failure if the request may have run somewhere.
+fn refuse(
+    exchange: &mut Exchange,
+    reason: &'static str,
+    retry_after: Duration,
+) -> Response<AnswerBody> {
+    let answer = if exchange.verdict == Verdict::NotRun {
+        OwnAnswer::refused(reason, retry_after)
+    } else {
+        OwnAnswer::failed(StatusCode::BAD_GATEWAY, exchange.verdict, reason)
+    };
+    own(exchange, answer)
+}
+
+/// Sorts out rejections; what runs goes on.
+async fn after_head(
+    exchange: &mut Exchange,
+    runner: &Arc<str>,
+    answered: Answered,
+) -> Result<Answered, Next> {
+    let rejection = match answered.status {
+        StatusCode::MISDIRECTED_REQUEST => Some(Outcome::NotHeld),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            if answered.facts.not_run =>
+        {
+            Some(Outcome::Busy)
+        }
+        _ => None,
+    };
+    let Some(outcome) = rejection else {
+        exchange.ran_at(runner, Verdict::Ran);
+        if breaks_promise(exchange, &answered) {
+            answered.permit.finish(Outcome::Failed(Failure::Error));
+            return Err(Next::Answer(own(exchange, broken_answer("runner_failed"))));
+        }
+        return Ok(answered);
+    };
+    tracing::info!(
+        event = "rejected",
+        request = exchange.id(),
+        runner = &**runner,
+        status = answered.status.as_u16()
+    );
+    let Answered {
+        permit,
+        connection,
+        facts,
+        body,
+        ..
+    } = answered;
+    let until = Instant::now() + REJECTION_BODY_TIMEOUT;
+    if let Ok(Ok(_)) = timeout_at(until, Limited::new(body, WHOLE_ANSWER_BYTES).collect()).await {
+        let pool = &exchange.context.pool;
+        pool.put_back(runner, connection, facts.keep_alive_seconds);
+    }
+    permit.finish(outcome);
+    if exchange.after_rejection(runner) && !exchange.left().is_zero() {
+        return Err(Next::Again(AttemptKind::Retry));
+    }
+    Err(Next::Answer(refuse(exchange, "rejected", REJECTED_RETRY_AFTER)))
+}
+
+/// Whether passing the answer on would promise that a request did not run
+/// which did.
+fn breaks_promise(exchange: &Exchange, answered: &Answered) -> bool {
+    let promises = matches!(
+        answered.status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+    );
+    promises && !answered.facts.not_run && !exchange.route.repeatable()
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/connection.rs
@@ -0,0 +1,151 @@
+//! One HTTP/1.1 connection to a peer that serves one request at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::upstream::pool::OpenSlot;
+use crate::upstream::tracked::{BytesWritten, TrackedStream};
+
+/// Time after which the system gives up a connection whose bytes nobody
+/// acknowledges.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time that a connection rests before it is used again: a peer that sends
+/// more than its answer does so right behind it.
+const REST_BEFORE_REUSE: Duration = Duration::from_millis(8);
+/// Time that a connection may rest if its peer named none.
+const USUAL_IDLE_LIMIT: Duration = Duration::from_millis(900);
+/// Time before the peer's own limit at which a connection is not used again.
+const IDLE_MARGIN: Duration = Duration::from_millis(600);
+
+/// Why no connection came up. Nothing was sent.
+#[derive(Debug, Error)]
+pub enum ConnectError {
+    /// The peer refused, or the network did.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// Nothing came back in time.
+    #[error("no answer to the connection's opening")]
+    TimedOut,
+}
+
+/// Why a request got no head of an answer.
+#[derive(Debug, Error)]
+#[error("{cause}")]
+pub struct SendError {
+    /// Whether any byte of the request left.
+    pub sent: bool,
+    /// What happened.
+    pub cause: String,
+}
+
+/// The head of an answer; its body follows.
+pub type Sent = Response<Incoming>;
+
+/// A connection. Dropping it closes the socket at once.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    written: BytesWritten,
+    rested_since: Instant,
+    idle_limit: Duration,
+    _slot: Option<OpenSlot>,
+}
+
+impl Connection {
+    /// Connects to `address` within `timeout`.
+    pub async fn open(
+        address: SocketAddr,
+        timeout: Duration,
+        slot: Option<OpenSlot>,
+    ) -> Result<Self, ConnectError> {
+        let refused = |error: &dyn std::fmt::Display| ConnectError::Refused(error.to_string());
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| ConnectError::TimedOut)?
+            .map_err(|error| refused(&error))?;
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let (stream, written) = TrackedStream::new(stream);
+        let (sender, connection) = Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| refused(&error))?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection ended");
+            }
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            written,
+            rested_since: Instant::now(),
+            idle_limit: USUAL_IDLE_LIMIT,
+            _slot: slot,
+        })
+    }
+
+    /// Sends `request` and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Sent, SendError> {
+        let before = self.written.get();
+        let failed = |cause: String, returned: bool, written: u64| SendError {
+            sent: !returned || written != before,
+            cause,
+        };
+        let request = request.map(Full::new);
+        if let Err(error) = self.sender.ready().await {
+            return Err(failed(error.to_string(), true, self.written.get()));
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                let returned = error.take_message().is_some();
+                let cause = error.into_error().to_string();
+                Err(failed(cause, returned, self.written.get()))
+            }
+        }
+    }
+
+    /// Marks the beginning of a rest, after a whole answer whose head named
+    /// `keep_alive_seconds`.
+    pub fn rest(&mut self, keep_alive_seconds: Option<u64>) {
+        self.rested_since = Instant::now();
+        self.idle_limit = keep_alive_seconds.map_or(USUAL_IDLE_LIMIT, |seconds| {
+            Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)
+        });
+    }
+
+    /// Whether it may be used again some time.
+    pub fn is_alive(&self) -> bool {
+        !self.sender.is_closed() && self.rested_since.elapsed() < self.idle_limit
+    }
+
+    /// Whether it may be used again now.
+    pub fn is_ready(&self) -> bool {
+        self.is_alive() && self.sender.is_ready() && self.rested_since.elapsed() >= REST_BEFORE_REUSE
+    }
+
+    /// Whether the peer has closed it.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- a/crates/lab/src/sim/log_recorder.rs
+++ b/crates/lab/src/sim/log_recorder.rs
@@ -87,6 +87,10 @@
             zones: Vec::new(),
             hour: 0,
             minute: 0,
+            requests_per_second: 0.0,
+            in_flight: 0,
+            waiting: 0,
+            slots: 1,
         };
         let decision = Program::compile(program).and_then(|program| program.decide(&context));
         decision.map_or(0, |decision| decision.replicas)
--- /dev/null
+++ b/crates/loading/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decides which models and adapters are loaded on which runner, and keeps the
+//! right to order it. State machines without I/O and without a clock.
+
+mod adapters;
+mod demand;
+mod eviction;
+mod lease;
+mod memory;
+mod models;
+mod pace;
+mod planner;
+mod view;
+
+pub use demand::{DemandBook, ModelDemand};
+pub use lease::{Lease, LeaseSettings};
+pub use memory::{free_mb, used_mb};
+pub use pace::LoadPace;
+pub use planner::{PlannedOrder, Planner, PlannerSettings};
+pub use view::{RunnerView, Source};
--- /dev/null
+++ b/crates/loading/src/models.rs
@@ -0,0 +1,178 @@
+//! Which models are loaded on which runner.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use barleyspar_catalog::{EngineSpec, OrderAction};
+
+use crate::demand::{DemandBook, ModelDemand};
+use crate::eviction::{NEVER, worth};
+use crate::memory::free_mb;
+use crate::view::{RunnerView, Source};
+
+/// Cost of another load, in seconds, for each replica that has to make way.
+const EVICTION_COST: f64 = 0.5;
+/// Cost in seconds for each unit of a dropped replica's worth.
+const WORTH_COST: f64 = 2.0;
+/// Cost in seconds of a second replica in the same zone.
+const SAME_ZONE_COST: f64 = 0.3;
+/// Largest cost in seconds of a replica that nobody waits for.
+const SPARE_REPLICA_COST: f64 = 12.0;
+
+/// Requests a second at which a model is in use, also between two requests.
+const USED_RATE: f64 = 0.3;
+
+/// What the planner knows of one service's models.
+pub struct ModelPlan<'a> {
+    /// The service.
+    pub service: &'a Arc<str>,
+    /// What its runners are like.
+    pub engine: &'a EngineSpec,
+    /// Demand by model.
+    pub demand: &'a BTreeMap<Arc<str>, ModelDemand>,
+    /// Replicas that the policy decided, by model.
+    pub decided: &'a BTreeMap<Arc<str>, usize>,
+    /// When models were last used.
+    pub book: &'a DemandBook,
+    /// Now.
+    pub now: Instant,
+}
+
+/// A step towards a replica.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Step {
+    /// Index of the runner.
+    pub runner: usize,
+    /// What it is to do.
+    pub action: OrderAction,
+    /// Where a load would take the weights from.
+    pub source: Source,
+}
+
+impl ModelPlan<'_> {
+    /// Models that lack replicas, the most urgent first.
+    pub fn wanted(&self, runners: &[RunnerView]) -> Vec<Arc<str>> {
+        let mut wanted: Vec<(bool, u8, i64, Arc<str>)> = self
+            .demand
+            .iter()
+            .filter(|(model, _)| self.engine.models.contains_key(*model))
+            .filter_map(|(model, demand)| {
+                let replicas = self.replicas(runners, model);
+                let lacks = replicas < self.needed(model);
+                let first = replicas == 0;
+                let urgency = -i64::from(demand.waiting.max(demand.in_flight));
+                lacks.then(|| (!first, demand.priority, urgency, model.clone()))
+            })
+            .collect();
+        wanted.sort();
+        wanted.into_iter().map(|(_, _, _, model)| model).collect()
+    }
+
+    /// Replicas that a model should have now: what the policy decided, as long
+    /// as somebody uses it.
+    pub fn needed(&self, model: &str) -> usize {
+        let used = self
+            .demand
+            .get(model)
+            .is_some_and(|demand| demand.is_active() || demand.rate > USED_RATE);
+        if !used {
+            return 0;
+        }
+        self.decided.get(model).copied().unwrap_or(0)
+    }
+
+    /// Replicas held, or being loaded, on runners that stay.
+    pub fn replicas(&self, runners: &[RunnerView], model: &str) -> usize {
+        runners
+            .iter()
+            .filter(|runner| runner.service == *self.service && runner.open)
+            .filter(|runner| runner.holds_or_loads(model) && !runner.unloads(model))
+            .count()
+    }
+
+    /// The next step towards one more replica of `model`.
+    pub fn step(&self, runners: &[RunnerView], model: &Arc<str>) -> Option<Step> {
+        let first = self.replicas(runners, model) == 0;
+        let (index, cost, victim) = runners
+            .iter()
+            .enumerate()
+            .filter(|(_, runner)| runner.service == *self.service && runner.orderable())
+            .filter(|(_, runner)| !runner.holds_or_loads(model))
+            .filter_map(|(index, runner)| {
+                let (cost, victim) = self.cost(runners, runner, model)?;
+                Some((index, cost, victim))
+            })
+            .min_by(|a, b| a.1.total_cmp(&b.1))?;
+        if !first && cost > SPARE_REPLICA_COST {
+            return None;
+        }
+        let action = match victim {
+            Some(victim) => OrderAction::UnloadModel { model: victim },
+            None => OrderAction::LoadModel {
+                model: model.clone(),
+            },
+        };
+        Some(Step {
+            runner: index,
+            action,
+            source: runners[index].source(model),
+        })
+    }
+
+    /// Cost in seconds of a replica of `model` on `runner`, and the first
+    /// replica that would have to make way.
+    fn cost(
+        &self,
+        runners: &[RunnerView],
+        runner: &RunnerView,
+        model: &Arc<str>,
+    ) -> Option<(f64, Option<Arc<str>>)> {
+        let spec = self.engine.models.get(model)?;
+        let mut cost = match runner.source(model) {
+            Source::Memory => spec.memory_load,
+            Source::Disk => spec.disk_load,
+            Source::Remote => spec.remote_load,
+        }
+        .as_secs_f64();
+        let same_zone = runners.iter().any(|other| {
+            other.zone == runner.zone && other.open && other.holds_or_loads(model)
+        });
+        if same_zone {
+            cost += SAME_ZONE_COST;
+        }
+        let mut missing = spec.weights_mb - free_mb(runner, self.engine);
+        let mut victim = None;
+        if missing > 0.0 {
+            for (worth, name) in self.victims(runners, runner) {
+                if worth == NEVER {
+                    return None;
+                }
+                cost += EVICTION_COST + WORTH_COST * worth;
+                missing -= self.engine.models.get(&name).map_or(0.0, |spec| spec.weights_mb);
+                victim.get_or_insert(name);
+                if missing <= 0.0 {
+                    break;
+                }
+            }
+        }
+        (missing <= 0.0).then_some((cost, victim))
+    }
+
+    /// The runner's replicas with their worth, the least first.
+    fn victims(&self, runners: &[RunnerView], runner: &RunnerView) -> Vec<(f64, Arc<str>)> {
+        let mut victims: Vec<(f64, Arc<str>)> = runner
+            .models
+            .iter()
+            .map(|held| {
+                let demand = self.demand.get(&held.model).copied().unwrap_or_default();
+                let replicas = self.replicas(runners, &held.model);
+                let idle = self.book.idle_time(self.service, &held.model, None, self.now);
+                let needed = self.needed(&held.model);
+                (worth(&demand, replicas, needed, idle), held.model.clone())
+            })
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        victims
+    }
+}
--- /dev/null
+++ b/crates/loading/src/view.rs
@@ -0,0 +1,103 @@
+//! A model runner as the planner sees it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use barleyspar_catalog::{HeldModel, OrderAction, Runner, RunnerState, WeightCopies};
+
+/// Where a load takes the weights from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The runner's host memory.
+    Memory,
+    /// The runner's disk.
+    Disk,
+    /// The weight store.
+    Remote,
+}
+
+/// A model runner with its own report and the orders under way.
+#[derive(Debug, Clone)]
+pub struct RunnerView {
+    /// The runner.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Whether it takes new work and stays.
+    pub open: bool,
+    /// Whether its report is known since this node may order it.
+    pub reported: bool,
+    /// Orders taken.
+    pub sequence: u64,
+    /// Whether an order is under way, or may be.
+    pub busy: bool,
+    /// Models held.
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way.
+    pub pending_adapters: Vec<(Arc<str>, Arc<str>)>,
+    /// Copies of weights.
+    pub copies: WeightCopies,
+    /// The order under way.
+    pub ordered: Option<OrderAction>,
+    /// Requests in flight by model.
+    pub in_flight: BTreeMap<Arc<str>, u32>,
+}
+
+impl RunnerView {
+    /// A runner of which only the discovery's entry is known.
+    pub fn new(runner: &Runner) -> Self {
+        Self {
+            id: runner.id.clone(),
+            service: runner.service.clone(),
+            zone: runner.zone.clone(),
+            open: runner.state == RunnerState::Available,
+            reported: false,
+            sequence: runner.sequence,
+            busy: false,
+            models: runner.models.clone(),
+            pending_adapters: Vec::new(),
+            copies: runner.copies.clone(),
+            ordered: None,
+            in_flight: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the planner may order it now.
+    pub fn orderable(&self) -> bool {
+        self.open && self.reported && !self.busy && self.ordered.is_none()
+    }
+
+    /// The held model of this name.
+    pub fn held(&self, model: &str) -> Option<&HeldModel> {
+        self.models.iter().find(|held| &*held.model == model)
+    }
+
+    /// Whether the model is held or being loaded.
+    pub fn holds_or_loads(&self, model: &str) -> bool {
+        self.held(model).is_some() || self.loads(model)
+    }
+
+    /// Whether the model is being loaded.
+    pub fn loads(&self, model: &str) -> bool {
+        matches!(&self.ordered, Some(OrderAction::LoadModel { model: loading }) if &**loading == model)
+    }
+
+    /// Whether the model is being dropped.
+    pub fn unloads(&self, model: &str) -> bool {
+        matches!(&self.ordered, Some(OrderAction::UnloadModel { model: going }) if &**going == model)
+    }
+
+    /// Where a load of the model would take its weights from.
+    pub fn source(&self, model: &str) -> Source {
+        let has = |copies: &[Arc<str>]| copies.iter().any(|copy| &**copy == model);
+        if has(&self.copies.memory) {
+            Source::Memory
+        } else if has(&self.copies.disk) {
+            Source::Disk
+        } else {
+            Source::Remote
+        }
+    }
+}
--- a/crates/placement/src/decisions.rs
+++ b/crates/placement/src/decisions.rs
@@ -127,6 +127,10 @@
             zones: live.zones.clone(),
             hour: (minute / MINUTES_PER_HOUR % HOURS_PER_DAY) as u32,
             minute: (minute % MINUTES_PER_HOUR) as u32,
+            requests_per_second: 0.0,
+            in_flight: 0,
+            waiting: 0,
+            slots: 1,
         }
     }
 }
--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -12,7 +12,7 @@
 const MAXIMUM_KEEP_ALIVE_SECONDS: i64 = 7 * 24 * 3600;
 
 /// What a policy sees.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Context {
     /// The model's name.
     pub model: String,
@@ -26,6 +26,14 @@
     pub hour: u32,
     /// Minute of the hour, 0 to 59.
     pub minute: u32,
+    /// Requests a second for the model, lately.
+    pub requests_per_second: f64,
+    /// Requests for the model at runners.
+    pub in_flight: u32,
+    /// Requests that wait for the model.
+    pub waiting: u32,
+    /// Requests that one runner works on at once.
+    pub slots: u32,
 }
 
 impl Context {
@@ -38,6 +46,10 @@
         map.insert("zones".into(), zones.into());
         map.insert("hour".into(), i64::from(self.hour).into());
         map.insert("minute".into(), i64::from(self.minute).into());
+        map.insert("requests_per_second".into(), self.requests_per_second.into());
+        map.insert("in_flight".into(), i64::from(self.in_flight).into());
+        map.insert("waiting".into(), i64::from(self.waiting).into());
+        map.insert("slots".into(), i64::from(self.slots).into());
         map.into()
     }
 }
--- a/crates/policy/tests/programs.rs
+++ b/crates/policy/tests/programs.rs
@@ -10,6 +10,10 @@
         zones: Vec::new(),
         hour,
         minute: 0,
+        requests_per_second: 0.0,
+        in_flight: 0,
+        waiting: 0,
+        slots: 1,
     }
 }
 
