Count a runner's orders apart from its heartbeats

Cause: entries in the store number heartbeats, reports number orders taken; the planner compared the two, took every report for old, and gave no order.

--- a/crates/barleyspar/src/errors.rs
+++ b/crates/barleyspar/src/errors.rs
@@ -68,7 +68,9 @@
             Self::Refused(_) => EXIT_REFUSED,
             Self::Unknown(_) => EXIT_UNKNOWN,
             Self::NotInForce(_) => EXIT_NOT_IN_FORCE,
-            Self::Node(_) | Self::Gateway(_) | Self::Runtime(_) | Self::Unreachable(_) => EXIT_FAILED,
+            Self::Node(_) | Self::Gateway(_) | Self::Runtime(_) | Self::Unreachable(_) => {
+                EXIT_FAILED
+            }
         }
     }
 }
--- a/crates/catalog/src/runner.rs
+++ b/crates/catalog/src/runner.rs
@@ -52,8 +52,8 @@
     pub remaining: Option<Duration>,
     /// How much longer it stays slow from its start.
     pub warming: Duration,
-    /// Orders taken.
-    pub sequence: u64,
+    /// Number of the heartbeat that wrote the entry.
+    pub heartbeat: u64,
     /// Models held; empty for plain services.
     pub models: Vec<HeldModel>,
     /// Copies of weights.
--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -51,9 +51,16 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreCall {
     /// Reads the items under a prefix, a page at a time.
-    Range { prefix: String, after: Option<String> },
+    Range {
+        prefix: String,
+        after: Option<String>,
+    },
     /// Waits for changes after a revision.
-    Watch { prefix: String, after: u64, wait: Duration },
+    Watch {
+        prefix: String,
+        after: u64,
+        wait: Duration,
+    },
     /// Changes keys.
     Commit(Transaction),
     /// Takes a lease.
@@ -82,7 +89,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreAnswer {
     /// A page of items; `revision` is the store's when it was read.
-    Page { items: Vec<Item>, more: bool, revision: u64 },
+    Page {
+        items: Vec<Item>,
+        more: bool,
+        revision: u64,
+    },
     /// Changes up to `revision`.
     Events { events: Vec<Event>, revision: u64 },
     /// The transaction was done at `revision`.
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -64,5 +64,6 @@
 
 /// The candidate that rendezvous hashing picks for `key`: the same at every node.
 fn preferred(candidates: &[&RunnerEntry], key: u64) -> Option<usize> {
-    (0..candidates.len()).max_by_key(|index| barleyspar_domain::rank(&key, &*candidates[*index].runner.id))
+    (0..candidates.len())
+        .max_by_key(|index| barleyspar_domain::rank(&key, &*candidates[*index].runner.id))
 }
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -103,7 +103,9 @@
             wish.in_flight > 0
                 || wish.waiting > 0
                 || wish.expected_until.is_some_and(|until| now < until)
-                || wish.rate_at.is_some_and(|at| now.saturating_duration_since(at) < FORGOTTEN_AFTER)
+                || wish
+                    .rate_at
+                    .is_some_and(|at| now.saturating_duration_since(at) < FORGOTTEN_AFTER)
         });
         self.wishes
             .iter()
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -221,7 +221,7 @@
     /// Takes in a runner's entry.
     pub fn update_runner(&mut self, runner: Runner, now: Instant) {
         match self.runners.get_mut(&runner.id) {
-            Some(entry) => entry.update(runner),
+            Some(entry) => entry.update(runner, now),
             None => {
                 let id = runner.id.clone();
                 self.runners.insert(id, RunnerEntry::new(runner, now));
@@ -230,9 +230,9 @@
     }
 
     /// Takes in what a runner holds, from its own report.
-    pub fn update_models(&mut self, id: &str, sequence: u64, models: Vec<HeldModel>) {
+    pub fn update_models(&mut self, id: &str, sequence: u64, models: Vec<HeldModel>, now: Instant) {
         if let Some(entry) = self.runners.get_mut(id) {
-            entry.update_models(sequence, models);
+            entry.update_models(sequence, models, now);
         }
     }
 
@@ -268,7 +268,12 @@
     }
 
     /// Takes in another node's attempts in flight.
-    pub fn set_peer_load(&mut self, node: Arc<str>, in_flight: Vec<(RunnerKey, u32)>, now: Instant) {
+    pub fn set_peer_load(
+        &mut self,
+        node: Arc<str>,
+        in_flight: Vec<(RunnerKey, u32)>,
+        now: Instant,
+    ) {
         self.peers.insert(node, PeerLoad { at: now, in_flight });
         self.sum_peer_load(now);
     }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -80,9 +80,10 @@
         self.block = SHORTEST_BLOCK;
         self.blocked_until = None;
         let sample = first_byte.as_secs_f64();
-        self.response_seconds = Some(self.response_seconds.map_or(sample, |known| {
-            known + RESPONSE_WEIGHT * (sample - known)
-        }));
+        self.response_seconds = Some(
+            self.response_seconds
+                .map_or(sample, |known| known + RESPONSE_WEIGHT * (sample - known)),
+        );
     }
 
     /// Takes in a failure.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,7 +13,9 @@
 
 pub use budget::{BudgetLimits, RetryBudget};
 pub use demand::DemandItem;
-pub use dispatcher::{Acquired, AttemptKind, Dispatcher, Grant, PermitId, Query, Refusal, RefusalReason, Ticket};
+pub use dispatcher::{
+    Acquired, AttemptKind, Dispatcher, Grant, PermitId, Query, Refusal, RefusalReason, Ticket,
+};
 pub use health::{Failure, Outcome};
 pub use runner::{RunnerKey, runner_key};
 pub use split::Splitter;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -35,7 +35,10 @@
 
     /// Takes out the request with this ticket.
     pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let place = self.entries.iter().position(|entry| entry.ticket == ticket)?;
+        let place = self
+            .entries
+            .iter()
+            .position(|entry| entry.ticket == ticket)?;
         Some(self.entries.remove(place))
     }
 
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -17,6 +17,8 @@
     barleyspar_domain::rank("runner", id) as RunnerKey
 }
 
+/// Time after a report in which an entry may still be older than it.
+const ENTRY_LAG: Duration = Duration::from_millis(500);
 /// Time for which a runner is thought not to hold what it said it lacks.
 const NOT_HELD_TIME: Duration = Duration::from_millis(1500);
 
@@ -36,6 +38,14 @@
     /// Whether it takes new work, for attempts that are about to be sent.
     pub open: Arc<AtomicBool>,
     lacking: HashMap<ModelReference, Instant>,
+    reported: Option<Reported>,
+}
+
+/// The last report of the runner that this node was told of.
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    sequence: u64,
+    at: Instant,
 }
 
 impl RunnerEntry {
@@ -49,17 +59,25 @@
             health: Health::new(now),
             open: Arc::new(AtomicBool::new(true)),
             lacking: HashMap::new(),
+            reported: None,
         }
     }
 
     /// Takes in a newer entry. A runner that was draining stays so: an entry
     /// that says otherwise is older than it looks.
-    pub fn update(&mut self, mut newer: Runner) {
+    pub fn update(&mut self, mut newer: Runner, now: Instant) {
         if self.runner.state == RunnerState::Draining {
             newer.state = RunnerState::Draining;
         }
-        if newer.sequence < self.runner.sequence {
-            newer.sequence = self.runner.sequence;
+        if newer.heartbeat < self.runner.heartbeat {
+            let state = newer.state;
+            newer = (*self.runner).clone();
+            newer.state = state;
+        }
+        let fresh_report = self
+            .reported
+            .is_some_and(|report| now.saturating_duration_since(report.at) < ENTRY_LAG);
+        if fresh_report {
             newer.models = self.runner.models.clone();
         }
         if newer.models != self.runner.models {
@@ -77,14 +95,13 @@
     }
 
     /// Takes in what the runner holds, from its own report.
-    pub fn update_models(&mut self, sequence: u64, models: Vec<HeldModel>) {
-        if sequence < self.runner.sequence {
+    pub fn update_models(&mut self, sequence: u64, models: Vec<HeldModel>, now: Instant) {
+        if self.reported.is_some_and(|known| sequence < known.sequence) {
             return;
         }
+        self.reported = Some(Reported { sequence, at: now });
         self.lacking.clear();
-        let runner = Arc::make_mut(&mut self.runner);
-        runner.sequence = sequence;
-        runner.models = models;
+        Arc::make_mut(&mut self.runner).models = models;
     }
 
     /// Remembers that the runner said it does not hold `wanted`.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -61,7 +61,11 @@
         if item.key == LEADER_KEY {
             let record = LeaderRecord::decode(&item.value, item.revision);
             if let Some(record) = &record {
-                tracing::info!(event = "placement_leader", node = &*record.node, token = record.token);
+                tracing::info!(
+                    event = "placement_leader",
+                    node = &*record.node,
+                    token = record.token
+                );
             }
             self.leader.send_replace(record);
             return;
@@ -118,7 +122,7 @@
             service = &*runner.service,
             zone = &*runner.zone,
             state = ?runner.state,
-            sequence = runner.sequence,
+            heartbeat = runner.heartbeat,
             models = runner.models.len(),
             revision
         );
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -57,7 +57,8 @@
     /// Gives the permit back.
     pub fn finish(mut self, outcome: Outcome) {
         self.finished = true;
-        self.handle.send(Command::Finish(self.grant.permit, outcome));
+        self.handle
+            .send(Command::Finish(self.grant.permit, outcome));
     }
 }
 
@@ -259,11 +260,9 @@
     }
 
     fn pause(&self) -> Duration {
-        self.dispatcher
-            .next_refusal()
-            .map_or(LONGEST_PAUSE, |at| {
-                at.saturating_duration_since(now()) + Duration::from_millis(1)
-            })
+        self.dispatcher.next_refusal().map_or(LONGEST_PAUSE, |at| {
+            at.saturating_duration_since(now()) + Duration::from_millis(1)
+        })
     }
 
     fn handle_command(&mut self, command: Command) {
@@ -288,7 +287,7 @@
             Command::RemoveRunner(id) => self.dispatcher.remove_runner(&id),
             Command::RetainRunners(kept) => self.dispatcher.retain_runners(&kept),
             Command::UpdateModels(id, sequence, models) => {
-                self.dispatcher.update_models(&id, sequence, models);
+                self.dispatcher.update_models(&id, sequence, models, now());
             }
             Command::PeerLoad(node, load) => self.dispatcher.set_peer_load(node, load, now()),
             Command::SetNodes(nodes) => self.dispatcher.set_nodes(nodes),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -168,7 +168,11 @@
     }
 
     /// Takes in an attempt that failed: the next one's kind, if there is one.
-    pub fn after_failure(&mut self, runner: &Arc<str>, error: &AttemptError) -> Option<AttemptKind> {
+    pub fn after_failure(
+        &mut self,
+        runner: &Arc<str>,
+        error: &AttemptError,
+    ) -> Option<AttemptKind> {
         journal::attempt_failed(self.id(), runner, error);
         self.excluded.push(runner.clone());
         if !error.sent {
@@ -198,7 +202,13 @@
     /// Says in the log how the request ended.
     pub fn end(&mut self, status: u16, reason: &str) {
         self.ended = true;
-        journal::ended(self.id(), status, self.verdict, self.received.elapsed(), reason);
+        journal::ended(
+            self.id(),
+            status,
+            self.verdict,
+            self.received.elapsed(),
+            reason,
+        );
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -162,7 +162,11 @@
     tokio::spawn(lease_keeper.run());
     tokio::spawn(sweep(context.clone()));
     serve(&context, callers, questions);
-    tracing::info!(event = "started", node = &*settings.name, zone = &*settings.zone);
+    tracing::info!(
+        event = "started",
+        node = &*settings.name,
+        zone = &*settings.zone
+    );
     Ok(context)
 }
 
@@ -182,11 +186,7 @@
     }
 }
 
-fn serve(
-    context: &Context,
-    callers: tokio::net::TcpListener,
-    questions: tokio::net::TcpListener,
-) {
+fn serve(context: &Context, callers: tokio::net::TcpListener, questions: tokio::net::TcpListener) {
     let descriptors = context.settings.limits.descriptors as usize;
     let connections = descriptors
         .saturating_sub(OTHER_DESCRIPTORS)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -231,7 +231,9 @@
                 models,
             }) => {
                 let models = models.into_iter().map(from_message).collect();
-                self.context.dispatch.update_models(runner, sequence, models);
+                self.context
+                    .dispatch
+                    .update_models(runner, sequence, models);
             }
             None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
         }
@@ -359,7 +361,10 @@
             }],
             ..Transaction::default()
         });
-        if !matches!(store.call(&put, TIMEOUT).await, Ok(StoreAnswer::Committed { .. })) {
+        if !matches!(
+            store.call(&put, TIMEOUT).await,
+            Ok(StoreAnswer::Committed { .. })
+        ) {
             // The key may be written yet; without its lease it cannot stay.
             let _ = store.call(&StoreCall::EndLease { lease }, TIMEOUT).await;
             sleep(PAUSE).await;
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -136,17 +136,23 @@
         if !has_engine && runner.models.is_empty() {
             return;
         }
-        let entry = self.entries.entry(runner.id.clone()).or_insert_with(|| Entry {
-            view: RunnerView::new(&runner),
-            runner: runner.clone(),
-            report_at: Some(Instant::now()),
-            asking: false,
-            ordering: false,
-        });
+        let entry = self
+            .entries
+            .entry(runner.id.clone())
+            .or_insert_with(|| Entry {
+                view: RunnerView::new(&runner),
+                runner: runner.clone(),
+                report_at: Some(Instant::now()),
+                asking: false,
+                ordering: false,
+            });
         if runner.state == RunnerState::Draining {
             entry.view.open = false;
         }
-        if runner.sequence >= entry.view.sequence && !entry.view.reported {
+        if runner.heartbeat < entry.runner.heartbeat {
+            return;
+        }
+        if !entry.view.reported {
             entry.view.models = runner.models.clone();
         }
         if !runner.copies.memory.is_empty() || !runner.copies.disk.is_empty() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -69,10 +69,7 @@
 fn head(exchange: &Exchange, answered: &Answered, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = answered.status;
-    *response.headers_mut() = exchange
-        .context
-        .dialect
-        .returned_headers(&answered.headers);
+    *response.headers_mut() = exchange.context.dialect.returned_headers(&answered.headers);
     response
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -57,7 +57,13 @@
         Err(answer) => {
             let id = request_id.as_deref().unwrap_or("-");
             let status = answer.status.as_u16();
-            journal::ended(id, status, answer.verdict, received.elapsed(), answer.reason);
+            journal::ended(
+                id,
+                status,
+                answer.verdict,
+                received.elapsed(),
+                answer.reason,
+            );
             answer.into_response(&context, request_id.as_deref())
         }
     }
@@ -205,7 +211,13 @@
             };
             return Err(Next::Answer(answer));
         }
-        None => return Err(Next::Answer(refuse(exchange, "stopping", REJECTED_RETRY_AFTER))),
+        None => {
+            return Err(Next::Answer(refuse(
+                exchange,
+                "stopping",
+                REJECTED_RETRY_AFTER,
+            )));
+        }
     };
     journal::chosen(exchange.id(), &permit, asked.elapsed());
     let runner = permit.runner().clone();
@@ -294,7 +306,11 @@
     if exchange.after_rejection(runner) && !exchange.left().is_zero() {
         return Err(Next::Again(AttemptKind::Retry));
     }
-    Err(Next::Answer(refuse(exchange, "rejected", REJECTED_RETRY_AFTER)))
+    Err(Next::Answer(refuse(
+        exchange,
+        "rejected",
+        REJECTED_RETRY_AFTER,
+    )))
 }
 
 /// Whether passing the answer on would promise that a request did not run
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -37,7 +37,11 @@
     }
 
     /// Makes one call and waits for its answer at most for `timeout`.
-    pub async fn call(&self, call: &StoreCall, timeout: Duration) -> Result<StoreAnswer, StoreError> {
+    pub async fn call(
+        &self,
+        call: &StoreCall,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
         let until = Instant::now() + timeout;
         let result = match timeout_at(until, self.exchange(call)).await {
             Ok(result) => result,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -213,14 +213,21 @@
                 None => self.next_permit(kind).await?,
             };
             let runner = chosen.runner().clone();
-            journal::resumed(self.exchange.id(), &runner.id, self.last_id.as_deref(), cause);
+            journal::resumed(
+                self.exchange.id(),
+                &runner.id,
+                self.last_id.as_deref(),
+                cause,
+            );
             let last_id = self.last_id.clone();
             let forward = self.exchange.forward(&runner, last_id);
             let patience = self.exchange.head_patience(chosen.candidates() > 1);
             let context = self.exchange.context.clone();
             let tried = attempt(&context, chosen, &self.exchange.outgoing, forward, patience).await;
             match tried {
-                Ok(answered) if answered.status == StatusCode::OK && answered.facts.event_stream => {
+                Ok(answered)
+                    if answered.status == StatusCode::OK && answered.facts.event_stream =>
+                {
                     self.exchange.ran_at(&runner.id, Verdict::Ran);
                     return Some(answered);
                 }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -135,7 +135,9 @@
 
     /// Whether it may be used again now.
     pub fn is_ready(&self) -> bool {
-        self.is_alive() && self.sender.is_ready() && self.rested_since.elapsed() >= REST_BEFORE_REUSE
+        self.is_alive()
+            && self.sender.is_ready()
+            && self.rested_since.elapsed() >= REST_BEFORE_REUSE
     }
 
     /// Whether the peer has closed it.
--- a/crates/loading/src/adapters.rs
+++ b/crates/loading/src/adapters.rs
@@ -36,7 +36,13 @@
             .filter(|((model, adapter), demand)| {
                 demand.waiting > 0 && !self.is_there(runners, model, adapter)
             })
-            .map(|(key, demand)| (demand.priority, std::cmp::Reverse(demand.waiting), key.clone()))
+            .map(|(key, demand)| {
+                (
+                    demand.priority,
+                    std::cmp::Reverse(demand.waiting),
+                    key.clone(),
+                )
+            })
             .collect();
         wanted.sort();
         wanted.into_iter().map(|(_, _, key)| key).collect()
@@ -47,9 +53,9 @@
             .iter()
             .filter(|runner| runner.service == *self.service && runner.open)
             .any(|runner| {
-                let held = runner.held(model).is_some_and(|held| {
-                    held.adapters.iter().any(|name| &**name == adapter)
-                });
+                let held = runner
+                    .held(model)
+                    .is_some_and(|held| held.adapters.iter().any(|name| &**name == adapter));
                 let pending = runner
                     .pending_adapters
                     .iter()
--- a/crates/loading/src/demand.rs
+++ b/crates/loading/src/demand.rs
@@ -55,11 +55,18 @@
 impl DemandBook {
     /// Takes in what `node` said.
     pub fn update(&mut self, node: Arc<str>, items: Vec<DemandItem>, now: Instant) {
-        for item in items.iter().filter(|item| item.waiting + item.in_flight > 0) {
+        for item in items
+            .iter()
+            .filter(|item| item.waiting + item.in_flight > 0)
+        {
             let model = (item.service.clone(), item.model.clone(), None);
             self.used_at.insert(model, now);
             if item.adapter.is_some() {
-                let key = (item.service.clone(), item.model.clone(), item.adapter.clone());
+                let key = (
+                    item.service.clone(),
+                    item.model.clone(),
+                    item.adapter.clone(),
+                );
                 self.used_at.insert(key, now);
             }
         }
@@ -75,7 +82,11 @@
             let model = (item.service.clone(), item.model.clone(), None);
             totals.entry(model).or_default().add(item);
             if item.adapter.is_some() {
-                let key = (item.service.clone(), item.model.clone(), item.adapter.clone());
+                let key = (
+                    item.service.clone(),
+                    item.model.clone(),
+                    item.adapter.clone(),
+                );
                 totals.entry(key).or_default().add(item);
             }
         }
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -135,9 +135,9 @@
             Source::Remote => spec.remote_load,
         }
         .as_secs_f64();
-        let same_zone = runners.iter().any(|other| {
-            other.zone == runner.zone && other.open && other.holds_or_loads(model)
-        });
+        let same_zone = runners
+            .iter()
+            .any(|other| other.zone == runner.zone && other.open && other.holds_or_loads(model));
         if same_zone {
             cost += SAME_ZONE_COST;
         }
@@ -149,7 +149,11 @@
                     return None;
                 }
                 cost += EVICTION_COST + WORTH_COST * worth;
-                missing -= self.engine.models.get(&name).map_or(0.0, |spec| spec.weights_mb);
+                missing -= self
+                    .engine
+                    .models
+                    .get(&name)
+                    .map_or(0.0, |spec| spec.weights_mb);
                 victim.get_or_insert(name);
                 if missing <= 0.0 {
                     break;
@@ -167,7 +171,9 @@
             .map(|held| {
                 let demand = self.demand.get(&held.model).copied().unwrap_or_default();
                 let replicas = self.replicas(runners, &held.model);
-                let idle = self.book.idle_time(self.service, &held.model, None, self.now);
+                let idle = self
+                    .book
+                    .idle_time(self.service, &held.model, None, self.now);
                 let needed = self.needed(&held.model);
                 (worth(&demand, replicas, needed, idle), held.model.clone())
             })
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -54,7 +54,7 @@
             zone: runner.zone.clone(),
             open: runner.state == RunnerState::Available,
             reported: false,
-            sequence: runner.sequence,
+            sequence: 0,
             busy: false,
             models: runner.models.clone(),
             pending_adapters: Vec::new(),
--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -46,7 +46,10 @@
         map.insert("zones".into(), zones.into());
         map.insert("hour".into(), i64::from(self.hour).into());
         map.insert("minute".into(), i64::from(self.minute).into());
-        map.insert("requests_per_second".into(), self.requests_per_second.into());
+        map.insert(
+            "requests_per_second".into(),
+            self.requests_per_second.into(),
+        );
         map.insert("in_flight".into(), i64::from(self.in_flight).into());
         map.insert("waiting".into(), i64::from(self.waiting).into());
         map.insert("slots".into(), i64::from(self.slots).into());
