Answer readiness to clients that half-close; refuse streams while stopping

Ruled out: slow answers (each came within 1 ms where it came). Change: half-close allowed on the readiness address only (a caller that closes has left); once no new connections are expected, requests that would not end in time are refused as not run.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -80,6 +80,7 @@
 /// Serves on until nothing comes any more, then until nothing is left.
 async fn drain(context: &Context, stage: &watch::Sender<Stage>) {
     let deadline = Instant::now() + context.settings.bounds.grace_period - KILL_MARGIN;
+    context.lifecycle.end_at(deadline);
     stage.send_replace(Stage::Draining);
     sleep(STILL_FOUND).await;
     stage.send_replace(Stage::Closing);
@@ -192,7 +193,7 @@
         .saturating_sub(OTHER_DESCRIPTORS)
         .max(FEWEST_CONNECTIONS);
     let limits_context = context.clone();
-    let limits = move || {
+    let limits = move |answer_half_closed| {
         let routes = limits_context.routes.borrow();
         let limits = routes
             .as_ref()
@@ -202,6 +203,7 @@
             connections,
             header_bytes: limits.header_bytes,
             idle_timeout: limits.idle_timeout,
+            answer_half_closed,
         }
     };
     let serving = context.clone();
@@ -210,14 +212,25 @@
         request::serve(context, request)
     };
     let lifecycle = context.lifecycle.clone();
-    tokio::spawn(listener::serve(callers, limits.clone(), lifecycle, handle));
+    let caller_limits = limits.clone();
+    tokio::spawn(listener::serve(
+        callers,
+        move || caller_limits(false),
+        lifecycle,
+        handle,
+    ));
     let asked = context.clone();
     let answer = move |request| {
         let context = asked.clone();
         async move { readiness::answer(&context, &request) }
     };
     let (_, forever) = Lifecycle::running();
-    tokio::spawn(listener::serve(questions, limits, forever, answer));
+    tokio::spawn(listener::serve(
+        questions,
+        move || limits(true),
+        forever,
+        answer,
+    ));
 }
 
 /// Closes connections that rest too long.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{RequestFacts, Route};
+use barleyspar_catalog::{RequestFacts, RequestKind, Route};
 use barleyspar_dispatch::{AttemptKind, Failure, Outcome};
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use crate::context::Context;
 use crate::exchange::Exchange;
 use crate::journal;
+use crate::lifecycle::Stage;
 use crate::relay;
 
 /// Time a request is held where neither client nor route says.
@@ -27,6 +28,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// When to come back to a node that knows no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When to come back to a node that is being stopped: to another one, at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time that a request without a stream usually takes at most.
+const LONGEST_PLAIN_REQUEST: Duration = Duration::from_millis(1500);
 /// When to come back after runners rejected the request.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Bytes of an answer that are collected before it is passed on.
@@ -92,6 +97,9 @@
         .cloned()
         .ok_or(OwnAnswer::rejected(StatusCode::NOT_FOUND, "no_route"))?;
     let configuration = table.configuration();
+    if !ends_in_time(context, &route) {
+        return Err(OwnAnswer::refused("stopping", STOPPING_RETRY_AFTER));
+    }
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let service = context.dispatch.split(&route).await;
     let deadline = received + time_allowed(&facts, &route);
@@ -115,6 +123,20 @@
     Ok(exchange)
 }
 
+/// Whether a request that comes now ends before the process does.
+fn ends_in_time(context: &Context, route: &Route) -> bool {
+    if context.lifecycle.stage() < Stage::Closing {
+        return true;
+    }
+    let left = context.lifecycle.time_left();
+    route.kind != RequestKind::Streaming
+        && left
+            > route
+                .timeout
+                .unwrap_or(USUAL_DEADLINE)
+                .min(LONGEST_PLAIN_REQUEST)
+}
+
 fn time_allowed(facts: &RequestFacts, route: &Route) -> Duration {
     let by_client = facts.deadline.unwrap_or(USUAL_DEADLINE);
     by_client.min(route.timeout.unwrap_or(USUAL_DEADLINE))
