Answer every readiness question; replace a silent leader where runners check fences

Cause: the readiness listener's stage had lost its sender, which counted as 'closing': each connection raced its first request against a shutdown. Where runners check fences only holders in touch count, so a leader that has been silent to its peers for 1.3 s is replaced by compare-and-swap at once, and the lease is long enough to outlast most outages of the store.

--- a/crates/catalog/src/settings.rs
+++ b/crates/catalog/src/settings.rs
@@ -49,6 +49,8 @@
     pub retry_extra: f64,
     /// Time within which only one node may give a runner orders.
     pub lease_duration: Duration,
+    /// Whether runners refuse tokens lower than one they have seen.
+    pub fencing_enforced: bool,
     /// Window in which loads from the weight store are counted.
     pub load_window: Duration,
     /// Factor by which loads in a window may exceed the store's rate.
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -33,6 +33,11 @@
         (sender, Self { stage, ends_at })
     }
 
+    /// A process that is never stopped.
+    pub fn forever() -> Self {
+        Self::running().1
+    }
+
     /// The stage now.
     pub fn stage(&self) -> Stage {
         *self.stage.borrow()
@@ -54,7 +59,13 @@
     /// Waits until `stage` is reached.
     pub async fn reached(&self, stage: Stage) {
         let mut receiver = self.stage.clone();
-        // The sender lives as long as the process.
-        let _ = receiver.wait_for(|now| *now >= stage).await;
+        if receiver.wait_for(|now| *now >= stage).await.is_err() {
+            // Nobody is left who could end the process.
+            std::future::pending::<()>().await;
+        }
     }
 }
+
+#[cfg(test)]
+#[path = "lifecycle_tests.rs"]
+mod tests;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -35,9 +35,6 @@
     pub header_bytes: usize,
     /// Time for a head to come, rest before it included.
     pub idle_timeout: Duration,
-    /// Whether a client that has closed its side still gets its answer, or has
-    /// left.
-    pub answer_half_closed: bool,
 }
 
 /// Serves connections on `listener` with `handle` until the process ends.
@@ -91,7 +88,6 @@
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
-        .half_close(limits.answer_half_closed)
         .max_buf_size(limits.header_bytes.max(SMALLEST_HEAD))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -132,6 +132,7 @@
         peers: peer_handle.clone(),
         leader: leader_sender,
     };
+    let heard = peer_handle.heard();
     let planner = Planner::new(PlannerSettings { policy }, now);
     let placement_task = PlacementTask::new(
         context.clone(),
@@ -153,6 +154,7 @@
         context: context.clone(),
         store: store.clone(),
         leader,
+        heard,
         held,
     };
     tokio::spawn(discovery.run(changes));
@@ -193,7 +195,7 @@
         .saturating_sub(OTHER_DESCRIPTORS)
         .max(FEWEST_CONNECTIONS);
     let limits_context = context.clone();
-    let limits = move |answer_half_closed| {
+    let limits = move || {
         let routes = limits_context.routes.borrow();
         let limits = routes
             .as_ref()
@@ -203,7 +205,6 @@
             connections,
             header_bytes: limits.header_bytes,
             idle_timeout: limits.idle_timeout,
-            answer_half_closed,
         }
     };
     let serving = context.clone();
@@ -213,24 +214,14 @@
     };
     let lifecycle = context.lifecycle.clone();
     let caller_limits = limits.clone();
-    tokio::spawn(listener::serve(
-        callers,
-        move || caller_limits(false),
-        lifecycle,
-        handle,
-    ));
+    tokio::spawn(listener::serve(callers, caller_limits, lifecycle, handle));
     let asked = context.clone();
     let answer = move |request| {
         let context = asked.clone();
         async move { readiness::answer(&context, &request) }
     };
-    let (_, forever) = Lifecycle::running();
-    tokio::spawn(listener::serve(
-        questions,
-        move || limits(true),
-        forever,
-        answer,
-    ));
+    let forever = Lifecycle::forever();
+    tokio::spawn(listener::serve(questions, limits, forever, answer));
 }
 
 /// Closes connections that rest too long.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -96,6 +96,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerHandle {
     commands: mpsc::UnboundedSender<Command>,
+    heard: watch::Receiver<HashMap<Arc<str>, Instant>>,
 }
 
 impl PeerHandle {
@@ -117,12 +118,22 @@
         let _ = self.commands.send(Command::Retain(members));
     }
 
+    /// When each peer was last heard.
+    pub fn heard(&self) -> watch::Receiver<HashMap<Arc<str>, Instant>> {
+        self.heard.clone()
+    }
+
     /// Sends a message to all peers.
     pub fn broadcast(&self, message: Message) {
         let _ = self.commands.send(Command::Broadcast(message));
     }
 }
 
+/// Time between two messages to each of `peers` peers.
+pub fn message_interval(peers: u32) -> Duration {
+    SHORTEST_INTERVAL.max(INTERVAL_PER_PEER * peers)
+}
+
 /// The value of this node's key in the store.
 pub fn member_value(address: SocketAddr) -> Vec<u8> {
     rmp_serde::to_vec(&address).expect("an address is plain data")
@@ -144,16 +155,24 @@
     placement: PlacementHandle,
     urgent: Arc<Notify>,
     commands: mpsc::UnboundedReceiver<Command>,
+    heard: watch::Sender<HashMap<Arc<str>, Instant>>,
 }
 
 /// Creates the handle; [`PeerTask::new`] takes the other end.
 pub fn channel() -> (PeerHandle, PeerInbox) {
     let (commands, inbox) = mpsc::unbounded_channel();
-    (PeerHandle { commands }, PeerInbox(inbox))
+    let (heard_sender, heard) = watch::channel(HashMap::new());
+    (
+        PeerHandle { commands, heard },
+        PeerInbox(inbox, heard_sender),
+    )
 }
 
 /// The receiving end of a [`PeerHandle`].
-pub struct PeerInbox(mpsc::UnboundedReceiver<Command>);
+pub struct PeerInbox(
+    mpsc::UnboundedReceiver<Command>,
+    watch::Sender<HashMap<Arc<str>, Instant>>,
+);
 
 impl PeerTask {
     /// A task on `socket`.
@@ -173,6 +192,7 @@
             placement,
             urgent,
             commands: inbox.0,
+            heard: inbox.1,
         }
     }
 
@@ -211,7 +231,7 @@
     }
 
     fn interval(&self) -> Duration {
-        SHORTEST_INTERVAL.max(INTERVAL_PER_PEER * self.members.len() as u32)
+        message_interval(self.members.len() as u32)
     }
 
     fn receive(&mut self, bytes: &[u8]) {
@@ -222,6 +242,9 @@
                 in_flight,
             }) => {
                 self.saw(node.clone(), address);
+                self.heard.send_modify(|heard| {
+                    heard.insert(node.clone(), Instant::now());
+                });
                 self.context.dispatch.set_peer_load(node, in_flight);
             }
             Some(Message::Demand { node, items }) => self.placement.demand(node, items),
@@ -282,6 +305,8 @@
     fn count(&mut self) {
         self.members
             .retain(|_, member| member.stored || member.seen.elapsed() < COUNTED_FOR);
+        self.heard
+            .send_modify(|heard| heard.retain(|_, at| at.elapsed() < COUNTED_FOR));
         self.context.dispatch.set_nodes(self.members.len() + 1);
     }
 
--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -1,23 +1,36 @@
 //! Takes and keeps the lease without which no runner is ordered.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError, Transaction, Write};
 use barleyspar_loading::{Lease, LeaseSettings};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::context::Context;
 use crate::lifecycle::Stage;
+use crate::peers::message_interval;
 use crate::placement::{LEADER_KEY, LeaderRecord};
 use crate::store::Store;
 
-/// The lease's time to live, as a part of the time within which only one node
-/// may order a runner.
-const TIME_TO_LIVE_PART: f64 = 0.67;
+/// The lease's time to live without fences at the runners, as a part of the
+/// time within which only one node may order a runner.
+const UNFENCED_TIME_TO_LIVE: f64 = 0.67;
+/// The same with fences: a leader goes on through most outages of the store,
+/// since a silent one is replaced before its lease is over.
+const FENCED_TIME_TO_LIVE: f64 = 2.0;
 /// Renewals in a time to live.
-const RENEWALS: u32 = 4;
+const RENEWALS: u32 = 5;
+/// Shortest silence of a leader after which it is replaced.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(1300);
+/// Messages that a leader must have missed before it is replaced.
+const MISSED_MESSAGES: u32 = 3;
+/// Time between two looks at a silent leader.
+const SILENCE_STEP: Duration = Duration::from_millis(200);
+/// Time after taking the lease before the first order, with fences.
+const FENCED_QUIET: Duration = Duration::from_millis(300);
 /// Time taken off the lease.
 const MARGIN: Duration = Duration::from_millis(200);
 /// Pause for each better placed candidate before the lease is tried for.
@@ -37,6 +50,8 @@
     pub store: Store,
     /// Who leads, as the store shows it.
     pub leader: watch::Receiver<Option<LeaderRecord>>,
+    /// When each peer was last heard.
+    pub heard: watch::Receiver<HashMap<Arc<str>, Instant>>,
     /// The lease while this node holds it.
     pub held: watch::Sender<Option<Lease>>,
 }
@@ -59,21 +74,55 @@
 
     async fn compete(&mut self) {
         loop {
-            if self.leader.wait_for(Option::is_none).await.is_err() {
-                return;
-            }
+            let predecessor = self.vacancy().await;
             sleep(self.rank_pause()).await;
-            if self.leader.borrow().is_some() || self.context.routes.borrow().is_none() {
+            let changed = self.leader.borrow().as_ref().map(|leader| leader.token);
+            if changed != predecessor || self.context.routes.borrow().is_none() {
                 sleep(RETRY_PAUSE).await;
                 continue;
             }
-            match self.take().await {
+            match self.take(predecessor.unwrap_or(0)).await {
                 Some(lease) => self.keep(lease).await,
                 None => sleep(RETRY_PAUSE).await,
             }
         }
     }
 
+    /// Waits until nobody leads, or the leader is silent where runners check
+    /// fences; the silent leader's token.
+    async fn vacancy(&mut self) -> Option<u64> {
+        loop {
+            let leader = self.leader.borrow_and_update().clone();
+            let Some(leader) = leader else {
+                return None;
+            };
+            if self.is_silent(&leader) {
+                tracing::info!(
+                    event = "leader_silent",
+                    node = &*leader.node,
+                    token = leader.token
+                );
+                return Some(leader.token);
+            }
+            let _ = timeout(SILENCE_STEP, self.leader.changed()).await;
+        }
+    }
+
+    fn is_silent(&self, leader: &LeaderRecord) -> bool {
+        if !self.context.settings.bounds.fencing_enforced {
+            return false;
+        }
+        // Its own predecessor on this machine is gone for sure.
+        if leader.node == self.context.settings.name {
+            return true;
+        }
+        let interval = message_interval(self.context.dispatch.nodes());
+        let longest = SHORTEST_SILENCE.max(interval * MISSED_MESSAGES);
+        let heard = self.heard.borrow().get(&leader.node).copied();
+        let since = heard.unwrap_or(leader.known_since).max(leader.known_since);
+        since.elapsed() > longest
+    }
+
     /// Nodes try one after the other, in an order that differs each time.
     fn rank_pause(&self) -> Duration {
         let name = &self.context.settings.name;
@@ -84,14 +133,20 @@
 
     fn time_to_live(&self) -> Duration {
         let settings = &self.context.settings;
+        let part = if settings.bounds.fencing_enforced {
+            FENCED_TIME_TO_LIVE
+        } else {
+            UNFENCED_TIME_TO_LIVE
+        };
         settings
             .bounds
             .lease_duration
-            .mul_f64(TIME_TO_LIVE_PART)
+            .mul_f64(part)
             .max(settings.minimum_lease)
     }
 
-    async fn take(&self) -> Option<Lease> {
+    /// Takes the lease in place of the leader with token `predecessor`; 0 for none.
+    async fn take(&self, predecessor: u64) -> Option<Lease> {
         let granted_call = Instant::now().into_std();
         let call = StoreCall::GrantLease {
             time_to_live: self.time_to_live(),
@@ -106,7 +161,7 @@
         };
         let settings = &self.context.settings;
         let call = StoreCall::Commit(Transaction {
-            conditions: vec![(LEADER_KEY.to_owned(), 0)],
+            conditions: vec![(LEADER_KEY.to_owned(), predecessor)],
             writes: vec![Write {
                 key: LEADER_KEY.to_owned(),
                 value: LeaderRecord::encode(&settings.name, settings.peer_address).into(),
@@ -123,7 +178,7 @@
                 Instant::now().into_std(),
                 LeaseSettings {
                     margin: MARGIN,
-                    quiet: settings.bounds.lease_duration,
+                    quiet: self.quiet(),
                 },
             )),
             _ => {
@@ -135,14 +190,29 @@
         }
     }
 
+    /// Time without orders after taking the lease. Without fences, nobody else
+    /// may have ordered within the lease duration.
+    fn quiet(&self) -> Duration {
+        let bounds = &self.context.settings.bounds;
+        if bounds.fencing_enforced {
+            FENCED_QUIET
+        } else {
+            bounds.lease_duration
+        }
+    }
+
     /// Renews until the store says that the lease is over. A lease that lapsed
     /// by this node's clock stays unused until a renewal shows that it lasted.
     async fn keep(&self, mut lease: Lease) {
         tracing::info!(event = "lease_taken", token = lease.token);
         self.held.send_replace(Some(lease));
         let pause = self.time_to_live() / RENEWALS;
+        let mut leader = self.leader.clone();
         loop {
-            sleep(pause).await;
+            let replaced = leader.wait_for(|leader| is_later(leader, lease.token));
+            if timeout(pause, replaced).await.is_ok() {
+                break;
+            }
             let sent = Instant::now().into_std();
             let call = StoreCall::RenewLease { lease: lease.id };
             match self.store.call(&call, CALL_TIMEOUT).await {
@@ -159,6 +229,11 @@
     }
 }
 
+/// Whether `leader` came after the one with `token`.
+fn is_later(leader: &Option<LeaderRecord>, token: u64) -> bool {
+    leader.as_ref().is_some_and(|leader| leader.token > token)
+}
+
 /// Name of the node for orders.
 pub fn holder(context: &Context) -> Arc<str> {
     context.settings.name.clone()
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -11,6 +11,7 @@
 use barleyspar_dispatch::DemandItem;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 pub use lease::LeaseKeeper;
 pub use task::PlacementTask;
@@ -29,6 +30,8 @@
     pub address: SocketAddr,
     /// Its fencing token.
     pub token: u64,
+    /// Since when this node knows of it.
+    pub known_since: Instant,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -45,6 +48,7 @@
             node: value.node,
             address: value.address,
             token: revision,
+            known_since: Instant::now(),
         })
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -223,7 +223,15 @@
     let may_wait = fallback.is_none();
     let asked = Instant::now();
     let query = exchange.query(kind, may_wait);
-    let permit = match exchange.context.dispatch.acquire(query).await {
+    let lifecycle = exchange.context.lifecycle.clone();
+    let streams = exchange.route.kind == RequestKind::Streaming;
+    let acquired = tokio::select! {
+        biased;
+        acquired = exchange.context.dispatch.acquire(query) => acquired,
+        // A stream that begins now would not end in time; another node can have it.
+        () = lifecycle.reached(Stage::Closing), if streams => None,
+    };
+    let permit = match acquired {
         Some(Ok(permit)) => permit,
         Some(Err(refusal)) => {
             journal::refused(exchange.id(), refusal, exchange.verdict);
@@ -234,11 +242,8 @@
             return Err(Next::Answer(answer));
         }
         None => {
-            return Err(Next::Answer(refuse(
-                exchange,
-                "stopping",
-                REJECTED_RETRY_AFTER,
-            )));
+            let answer = refuse(exchange, "stopping", STOPPING_RETRY_AFTER);
+            return Err(Next::Answer(answer));
         }
     };
     journal::chosen(exchange.id(), &permit, asked.elapsed());
