--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -299,6 +299,15 @@
             .collect()
     }
 
+    /// Runners that this node cannot reach.
+    pub fn unreachable(&self, now: Instant) -> Vec<RunnerKey> {
+        self.runners
+            .iter()
+            .filter(|(_, entry)| entry.health.is_unreachable(now))
+            .map(|(id, _)| runner_key(id))
+            .collect()
+    }
+
     /// This node's demand.
     pub fn demand(&mut self, now: Instant) -> Vec<DemandItem> {
         self.demand.items(now)
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -53,6 +53,7 @@
     failures_in_row: u32,
     blocked_until: Option<Instant>,
     busy_until: Option<Instant>,
+    unreachable: bool,
     block: Duration,
     response_seconds: Option<f64>,
 }
@@ -67,6 +68,7 @@
             failures_in_row: 0,
             blocked_until: None,
             busy_until: None,
+            unreachable: false,
             block: SHORTEST_BLOCK,
             response_seconds: None,
         }
@@ -77,6 +79,7 @@
         self.fade(now);
         self.successes += 1.0;
         self.failures_in_row = 0;
+        self.unreachable = false;
         self.block = SHORTEST_BLOCK;
         self.blocked_until = None;
         let sample = first_byte.as_secs_f64();
@@ -94,6 +97,7 @@
             return;
         }
         self.failures_in_row += 1;
+        self.unreachable = failure != Failure::Broken;
         if failure == Failure::Unreachable || self.failures_in_row >= FAILURES_UNTIL_BLOCKED {
             self.block_for(now, self.block);
             self.block = (self.block * 2).min(LONGEST_BLOCK);
@@ -118,6 +122,11 @@
         self.busy_until.is_some_and(|until| now < until)
     }
 
+    /// Whether nothing came from the runner when it was last tried.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable && self.is_blocked(now)
+    }
+
     /// Whether the runner is being left alone.
     pub fn is_blocked(&self, now: Instant) -> bool {
         self.blocked_until.is_some_and(|until| now < until)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::upstream::{Checkout, Connection};
 
 /// Time for a connection to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A request as it is sent to runners.
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -96,6 +96,8 @@
 pub struct Snapshot {
     /// Attempts in flight by runner.
     pub load: Vec<(RunnerKey, u32)>,
+    /// Runners that do not answer.
+    pub unreachable: Vec<RunnerKey>,
     /// Demand by model.
     pub demand: Vec<DemandItem>,
 }
@@ -294,6 +296,7 @@
             Command::Snapshot(reply) => {
                 let _ = reply.send(Snapshot {
                     load: self.dispatcher.own_load(),
+                    unreachable: self.dispatcher.unreachable(now()),
                     demand: self.dispatcher.demand(now()),
                 });
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,7 +21,7 @@
 /// Shortest time after which a silent runner is left for another one.
 const SHORTEST_STALL: Duration = Duration::from_millis(300);
 /// Shortest time after which a silent stream is left, before its first event.
-const SHORTEST_STREAM_STALL: Duration = Duration::from_millis(1200);
+const SHORTEST_STREAM_STALL: Duration = Duration::from_millis(900);
 
 /// A request on its way.
 pub struct Exchange {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -61,6 +61,8 @@
         node: Arc<str>,
         /// Its demand.
         items: Vec<DemandItem>,
+        /// Runners that it cannot reach.
+        unreachable: Vec<RunnerKey>,
     },
     /// What a runner holds, from the placement leader.
     Held {
@@ -223,7 +225,8 @@
                     demand_wanted = false;
                     next_demand = Instant::now() + URGENT_INTERVAL;
                     if let Some(snapshot) = self.context.dispatch.snapshot().await {
-                        self.send_demand(snapshot.demand).await;
+                        self.send_demand(snapshot.demand, snapshot.unreachable)
+                            .await;
                     }
                 }
             }
@@ -247,7 +250,11 @@
                 });
                 self.context.dispatch.set_peer_load(node, in_flight);
             }
-            Some(Message::Demand { node, items }) => self.placement.demand(node, items),
+            Some(Message::Demand {
+                node,
+                items,
+                unreachable,
+            }) => self.placement.demand(node, items, unreachable),
             Some(Message::Held {
                 runner,
                 sequence,
@@ -321,21 +328,26 @@
             in_flight: snapshot.load,
         };
         self.send_all(&message).await;
-        self.send_demand(snapshot.demand).await;
+        self.send_demand(snapshot.demand, snapshot.unreachable)
+            .await;
     }
 
     /// Sends demand to the leader, in as many datagrams as it takes.
-    async fn send_demand(&mut self, items: Vec<DemandItem>) {
+    async fn send_demand(&mut self, items: Vec<DemandItem>, unreachable: Vec<RunnerKey>) {
         let leader = self.leader.borrow().clone();
         let Some(leader) = leader else {
             return;
         };
         let node = self.context.settings.name.clone();
         if leader.node == node {
-            self.placement.demand(node, items);
+            self.placement.demand(node, items, unreachable);
             return;
         }
-        let message = Message::Demand { node, items };
+        let message = Message::Demand {
+            node,
+            items,
+            unreachable,
+        };
         self.send(&message, leader.address).await;
     }
 
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use barleyspar_catalog::{Configuration, Runner};
-use barleyspar_dispatch::DemandItem;
+use barleyspar_dispatch::{DemandItem, RunnerKey};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -68,7 +68,7 @@
     UpdateRunner(Box<Runner>),
     RemoveRunner(Arc<str>),
     RetainRunners(Vec<Arc<str>>),
-    Demand(Arc<str>, Vec<DemandItem>),
+    Demand(Arc<str>, Vec<DemandItem>, Vec<RunnerKey>),
     Ordered(OrderResult),
     Reported(ReportResult),
 }
@@ -115,8 +115,8 @@
         self.send(Command::RetainRunners(kept));
     }
 
-    /// Takes in a node's demand.
-    pub fn demand(&self, node: Arc<str>, items: Vec<DemandItem>) {
-        self.send(Command::Demand(node, items));
+    /// Takes in a node's demand, and the runners that it cannot reach.
+    pub fn demand(&self, node: Arc<str>, items: Vec<DemandItem>, unreachable: Vec<RunnerKey>) {
+        self.send(Command::Demand(node, items, unreachable));
     }
 }
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -17,9 +17,9 @@
 use crate::upstream::{Checkout, Connection};
 
 /// Time for a connection to a runner to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Bytes of an answer that are read.
 const ANSWER_BYTES: usize = 1 << 20;
 
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -7,6 +7,7 @@
 use barleyspar_catalog::{
     Configuration, Order, OrderAction, OrderAnswer, Report, Runner, RunnerState,
 };
+use barleyspar_dispatch::{RunnerKey, runner_key};
 use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView, Source};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -23,6 +24,12 @@
 const REPORT_LAG: Duration = Duration::from_millis(130);
 /// Time until a report is read again.
 const REPORT_AGAIN: Duration = Duration::from_millis(250);
+/// Time between two looks at a runner that some node cannot reach.
+const DOUBT_PAUSE: Duration = Duration::from_millis(400);
+/// Pause in the task's own steps after which it must have been frozen.
+const FREEZE: Duration = Duration::from_millis(500);
+/// Time after a freeze without orders, to hear of a successor.
+const QUIET_AFTER_FREEZE: Duration = Duration::from_millis(700);
 /// Time until a runner that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -31,6 +38,7 @@
     runner: Runner,
     view: RunnerView,
     report_at: Option<Instant>,
+    looked_at: Instant,
     asking: bool,
     ordering: bool,
 }
@@ -76,6 +84,8 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         let mut next = Instant::now() + TICK;
+        let mut stepped_at = Instant::now();
+        let mut quiet_until = stepped_at;
         loop {
             let mut lease = self.lease.clone();
             tokio::select! {
@@ -91,9 +101,15 @@
             }
             self.follow_lease();
             if self.leading.is_some() {
+                if stepped_at.elapsed() > FREEZE {
+                    quiet_until = Instant::now() + QUIET_AFTER_FREEZE;
+                }
                 self.read_reports();
-                self.order();
+                if Instant::now() >= quiet_until {
+                    self.order();
+                }
             }
+            stepped_at = Instant::now();
             next = Instant::now() + TICK;
         }
     }
@@ -106,12 +122,29 @@
                 self.entries.remove(&id);
             }
             Command::RetainRunners(kept) => self.entries.retain(|id, _| kept.contains(id)),
-            Command::Demand(node, items) => self.book.update(node, items, now()),
+            Command::Demand(node, items, unreachable) => {
+                self.book.update(node, items, now());
+                self.doubt(&unreachable);
+            }
             Command::Ordered(result) => self.ordered(result),
             Command::Reported(result) => self.reported(result),
         }
     }
 
+    /// Looks again at runners that some node cannot reach.
+    fn doubt(&mut self, unreachable: &[RunnerKey]) {
+        if unreachable.is_empty() || self.leading.is_none() {
+            return;
+        }
+        for entry in self.entries.values_mut() {
+            let doubted = unreachable.contains(&runner_key(&entry.runner.id));
+            let asked = entry.report_at.is_some() || entry.asking;
+            if doubted && !asked && entry.looked_at.elapsed() > DOUBT_PAUSE {
+                entry.report_at = Some(Instant::now());
+            }
+        }
+    }
+
     /// Begins or ends leading as the lease says.
     fn follow_lease(&mut self) {
         let token = self.lease.borrow_and_update().map(|lease| lease.token);
@@ -143,6 +176,7 @@
                 view: RunnerView::new(&runner),
                 runner: runner.clone(),
                 report_at: Some(Instant::now()),
+                looked_at: Instant::now(),
                 asking: false,
                 ordering: false,
             });
@@ -169,6 +203,7 @@
                 continue;
             }
             entry.asking = true;
+            entry.looked_at = Instant::now();
             entry.report_at = None;
             let (context, runner) = (self.context.clone(), entry.runner.clone());
             let handle = self.handle.clone();
@@ -188,6 +223,7 @@
             Err(cause) => {
                 tracing::info!(event = "report_failed", runner = &*result.runner, cause);
                 entry.view.reported = false;
+                entry.view.reachable = false;
                 entry.report_at = Some(Instant::now() + REPORT_RETRY);
                 return;
             }
@@ -350,6 +386,7 @@
 fn take_report(entry: &mut Entry, report: Report) {
     let view = &mut entry.view;
     view.reported = true;
+    view.reachable = true;
     view.sequence = report.sequence;
     view.busy = report.busy;
     view.models = report.models;
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -23,6 +23,15 @@
 /// Requests a second at which a model is in use, also between two requests.
 const USED_RATE: f64 = 0.3;
 
+/// How many replicas a policy decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Decided {
+    /// To have while the model is in use.
+    pub wanted: usize,
+    /// At most, whatever happens.
+    pub most: usize,
+}
+
 /// What the planner knows of one service's models.
 pub struct ModelPlan<'a> {
     /// The service.
@@ -31,8 +40,8 @@
     pub engine: &'a EngineSpec,
     /// Demand by model.
     pub demand: &'a BTreeMap<Arc<str>, ModelDemand>,
-    /// Replicas that the policy decided, by model.
-    pub decided: &'a BTreeMap<Arc<str>, usize>,
+    /// What the policy decided, by model.
+    pub decided: &'a BTreeMap<Arc<str>, Decided>,
     /// When models were last used.
     pub book: &'a DemandBook,
     /// Now.
@@ -58,8 +67,9 @@
             .iter()
             .filter(|(model, _)| self.engine.models.contains_key(*model))
             .filter_map(|(model, demand)| {
-                let replicas = self.replicas(runners, model);
-                let lacks = replicas < self.needed(model);
+                let replicas = self.reachable_replicas(runners, model);
+                let lacks = replicas < self.needed(model)
+                    && self.replicas(runners, model) < self.allowed(model);
                 let first = replicas == 0;
                 let urgency = -i64::from(demand.waiting.max(demand.in_flight));
                 lacks.then(|| (!first, demand.priority, urgency, model.clone()))
@@ -79,21 +89,40 @@
         if !used {
             return 0;
         }
-        self.decided.get(model).copied().unwrap_or(0)
+        self.decided.get(model).map_or(0, |decided| decided.wanted)
+    }
+
+    /// Replicas that a model may have at most, unreachable ones included.
+    pub fn allowed(&self, model: &str) -> usize {
+        self.decided.get(model).map_or(0, |decided| decided.most)
+    }
+
+    /// Replicas on runners that answer.
+    fn reachable_replicas(&self, runners: &[RunnerView], model: &str) -> usize {
+        self.count(runners, model, |runner| runner.reachable)
     }
 
     /// Replicas held, or being loaded, on runners that stay.
     pub fn replicas(&self, runners: &[RunnerView], model: &str) -> usize {
+        self.count(runners, model, |_| true)
+    }
+
+    fn count(
+        &self,
+        runners: &[RunnerView],
+        model: &str,
+        counts: impl Fn(&RunnerView) -> bool,
+    ) -> usize {
         runners
             .iter()
-            .filter(|runner| runner.service == *self.service && runner.open)
+            .filter(|runner| runner.service == *self.service && runner.open && counts(runner))
             .filter(|runner| runner.holds_or_loads(model) && !runner.unloads(model))
             .count()
     }
 
     /// The next step towards one more replica of `model`.
     pub fn step(&self, runners: &[RunnerView], model: &Arc<str>) -> Option<Step> {
-        let first = self.replicas(runners, model) == 0;
+        let first = self.reachable_replicas(runners, model) == 0;
         let (index, cost, victim) = runners
             .iter()
             .enumerate()
@@ -170,7 +199,7 @@
             .iter()
             .map(|held| {
                 let demand = self.demand.get(&held.model).copied().unwrap_or_default();
-                let replicas = self.replicas(runners, &held.model);
+                let replicas = self.reachable_replicas(runners, &held.model);
                 let idle = self
                     .book
                     .idle_time(self.service, &held.model, None, self.now);
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -10,10 +10,13 @@
 
 use crate::adapters::AdapterPlan;
 use crate::demand::{DemandBook, ModelDemand};
-use crate::models::ModelPlan;
+use crate::models::{Decided, ModelPlan};
 use crate::pace::LoadPace;
 use crate::view::{RunnerView, Source};
 
+/// What holds for a model whose policy has failed from the start.
+const UNDECIDED: Decided = Decided { wanted: 1, most: 1 };
+
 /// What the planner is told once.
 #[derive(Debug)]
 pub struct PlannerSettings {
@@ -37,7 +40,7 @@
 pub struct Planner {
     settings: PlannerSettings,
     pace: BTreeMap<Arc<str>, LoadPace>,
-    last_decision: BTreeMap<(Arc<str>, Arc<str>), usize>,
+    last_decision: BTreeMap<(Arc<str>, Arc<str>), Decided>,
     started: Instant,
 }
 
@@ -147,7 +150,7 @@
         engine: &EngineSpec,
         demand: &BTreeMap<Arc<str>, ModelDemand>,
         runners: &[RunnerView],
-    ) -> BTreeMap<Arc<str>, usize> {
+    ) -> BTreeMap<Arc<str>, Decided> {
         let open: Vec<&RunnerView> = runners
             .iter()
             .filter(|runner| runner.service == *service && runner.open)
@@ -174,8 +177,11 @@
                 };
                 let key = (service.clone(), model.clone());
                 let decided = match self.settings.policy.decide(&context) {
-                    Ok(decision) => decision.replicas as usize,
-                    Err(_) => self.last_decision.get(&key).copied().unwrap_or(1),
+                    Ok(decision) => Decided {
+                        wanted: decision.wanted() as usize,
+                        most: decision.replicas as usize,
+                    },
+                    Err(_) => self.last_decision.get(&key).copied().unwrap_or(UNDECIDED),
                 };
                 self.last_decision.insert(key, decided);
                 (model.clone(), decided)
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -29,6 +29,8 @@
     pub open: bool,
     /// Whether its report is known since this node may order it.
     pub reported: bool,
+    /// Whether it answered when it was last asked.
+    pub reachable: bool,
     /// Orders taken.
     pub sequence: u64,
     /// Whether an order is under way, or may be.
@@ -54,6 +56,7 @@
             zone: runner.zone.clone(),
             open: runner.state == RunnerState::Available,
             reported: false,
+            reachable: true,
             sequence: 0,
             busy: false,
             models: runner.models.clone(),
--- a/crates/placement/tests/grants.rs
+++ b/crates/placement/tests/grants.rs
@@ -65,6 +65,7 @@
 fn decision(replicas: u32) -> Arc<Decision> {
     Arc::new(Decision {
         replicas,
+        target: None,
         zones: Vec::new(),
         customers: Vec::new(),
         keep_alive_seconds: None,
--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -62,6 +62,9 @@
 pub struct Decision {
     /// Largest number of replicas. `replicas`, required.
     pub replicas: u32,
+    /// Replicas to have while the model is in use; `None` means as many as it
+    /// may have. The rest is kept for replicas that cannot be reached. `target`.
+    pub target: Option<u32>,
     /// Zones whose runners may hold it; empty means all. `zones`.
     pub zones: Vec<ZoneName>,
     /// Customers that may ask for it; empty means all. `customers`.
@@ -76,6 +79,11 @@
 }
 
 impl Decision {
+    /// Replicas to have while the model is in use.
+    pub fn wanted(&self) -> u32 {
+        self.target.unwrap_or(self.replicas)
+    }
+
     pub(crate) fn from_dynamic(value: Dynamic) -> Result<Self, PolicyError> {
         let type_name = value.type_name().to_owned();
         let mut map = value.try_cast::<Map>().ok_or_else(|| PolicyError::Result {
@@ -88,6 +96,11 @@
         };
         let decision = Self {
             replicas: replicas as u32,
+            target: map
+                .remove("target")
+                .map(|value| integer("target", value, replicas))
+                .transpose()?
+                .map(|target| target as u32),
             zones: names(&mut map, "zones")?,
             customers: names(&mut map, "customers")?,
             keep_alive_seconds: map
