--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -86,6 +86,8 @@
         let mut next = Instant::now() + TICK;
         let mut stepped_at = Instant::now();
         let mut quiet_until = stepped_at;
+        // The keeper of the lease ends when the process is told to stop.
+        let mut lease_over = false;
         loop {
             let mut lease = self.lease.clone();
             tokio::select! {
@@ -93,7 +95,7 @@
                     Some(command) => self.command(command),
                     None => return,
                 },
-                _ = lease.changed() => {}
+                changed = lease.changed(), if !lease_over => lease_over = changed.is_err(),
                 () = sleep_until(next), if self.leading.is_some() => {}
             }
             while let Ok(command) = self.inbox.try_recv() {
