--- a/crates/barleyspar/src/arguments.rs
+++ b/crates/barleyspar/src/arguments.rs
@@ -8,7 +8,8 @@
 /// Help text.
 pub const USAGE: &str = "\
 usage: barleyspar node --config FILE
-       barleyspar gateway --policy FILE
+       barleyspar gateway --policy FILE [--metrics-port PORT]
+       barleyspar trace REQUEST [FILE...]
        barleyspar check FILE...
        barleyspar apply FILE... [--wait] [--read-at POSITION] REMOTE
        barleyspar delete KIND NAME REMOTE
@@ -64,7 +65,15 @@
     /// Run a node.
     Node { config: PathBuf },
     /// Run a gateway on the users' platform.
-    Gateway { policy: PathBuf },
+    Gateway {
+        policy: PathBuf,
+        metrics_port: Option<u16>,
+    },
+    /// Tell a request's story from logs.
+    Trace {
+        request: String,
+        files: Vec<PathBuf>,
+    },
     /// Check files.
     Check { files: Vec<PathBuf> },
     /// Ask a node.
@@ -77,6 +86,7 @@
     remote: Remote,
     config: Option<PathBuf>,
     policy: Option<PathBuf>,
+    metrics_port: Option<u16>,
     wait: bool,
     read_at: Option<u64>,
 }
@@ -89,6 +99,7 @@
         match argument {
             Long("help") | Short('h') => return Ok(Command::Help),
             Long("config") => given.config = Some(parser.value()?.into()),
+            Long("metrics-port") => given.metrics_port = Some(parser.value()?.parse()?),
             Long("policy") => given.policy = Some(parser.value()?.into()),
             Long("wait") => given.wait = true,
             Long("read-at") => given.read_at = Some(parser.value()?.parse()?),
@@ -128,7 +139,16 @@
         }
         "gateway" => {
             let policy = given.policy.ok_or("--policy is missing")?;
-            return Ok(Command::Gateway { policy });
+            let metrics_port = given.metrics_port;
+            return Ok(Command::Gateway {
+                policy,
+                metrics_port,
+            });
+        }
+        "trace" => {
+            let request = words.first().cloned().ok_or("a request's id is missing")?;
+            let files = words[1..].iter().map(PathBuf::from).collect();
+            return Ok(Command::Trace { request, files });
         }
         "check" => return Ok(Command::Check { files: files()? }),
         "apply" => Action::Apply {
--- a/crates/barleyspar/src/main.rs
+++ b/crates/barleyspar/src/main.rs
@@ -6,7 +6,9 @@
 mod commands;
 mod errors;
 mod gateway;
+mod logs;
 mod node;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -26,7 +28,11 @@
             Ok(())
         }
         Command::Node { config } => node::run(&config),
-        Command::Gateway { policy } => gateway::run(&policy),
+        Command::Gateway {
+            policy,
+            metrics_port,
+        } => gateway::run(&policy, metrics_port),
+        Command::Trace { request, files } => trace::run(&request, &files),
         Command::Check { files } => check::run(&files),
         Command::Remote(remote, action) => commands::run(&remote, &action),
     };
--- a/crates/catalog/src/settings.rs
+++ b/crates/catalog/src/settings.rs
@@ -17,6 +17,8 @@
     pub readiness_address: SocketAddr,
     /// Where other nodes send datagrams.
     pub peer_address: SocketAddr,
+    /// Where figures are asked for, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
     /// The key-value store.
     pub store_address: SocketAddr,
     /// Shortest time to live of a lease that the store grants.
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -13,7 +13,7 @@
 const USED_PART: f64 = 0.7;
 
 /// What all nodes together may spend.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetLimits {
     /// Retries per request.
     pub ratio: f64,
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Changes the limits; what was counted stays counted.
+    pub fn set_limits(&mut self, limits: BudgetLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request's first attempt.
     pub fn count_request(&mut self, now: Instant) {
         self.expire(now);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -205,7 +205,9 @@
     /// Changes what all nodes together may spend on retries.
     pub fn set_limits(&mut self, limits: BudgetLimits) {
         self.limits = limits;
-        self.budgets.clear();
+        for budget in self.budgets.values_mut() {
+            budget.set_limits(limits);
+        }
     }
 
     /// Sets the number of nodes that share limits, this one included.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -31,7 +31,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
     /// A whole answer, its first byte after this time.
-    Success { first_byte: Duration },
+    Success {
+        /// Time until its first byte.
+        first_byte: Duration,
+    },
     /// The runner is full or busy with an order and refused; it did not run.
     Busy,
     /// The runner does not hold what was asked for; it did not run.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -95,6 +95,7 @@
 ) -> Result<Answered, AttemptError> {
     match attempt_with(context, &permit, outgoing, forward, patience).await {
         Ok(parts) => {
+            context.metrics.attempt_ended("head", "answered");
             let (connection, head, facts, body, waited) = parts;
             Ok(Answered {
                 permit,
@@ -107,6 +108,9 @@
             })
         }
         Err(error) => {
+            context
+                .metrics
+                .attempt_ended("head", error.verdict.as_str());
             permit.finish(error.outcome);
             Err(error)
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::DispatchHandle;
 use crate::inflight::InFlight;
 use crate::lifecycle::Lifecycle;
+use crate::metrics::Metrics;
 use crate::network::Network;
 use crate::upstream::Pool;
 
@@ -29,6 +30,8 @@
     pub pool: Arc<Pool>,
     /// Whether the process is being stopped.
     pub lifecycle: Lifecycle,
+    /// Figures.
+    pub metrics: Arc<Metrics>,
     /// Callers' requests in flight.
     pub requests: Arc<InFlight>,
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -109,6 +109,7 @@
         let configuration = Arc::new(configuration);
         self.context.dispatch.configure(configuration.clone());
         self.placement.configure(configuration.clone());
+        self.context.metrics.configuration(version);
         let routes = configuration.routes.len();
         self.routes
             .send_replace(Some(Arc::new(RouteTable::new(configuration))));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,8 +7,8 @@
 
 use barleyspar_catalog::{Configuration, HeldModel, Route, Runner};
 use barleyspar_dispatch::{
-    Acquired, DemandItem, Dispatcher, Grant, Outcome, PermitId, Query, Refusal, RunnerKey,
-    Splitter, Ticket,
+    Acquired, BudgetLimits, DemandItem, Dispatcher, Grant, Outcome, PermitId, Query, Refusal,
+    RunnerKey, Splitter, Ticket,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -88,6 +88,7 @@
     UpdateModels(Arc<str>, u64, Vec<HeldModel>),
     PeerLoad(Arc<str>, Vec<(RunnerKey, u32)>),
     SetNodes(usize),
+    SetLimits(BudgetLimits),
     Snapshot(oneshot::Sender<Snapshot>),
 }
 
@@ -196,6 +197,11 @@
         self.send(Command::SetNodes(nodes));
     }
 
+    /// Changes what all nodes together may spend on retries.
+    pub fn set_limits(&self, limits: BudgetLimits) {
+        self.send(Command::SetLimits(limits));
+    }
+
     /// Nodes that share limits.
     pub fn nodes(&self) -> u32 {
         self.shared.nodes.load(Ordering::Relaxed).max(1)
@@ -286,6 +292,7 @@
                 self.dispatcher.update_models(&id, sequence, models, now());
             }
             Command::PeerLoad(node, load) => self.dispatcher.set_peer_load(node, load, now()),
+            Command::SetLimits(limits) => self.dispatcher.set_limits(limits),
             Command::SetNodes(nodes) => self.dispatcher.set_nodes(nodes),
             Command::Snapshot(reply) => {
                 let _ = reply.send(Snapshot {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -202,6 +202,18 @@
     /// Says in the log how the request ended.
     pub fn end(&mut self, status: u16, reason: &str) {
         self.ended = true;
+        let outcome = match status {
+            200..=299 => "served",
+            0 => "left",
+            _ if self.verdict == Verdict::NotRun => "refused",
+            _ => "failed",
+        };
+        self.context.metrics.request_ended(
+            self.route.kind,
+            outcome,
+            reason,
+            self.received.elapsed(),
+        );
         journal::ended(
             self.id(),
             status,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod journal;
 mod lifecycle;
 mod listener;
+mod metrics;
 mod network;
 mod node;
 mod peers;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,8 +13,10 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::body::AnswerBody;
 use crate::context::Context;
 use crate::discovery::Discovery;
+use crate::dispatch::DispatchHandle;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::listener::{self, ListenerLimits};
 use crate::network::{Listener, Network, Sockets};
@@ -32,6 +34,8 @@
 const STILL_FOUND: Duration = Duration::from_millis(2600);
 /// Time before the kill at which what is left is cut.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Time between two looks at the settings when nobody says that they changed.
+const SETTINGS_CHECK: Duration = Duration::from_secs(5);
 /// Time between two looks at idle connections.
 const SWEEP: Duration = Duration::from_secs(2);
 
@@ -55,6 +59,7 @@
 
 /// Runs a gateway until it is told to stop.
 pub async fn run(
+    read_settings: impl Fn() -> Result<NodeSettings, String> + Send + 'static,
     settings: NodeSettings,
     dialect: Arc<dyn Dialect>,
     policy: Program,
@@ -62,7 +67,9 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
     let gateway = Gateway::start(settings, dialect, policy, Arc::new(Sockets)).await?;
-    crate::tasks::spawn(log_hangups(hangup));
+    let dispatch = gateway.context.dispatch.clone();
+    let limits = budget(&gateway.context.settings);
+    crate::tasks::spawn(follow_settings(hangup, read_settings, limits, dispatch));
     let _ = terminate.recv().await;
     tracing::info!(event = "stopping", reason = "SIGTERM");
     gateway.stop().await;
@@ -96,9 +103,30 @@
     }
 }
 
-async fn log_hangups(mut hangup: Signal) {
-    while hangup.recv().await.is_some() {
-        tracing::info!(event = "settings_signal");
+/// Reads the settings anew when told to, and now and then; what can change
+/// while the process runs is put in force, faulty settings are not.
+async fn follow_settings(
+    mut hangup: Signal,
+    read_settings: impl Fn() -> Result<NodeSettings, String>,
+    mut limits: BudgetLimits,
+    dispatch: DispatchHandle,
+) {
+    loop {
+        let told = timeout(SETTINGS_CHECK, hangup.recv()).await.is_ok();
+        match read_settings() {
+            Err(cause) => tracing::warn!(event = "settings_rejected", cause),
+            Ok(settings) => {
+                let newer = budget(&settings);
+                let changed = newer != limits;
+                if changed {
+                    limits = newer;
+                    dispatch.set_limits(limits);
+                }
+                if told || changed {
+                    tracing::info!(event = "settings_read", told, changed);
+                }
+            }
+        }
     }
 }
 
@@ -133,8 +161,14 @@
         pool: Arc::default(),
         lifecycle,
         requests: Arc::default(),
+        metrics: Arc::default(),
     };
-    let store = Store::new(settings.store_address, dialect, network.clone());
+    let store = Store::new(
+        settings.store_address,
+        dialect,
+        network.clone(),
+        context.metrics.clone(),
+    );
     let (placement_handle, placement_inbox) = placement::channel();
     let (peer_handle, peer_inbox) = peers::channel();
     let (leader_sender, leader) = watch::channel(None);
@@ -193,6 +227,13 @@
     crate::tasks::spawn(placement_task.run());
     crate::tasks::spawn(lease_keeper.run());
     crate::tasks::spawn(sweep(context.clone()));
+    if let Some(address) = settings.metrics_address {
+        let figures = network
+            .listen(address)
+            .await
+            .map_err(|cause| address_error("metrics address", address, cause))?;
+        serve_figures(&context, figures);
+    }
     serve(&context, callers, questions);
     tracing::info!(
         event = "started",
@@ -253,6 +294,22 @@
     crate::tasks::spawn(listener::serve(questions, limits, forever, answer));
 }
 
+/// Serves the figures on an address of their own.
+fn serve_figures(context: &Context, figures: Box<dyn Listener>) {
+    let limits = || ListenerLimits {
+        connections: FEWEST_CONNECTIONS,
+        header_bytes: 0,
+        idle_timeout: Duration::from_secs(15),
+    };
+    let asked = context.clone();
+    let answer = move |_request| {
+        let text = asked.metrics.text();
+        async move { http::Response::new(AnswerBody::whole(text)) }
+    };
+    let forever = Lifecycle::forever();
+    crate::tasks::spawn(listener::serve(figures, limits, forever, answer));
+}
+
 /// Closes connections that rest too long.
 async fn sweep(context: Context) {
     loop {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -314,7 +314,9 @@
             .retain(|_, member| member.stored || member.seen.elapsed() < COUNTED_FOR);
         self.heard
             .send_modify(|heard| heard.retain(|_, at| at.elapsed() < COUNTED_FOR));
-        self.context.dispatch.set_nodes(self.members.len() + 1);
+        let nodes = self.members.len() + 1;
+        self.context.metrics.nodes(nodes);
+        self.context.dispatch.set_nodes(nodes);
     }
 
     async fn send_load(&mut self) {
--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -92,10 +92,7 @@
     /// fences; the silent leader's token.
     async fn vacancy(&mut self) -> Option<u64> {
         loop {
-            let leader = self.leader.borrow_and_update().clone();
-            let Some(leader) = leader else {
-                return None;
-            };
+            let leader = self.leader.borrow_and_update().clone()?;
             if self.is_silent(&leader) {
                 tracing::info!(
                     event = "leader_silent",
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -154,6 +154,7 @@
             return;
         }
         self.leading = token;
+        self.context.metrics.leads(token.is_some());
         self.planner.restart(now());
         for entry in self.entries.values_mut() {
             entry.view.reported = false;
@@ -336,6 +337,14 @@
 
     fn ordered(&mut self, result: OrderResult) {
         let load_time = self.load_time(&result);
+        let outcome = if result.answer.is_ok() {
+            "answered"
+        } else {
+            "unanswered"
+        };
+        self.context
+            .metrics
+            .order(result.order.action.name(), outcome);
         let Some(entry) = self.entries.get_mut(&result.runner) else {
             return;
         };
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
+use crate::metrics::Metrics;
 use crate::network::Network;
 use crate::upstream::Connection;
 
@@ -24,17 +25,24 @@
     host: HeaderValue,
     dialect: Arc<dyn Dialect>,
     network: Arc<dyn Network>,
+    metrics: Arc<Metrics>,
     idle: Arc<Mutex<Vec<Connection>>>,
 }
 
 impl Store {
     /// A client of the store at `address`.
-    pub fn new(address: SocketAddr, dialect: Arc<dyn Dialect>, network: Arc<dyn Network>) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        dialect: Arc<dyn Dialect>,
+        network: Arc<dyn Network>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             address,
             host: HeaderValue::from_str(&address.to_string()).expect("an address is plain text"),
             dialect,
             network,
+            metrics,
             idle: Arc::default(),
         }
     }
@@ -45,11 +53,15 @@
         call: &StoreCall,
         timeout: Duration,
     ) -> Result<StoreAnswer, StoreError> {
-        let until = Instant::now() + timeout;
+        let started = Instant::now();
+        let until = started + timeout;
         let result = match timeout_at(until, self.exchange(call)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::Unanswered("time is up".to_owned())),
         };
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        self.metrics
+            .store_call(call.name(), outcome, started.elapsed());
         if let Err(error) = &result {
             tracing::info!(event = "store_call_failed", call = call.name(), %error);
         }
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -252,10 +252,9 @@
         if fault == Some(Fault::Reject) {
             return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE, &request_id));
         }
-        if let (Some(_), Some(model)) = (&self.engine, value(names::MODEL)) {
-            if !self.holds(model) {
-                return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &request_id));
-            }
+        let lacks_model = value(names::MODEL).is_some_and(|model| !self.holds(model));
+        if self.engine.is_some() && lacks_model {
+            return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &request_id));
         }
         let run = RunGuard::begin(&self, &request_id);
         match fault {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -220,6 +220,7 @@
         caller_address: at(CALLER_PORT),
         readiness_address: at(READINESS_PORT),
         peer_address: at(PEER_PORT),
+        metrics_address: None,
         store_address: STORE,
         minimum_lease: Duration::from_secs(1),
         limits: MachineLimits {
