--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,6 +45,10 @@
     pub heard: Instant,
     /// Whether it may have run.
     pub verdict: Verdict,
+    /// Time until its first event, for streams.
+    pub first_event: Option<Duration>,
+    /// Longest time between two events, for streams.
+    pub longest_gap: Duration,
     excluded: Vec<Arc<str>>,
     runs: u32,
     rejections: u32,
@@ -82,6 +86,8 @@
             deadline,
             heard: received,
             verdict: Verdict::NotRun,
+            first_event: None,
+            longest_gap: Duration::ZERO,
             excluded: Vec::new(),
             runs: 0,
             rejections: 0,
@@ -101,6 +107,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Notes that the client gets an event now.
+    pub fn event_passes(&mut self) {
+        let now = Instant::now();
+        if self.first_event.is_some() {
+            self.longest_gap = self.longest_gap.max(now - self.heard);
+        } else {
+            self.first_event = Some(now - self.received);
+        }
+        self.heard = now;
+    }
+
     /// What to ask the dispatcher for.
     pub fn query(&self, attempt: AttemptKind, may_wait: bool) -> Query {
         let silent = self.heard.elapsed();
@@ -214,13 +231,7 @@
             reason,
             self.received.elapsed(),
         );
-        journal::ended(
-            self.id(),
-            status,
-            self.verdict,
-            self.received.elapsed(),
-            reason,
-        );
+        journal::ended(self, status, reason);
     }
 }
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -11,6 +11,10 @@
 
 use crate::attempt::AttemptError;
 use crate::dispatch::Permit;
+use crate::exchange::Exchange;
+
+/// Reason of an end with the runner's whole answer.
+pub const ANSWERED: &str = "answered";
 
 /// Milliseconds with fractions.
 pub fn milliseconds(duration: Duration) -> f64 {
@@ -44,7 +48,7 @@
 
 /// An attempt failed.
 pub fn attempt_failed(request: &str, runner: &str, error: &AttemptError) {
-    tracing::info!(
+    tracing::warn!(
         event = "attempt_failed",
         request,
         runner,
@@ -57,7 +61,7 @@
 
 /// The request was refused by the dispatcher.
 pub fn refused(request: &str, refusal: Refusal, verdict: Verdict) {
-    tracing::info!(
+    tracing::warn!(
         event = "refused",
         request,
         reason = refusal.reason.name(),
@@ -66,9 +70,44 @@
     );
 }
 
-/// The request ended with an answer of this status.
-pub fn ended(request: &str, status: u16, verdict: Verdict, took: Duration, reason: &str) {
-    tracing::info!(
+/// The request ended with an answer of this status; 0 for none.
+pub fn ended(exchange: &Exchange, status: u16, reason: &str) {
+    let served = (200..300).contains(&status) && reason == ANSWERED;
+    let first_event_ms = exchange.first_event.map(milliseconds);
+    let longest_gap_ms = exchange
+        .first_event
+        .map(|_| milliseconds(exchange.longest_gap));
+    let took_ms = milliseconds(exchange.received.elapsed());
+    let verdict = exchange.verdict.as_str();
+    let request = exchange.id();
+    if served {
+        tracing::info!(
+            event = "ended",
+            request,
+            status,
+            verdict,
+            took_ms,
+            first_event_ms,
+            longest_gap_ms,
+            reason
+        );
+    } else {
+        tracing::warn!(
+            event = "ended",
+            request,
+            status,
+            verdict,
+            took_ms,
+            first_event_ms,
+            longest_gap_ms,
+            reason
+        );
+    }
+}
+
+/// The request ended before it was sent anywhere.
+pub fn turned_away(request: &str, status: u16, verdict: Verdict, took: Duration, reason: &str) {
+    tracing::warn!(
         event = "ended",
         request,
         status,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -61,7 +61,7 @@
     if failed {
         return Relayed::Failed(response);
     }
-    exchange.end(response.status().as_u16(), "answered");
+    exchange.end(response.status().as_u16(), crate::journal::ANSWERED);
     Relayed::Answer(response)
 }
 
@@ -111,7 +111,7 @@
         }
         let first_byte = answered.waited;
         finish(&exchange, *answered, Outcome::Success { first_byte });
-        exchange.end(status, "answered");
+        exchange.end(status, crate::journal::ANSWERED);
     });
     response
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -62,7 +62,7 @@
         Err(answer) => {
             let id = request_id.as_deref().unwrap_or("-");
             let status = answer.status.as_u16();
-            journal::ended(
+            journal::turned_away(
                 id,
                 status,
                 answer.verdict,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -64,7 +64,7 @@
             let next = match end {
                 RunEnd::Complete => {
                     relay::finish(&self.exchange, answered, Outcome::Abandoned);
-                    return self.exchange.end(StatusCode::OK.as_u16(), "answered");
+                    return self.exchange.end(StatusCode::OK.as_u16(), crate::journal::ANSWERED);
                 }
                 RunEnd::ClientLeft => return self.exchange.end(0, "client_left"),
                 RunEnd::Deadline => return self.cut("deadline").await,
@@ -158,7 +158,7 @@
                 answered.permit.observe(Outcome::Success { first_byte });
             }
             self.events += 1;
-            self.exchange.heard = Instant::now();
+            self.exchange.event_passes();
             self.pass(event).await?;
         }
         Ok(())
