--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -15,6 +15,12 @@
 const SLOWNESS_COST: f64 = 0.15;
 /// Largest ratio of response times that counts.
 const LARGEST_SLOWNESS: f64 = 8.0;
+/// Cost of a runner whose streams are twice as slow as the best one's, for
+/// each thousand tokens of the prompt: reading a long prompt there holds up all
+/// its streams.
+const SLOW_STREAM_COST: f64 = 0.8;
+/// Cost for each thousand tokens of prompts that the runner has yet to read.
+const UNREAD_COST: f64 = 0.08;
 /// Cost of a runner that is still slow from its start.
 const WARMING_COST: f64 = 0.3;
 
@@ -33,12 +39,25 @@
         .iter()
         .filter_map(|entry| entry.health.response_seconds())
         .fold(f64::INFINITY, f64::min);
+    let gap = |entry: &RunnerEntry| {
+        let wanted = query.wanted.as_ref()?;
+        entry.usual_gap(&wanted.model)
+    };
+    let best_gap = candidates
+        .iter()
+        .filter_map(|entry| gap(entry))
+        .fold(f64::INFINITY, f64::min);
+    let thousands = query.prompt_tokens as f64 / 1000.0;
     let cached_at = query.affinity.and_then(|key| preferred(candidates, key));
     let cost = |index: usize| {
         let entry = candidates[index];
         let mut cost = f64::from(entry.total_in_flight()) / f64::from(entry.runner.slots.max(1));
         cost += FAILURE_COST * (entry.health.failure_rate(now) - best_failure);
         cost += slowness(entry.health.response_seconds(), best_response);
+        if let Some(gap) = gap(entry) {
+            cost += SLOW_STREAM_COST * thousands * (gap / best_gap - 1.0).min(1.0);
+        }
+        cost += UNREAD_COST * entry.unread_tokens as f64 / 1000.0;
         if &*entry.runner.zone != own_zone {
             cost += OTHER_ZONE_COST;
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -57,6 +57,8 @@
     pub priority: u8,
     /// Tokens that it may need in the runner's cache.
     pub tokens: u64,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
     /// Key of the shared parts of its prompt.
     pub affinity: Option<u64>,
     /// When its time is up.
@@ -153,6 +155,7 @@
     service: Arc<str>,
     wanted: Option<ModelReference>,
     tokens: u64,
+    unread_tokens: u64,
 }
 
 #[derive(Debug)]
@@ -398,6 +401,7 @@
         let in_flight = entry.total_in_flight();
         entry.in_flight += 1;
         entry.tokens += query.tokens;
+        entry.unread_tokens += query.prompt_tokens;
         let runner = entry.runner.clone();
         let open = entry.open.clone();
         if let Some(wanted) = &query.wanted {
@@ -410,6 +414,7 @@
                 service: query.service.clone(),
                 wanted: query.wanted.clone(),
                 tokens: query.tokens,
+                unread_tokens: query.prompt_tokens,
             },
         );
         Grant {
@@ -572,16 +577,22 @@
         };
         entry.in_flight = entry.in_flight.saturating_sub(1);
         entry.tokens = entry.tokens.saturating_sub(permit.tokens);
+        entry.unread_tokens = entry.unread_tokens.saturating_sub(permit.unread_tokens);
         apply(entry, outcome, permit.wanted, now);
     }
 
     /// Takes in an outcome while the permit stays in use.
     pub fn observe(&mut self, permit: PermitId, outcome: Outcome, now: Instant) {
-        let Some(permit) = self.permits.get(&permit) else {
+        let Some(permit) = self.permits.get_mut(&permit) else {
             return;
         };
         let wanted = permit.wanted.clone();
+        let read = match outcome {
+            Outcome::PromptRead { .. } => std::mem::take(&mut permit.unread_tokens),
+            _ => 0,
+        };
         if let Some(entry) = self.runners.get_mut(&permit.runner) {
+            entry.unread_tokens = entry.unread_tokens.saturating_sub(read);
             apply(entry, outcome, wanted, now);
         }
     }
@@ -597,7 +608,14 @@
 
 fn apply(entry: &mut RunnerEntry, outcome: Outcome, wanted: Option<ModelReference>, now: Instant) {
     match outcome {
-        Outcome::Success { first_byte } => entry.health.succeeded(now, first_byte),
+        Outcome::Success { first_byte } | Outcome::PromptRead { first_byte } => {
+            entry.health.succeeded(now, first_byte);
+        }
+        Outcome::Streamed { usual_gap } => {
+            if let Some(wanted) = wanted {
+                entry.streamed(&wanted.model, usual_gap);
+            }
+        }
         Outcome::Busy => {
             entry.health.failed(now, Failure::Error);
             entry.health.busy_for(now, BUSY_BLOCK);
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -35,6 +35,16 @@
         /// Time until its first byte.
         first_byte: Duration,
     },
+    /// Events of a whole stream came this far apart, long pauses left out.
+    Streamed {
+        /// Usual time between two events.
+        usual_gap: Duration,
+    },
+    /// The first event of a stream came: its prompt has been read.
+    PromptRead {
+        /// Time until it came.
+        first_byte: Duration,
+    },
     /// The runner is full or busy with an order and refused; it did not run.
     Busy,
     /// The runner does not hold what was asked for; it did not run.
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -19,6 +19,8 @@
 
 /// Time after a report in which an entry may still be older than it.
 const ENTRY_LAG: Duration = Duration::from_millis(500);
+/// Weight of the newest stream's pace.
+const GAP_WEIGHT: f64 = 0.3;
 /// Time for which a runner is thought not to hold what it said it lacks.
 const NOT_HELD_TIME: Duration = Duration::from_millis(1500);
 
@@ -31,6 +33,8 @@
     pub in_flight: u32,
     /// Tokens of those attempts.
     pub tokens: u64,
+    /// Prompt tokens of those attempts that the runner has yet to read.
+    pub unread_tokens: u64,
     /// Attempts of other nodes in flight, as they said last.
     pub peer_in_flight: u32,
     /// Behaviour seen.
@@ -39,6 +43,8 @@
     pub open: Arc<AtomicBool>,
     lacking: HashMap<ModelReference, Instant>,
     reported: Option<Reported>,
+    /// Usual seconds between two events of a stream, by model.
+    gaps: HashMap<Arc<str>, f64>,
 }
 
 /// The last report of the runner that this node was told of.
@@ -55,11 +61,13 @@
             runner: Arc::new(runner),
             in_flight: 0,
             tokens: 0,
+            unread_tokens: 0,
             peer_in_flight: 0,
             health: Health::new(now),
             open: Arc::new(AtomicBool::new(true)),
             lacking: HashMap::new(),
             reported: None,
+            gaps: HashMap::new(),
         }
     }
 
@@ -109,6 +117,20 @@
         self.lacking.insert(wanted, now + NOT_HELD_TIME);
     }
 
+    /// Takes in how far apart a stream's events came.
+    pub fn streamed(&mut self, model: &Arc<str>, usual_gap: Duration) {
+        let sample = usual_gap.as_secs_f64();
+        self.gaps
+            .entry(model.clone())
+            .and_modify(|known| *known += GAP_WEIGHT * (sample - *known))
+            .or_insert(sample);
+    }
+
+    /// Usual seconds between two events of a stream of `model`.
+    pub fn usual_gap(&self, model: &str) -> Option<f64> {
+        self.gaps.get(model).copied()
+    }
+
     /// Whether the runner takes new work.
     pub fn is_open(&self) -> bool {
         self.runner.state == RunnerState::Available
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,11 @@
 /// Shortest time after which a silent stream is left, before its first event.
 const SHORTEST_STREAM_STALL: Duration = Duration::from_millis(900);
 
+/// Pauses of a stream from this on are not its usual pace.
+const LONG_PAUSE: Duration = Duration::from_millis(60);
+/// Events that tell a stream's usual pace.
+const ENOUGH_GAPS: u32 = 10;
+
 /// A request on its way.
 pub struct Exchange {
     /// What all parts share.
@@ -49,6 +54,8 @@
     pub first_event: Option<Duration>,
     /// Longest time between two events, for streams.
     pub longest_gap: Duration,
+    usual_gaps: Duration,
+    usual_gap_count: u32,
     excluded: Vec<Arc<str>>,
     runs: u32,
     rejections: u32,
@@ -88,6 +95,8 @@
             verdict: Verdict::NotRun,
             first_event: None,
             longest_gap: Duration::ZERO,
+            usual_gaps: Duration::ZERO,
+            usual_gap_count: 0,
             excluded: Vec::new(),
             runs: 0,
             rejections: 0,
@@ -111,13 +120,23 @@
     pub fn event_passes(&mut self) {
         let now = Instant::now();
         if self.first_event.is_some() {
-            self.longest_gap = self.longest_gap.max(now - self.heard);
+            let gap = now - self.heard;
+            self.longest_gap = self.longest_gap.max(gap);
+            if gap < LONG_PAUSE {
+                self.usual_gaps += gap;
+                self.usual_gap_count += 1;
+            }
         } else {
             self.first_event = Some(now - self.received);
         }
         self.heard = now;
     }
 
+    /// Usual time between two events, if there were enough of them.
+    pub fn usual_gap(&self) -> Option<Duration> {
+        (self.usual_gap_count >= ENOUGH_GAPS).then(|| self.usual_gaps / self.usual_gap_count)
+    }
+
     /// What to ask the dispatcher for.
     pub fn query(&self, attempt: AttemptKind, may_wait: bool) -> Query {
         let silent = self.heard.elapsed();
@@ -125,6 +144,7 @@
             service: self.service.clone(),
             wanted: self.wanted(),
             priority: self.route.priority,
+            prompt_tokens: self.facts.prompt_tokens,
             tokens: self.facts.prompt_tokens + self.facts.answer_tokens,
             affinity: self.affinity(),
             deadline: self.deadline.into_std(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -63,8 +63,16 @@
             let end = self.relay(&mut answered).await;
             let next = match end {
                 RunEnd::Complete => {
-                    relay::finish(&self.exchange, answered, Outcome::Abandoned);
-                    return self.exchange.end(StatusCode::OK.as_u16(), crate::journal::ANSWERED);
+                    let outcome = self
+                        .exchange
+                        .usual_gap()
+                        .map_or(Outcome::Abandoned, |usual_gap| Outcome::Streamed {
+                            usual_gap,
+                        });
+                    relay::finish(&self.exchange, answered, outcome);
+                    return self
+                        .exchange
+                        .end(StatusCode::OK.as_u16(), crate::journal::ANSWERED);
                 }
                 RunEnd::ClientLeft => return self.exchange.end(0, "client_left"),
                 RunEnd::Deadline => return self.cut("deadline").await,
@@ -155,7 +163,7 @@
             }
             if self.events == 0 {
                 let first_byte = answered.waited;
-                answered.permit.observe(Outcome::Success { first_byte });
+                answered.permit.observe(Outcome::PromptRead { first_byte });
             }
             self.events += 1;
             self.exchange.event_passes();
