--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -206,6 +206,7 @@
         let mut demand_wanted = false;
         loop {
             let urgent = self.urgent.clone();
+            let leader = &mut self.leader;
             tokio::select! {
                 received = self.socket.receive(&mut buffer) => {
                     if let Ok(length) = received {
@@ -217,6 +218,8 @@
                     None => return,
                 },
                 () = urgent.notified() => demand_wanted = true,
+                // A new leader knows of no demand yet.
+                Ok(()) = leader.changed() => demand_wanted = true,
                 () = tokio::time::sleep_until(next_load) => {
                     self.send_load().await;
                     next_load = Instant::now() + self.interval();
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -84,8 +84,8 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         let mut next = Instant::now() + TICK;
-        let mut stepped_at = Instant::now();
-        let mut quiet_until = stepped_at;
+        let mut stepped_at = None;
+        let mut quiet_until = Instant::now();
         // The keeper of the lease ends when the process is told to stop.
         let mut lease_over = false;
         loop {
@@ -103,7 +103,7 @@
             }
             self.follow_lease();
             if self.leading.is_some() {
-                if stepped_at.elapsed() > FREEZE {
+                if stepped_at.is_some_and(|at: Instant| at.elapsed() > FREEZE) {
                     quiet_until = Instant::now() + QUIET_AFTER_FREEZE;
                 }
                 self.read_reports();
@@ -111,7 +111,8 @@
                     self.order();
                 }
             }
-            stepped_at = Instant::now();
+            // Only a leader takes a step every tick.
+            stepped_at = self.leading.map(|_| Instant::now());
             next = Instant::now() + TICK;
         }
     }
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -17,6 +17,8 @@
 const WORTH_COST: f64 = 2.0;
 /// Cost in seconds of a second replica in the same zone.
 const SAME_ZONE_COST: f64 = 0.3;
+/// Cost in seconds of loading beside a model that is in use: both take longer.
+const IN_USE_COST: f64 = 1.0;
 /// Largest cost in seconds of a replica that nobody waits for.
 const SPARE_REPLICA_COST: f64 = 12.0;
 
@@ -170,6 +172,7 @@
         if same_zone {
             cost += SAME_ZONE_COST;
         }
+        cost += IN_USE_COST * self.models_in_use(runner) as f64;
         let mut missing = spec.weights_mb - free_mb(runner, self.engine);
         let mut victim = None;
         if missing > 0.0 {
@@ -192,6 +195,19 @@
         (missing <= 0.0).then_some((cost, victim))
     }
 
+    /// Models held there that somebody uses or waits for.
+    fn models_in_use(&self, runner: &RunnerView) -> usize {
+        let in_use = |model: &Arc<str>| {
+            let demand = self.demand.get(model);
+            demand.is_some_and(|demand| demand.is_active())
+        };
+        runner
+            .models
+            .iter()
+            .filter(|held| in_use(&held.model))
+            .count()
+    }
+
     /// The runner's replicas with their worth, the least first.
     fn victims(&self, runners: &[RunnerView], runner: &RunnerView) -> Vec<(f64, Arc<str>)> {
         let mut victims: Vec<(f64, Arc<str>)> = runner
