Refuse a waiting stream before its client gives up; log waits and runners' failures

Cause: a client that gives up a silent stream does not come back; one that is refused does. Traces of failed requests lacked the wait and a runner's own 500.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -32,6 +32,9 @@
 const RETRY_AFTER_PART: u32 = 3;
 /// How long a refused request is expected back after the time it was told.
 const EXPECTED_BACK_SLACK: Duration = Duration::from_secs(2);
+/// Part of a client's patience after which a request that waits is refused: a
+/// client that is told so comes back, one that gives up does not.
+const PATIENCE_PART: f64 = 0.92;
 /// Time for which a runner that refused is left alone.
 const BUSY_BLOCK: Duration = Duration::from_millis(100);
 /// Time for which an address that another runner has is left alone.
@@ -452,9 +455,9 @@
     fn waiting_time(&self, query: &Query, now: Instant) -> (RefusalReason, Instant) {
         let early = now + query.target_latency.unwrap_or(USUAL_RETRY_AFTER) / EARLY_REFUSAL_PART;
         let last = (query.deadline - DEADLINE_MARGIN.min(query.deadline - now)).max(now);
-        let patient = query
-            .patience
-            .map_or(last, |patience| last.min(now + patience));
+        let patient = query.patience.map_or(last, |patience| {
+            last.min(now + patience.mul_f64(PATIENCE_PART))
+        });
         let known = self
             .runners
             .values()
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -46,6 +46,19 @@
     );
 }
 
+/// A request waits for a runner.
+pub fn waits(exchange: &Exchange) {
+    let wanted = exchange.facts.model.as_ref();
+    tracing::info!(
+        event = "waits",
+        request = exchange.id(),
+        service = &*exchange.service,
+        model = wanted.map(|wanted| &*wanted.model),
+        adapter = wanted.and_then(|wanted| wanted.adapter.as_deref()),
+        priority = exchange.route.priority
+    );
+}
+
 /// An attempt failed.
 pub fn attempt_failed(request: &str, runner: &str, error: &AttemptError) {
     tracing::warn!(
@@ -59,6 +72,11 @@
     );
 }
 
+/// A runner said that it failed to run the request.
+pub fn runner_failed(request: &str, runner: &str, status: u16) {
+    tracing::warn!(event = "runner_failed", request, runner, status);
+}
+
 /// The request was refused by the dispatcher.
 pub fn refused(request: &str, refusal: Refusal, verdict: Verdict) {
     tracing::warn!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, CutOff};
 use crate::exchange::Exchange;
+use crate::journal;
 use crate::request::WHOLE_ANSWER_BYTES;
 use crate::stream::StreamRelay;
 
@@ -57,6 +58,10 @@
             first_byte: answered.waited,
         }
     };
+    if failed {
+        let runner = &answered.permit.runner().id;
+        journal::runner_failed(exchange.id(), runner, answered.status.as_u16());
+    }
     finish(exchange, answered, outcome);
     if failed {
         return Relayed::Failed(response);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{RequestFacts, RequestKind, Route};
-use barleyspar_dispatch::{AttemptKind, Failure, Outcome};
+use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal};
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
 use http::header::HOST;
@@ -17,6 +17,7 @@
 use crate::attempt::{Answered, Outgoing, attempt};
 use crate::body::AnswerBody;
 use crate::context::Context;
+use crate::dispatch::Permit;
 use crate::exchange::Exchange;
 use crate::journal;
 use crate::lifecycle::Stage;
@@ -28,6 +29,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// When to come back to a node that knows no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Wait for a runner from which on the log tells of it.
+const WAIT_WORTH_LOGGING: Duration = Duration::from_millis(20);
 /// When to come back to a node that is being stopped: to another one, at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time that a request without a stream usually takes at most.
@@ -198,7 +201,10 @@
                 fallback = Some(response);
                 kind = AttemptKind::Retry;
             }
-            relay::Relayed::Failed(response) => return response,
+            relay::Relayed::Failed(response) => {
+                exchange.end(response.status().as_u16(), "runner_failed");
+                return response;
+            }
             relay::Relayed::Broken if exchange.may_run_again() => kind = AttemptKind::Retry,
             relay::Relayed::Broken => return own(&mut exchange, broken_answer("answer_broken")),
         }
@@ -227,7 +233,7 @@
     let streams = exchange.route.kind == RequestKind::Streaming;
     let acquired = tokio::select! {
         biased;
-        acquired = exchange.context.dispatch.acquire(query) => acquired,
+        acquired = acquire(exchange, query) => acquired,
         // A stream that begins now would not end in time; another node can have it.
         () = lifecycle.reached(Stage::Closing), if streams => None,
     };
@@ -236,7 +242,10 @@
         Some(Err(refusal)) => {
             journal::refused(exchange.id(), refusal, exchange.verdict);
             let answer = match fallback {
-                Some(response) => response,
+                Some(response) => {
+                    exchange.end(response.status().as_u16(), "runner_failed");
+                    response
+                }
                 None => refuse(exchange, refusal.reason.name(), refusal.retry_after),
             };
             return Err(Next::Answer(answer));
@@ -260,6 +269,19 @@
     }
 }
 
+/// Asks for a runner, and says in the log if that takes time.
+async fn acquire(exchange: &Exchange, query: Query) -> Option<Result<Permit, Refusal>> {
+    let acquired = exchange.context.dispatch.acquire(query);
+    tokio::pin!(acquired);
+    match timeout(WAIT_WORTH_LOGGING, acquired.as_mut()).await {
+        Ok(acquired) => acquired,
+        Err(_) => {
+            journal::waits(exchange);
+            acquired.await
+        }
+    }
+}
+
 /// The answer to a request that no further runner is tried for.
 fn give_up(exchange: &mut Exchange) -> Response<AnswerBody> {
     if exchange.verdict == Verdict::NotRun {
