--- a/crates/barleyspar/src/check.rs
+++ b/crates/barleyspar/src/check.rs
@@ -6,14 +6,25 @@
 use barleyspar_node::NodeSettings;
 
 use crate::errors::CommandError;
+use crate::gateway::read_policy;
 
-/// Checks settings files and manifests; the manifests are one set, in which
+/// Checks policies, deploy files, settings files and manifests; the manifests are one set, in which
 /// every name that is referred to must stand.
 pub fn run(files: &[PathBuf]) -> Result<(), CommandError> {
     let mut errors = Vec::new();
     let mut manifests = Vec::new();
     for file in files {
-        if !is_settings(file) {
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        if file
+            .extension()
+            .is_some_and(|extension| extension == "rhai")
+        {
+            read_policy(file)?;
+        } else if barleyspar_dialect::is_deploy(&text) {
+            barleyspar_dialect::check_deploy(file)?;
+        } else if barleyspar_dialect::is_settings(&text) {
+            barleyspar_dialect::read_settings(file, None)?;
+        } else if !is_settings(file) {
             manifests.push(file.clone());
         } else if let Err(error) = NodeSettings::read(file) {
             errors.push(error);
--- /dev/null
+++ b/crates/loading/tests/planner.rs
@@ -0,0 +1,271 @@
+//! The planner's orders: memory, replicas, pace, adapters, eviction; the lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use barleyspar_catalog::{
+    ClientLimits, Configuration, EngineSpec, HeldModel, ModelSpec, OrderAction, Service,
+    WeightCopies,
+};
+use barleyspar_dispatch::DemandItem;
+use barleyspar_loading::{
+    DemandBook, Lease, LeaseSettings, Planner, PlannerSettings, RunnerView, free_mb,
+};
+use barleyspar_policy::Program;
+
+const SERVICE: &str = "engine";
+
+fn configuration(models: &[&str]) -> Configuration {
+    let spec = ModelSpec {
+        weights_mb: 45.0,
+        remote_load: Duration::from_secs(4),
+        disk_load: Duration::from_secs(2),
+        memory_load: Duration::from_secs(1),
+        adapter_mb: 1.0,
+    };
+    let engine = EngineSpec {
+        slots: 64,
+        cache_tokens: 100_000,
+        memory_mb: 100.0,
+        adapter_capacity: 2,
+        loads_per_second: 2.0,
+        models: models
+            .iter()
+            .map(|name| (Arc::from(*name), spec.clone()))
+            .collect(),
+    };
+    let service = Service {
+        name: SERVICE.into(),
+        connection_limit: 100,
+        engine: Some(engine),
+    };
+    Configuration {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
+        limits: ClientLimits::default(),
+    }
+}
+
+fn runner(id: &str, models: &[&str]) -> RunnerView {
+    RunnerView {
+        id: id.into(),
+        service: SERVICE.into(),
+        zone: "zone".into(),
+        open: true,
+        reported: true,
+        reachable: true,
+        sequence: 0,
+        busy: false,
+        models: models
+            .iter()
+            .map(|name| HeldModel {
+                model: (*name).into(),
+                version: 1,
+                adapters: Vec::new(),
+            })
+            .collect(),
+        pending_adapters: Vec::new(),
+        copies: WeightCopies::default(),
+        ordered: None,
+        in_flight: BTreeMap::new(),
+    }
+}
+
+fn wish(model: &str, adapter: Option<&str>, waiting: u32) -> DemandItem {
+    DemandItem {
+        service: SERVICE.into(),
+        model: model.into(),
+        adapter: adapter.map(Into::into),
+        waiting,
+        priority: 1,
+        in_flight: 0,
+        rate: 0.0,
+    }
+}
+
+struct Case {
+    planner: Planner,
+    book: DemandBook,
+    now: Instant,
+}
+
+impl Case {
+    fn new(policy: &str, wishes: Vec<DemandItem>) -> Self {
+        let started = Instant::now();
+        let policy = Program::compile(policy).expect("the policy is well formed");
+        let mut book = DemandBook::default();
+        let now = started + Duration::from_secs(10);
+        book.update("node".into(), wishes, now);
+        Self {
+            planner: Planner::new(PlannerSettings { policy }, started),
+            book,
+            now,
+        }
+    }
+
+    fn plan(
+        &mut self,
+        configuration: &Configuration,
+        runners: &mut [RunnerView],
+    ) -> Vec<(String, OrderAction)> {
+        self.planner
+            .plan(configuration, runners, &mut self.book, self.now)
+            .into_iter()
+            .map(|order| (order.runner.to_string(), order.action))
+            .collect()
+    }
+}
+
+const ONE: &str = "fn decide(context) { #{ replicas: 2, target: 1 } }";
+
+fn load(model: &str) -> OrderAction {
+    OrderAction::LoadModel {
+        model: model.into(),
+    }
+}
+
+fn unload(model: &str) -> OrderAction {
+    OrderAction::UnloadModel {
+        model: model.into(),
+    }
+}
+
+#[test]
+fn a_wanted_model_goes_where_there_is_room() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &["a", "b"]), runner("2", &["a"])];
+    let orders = case.plan(&configuration(&["a", "b", "c"]), &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+}
+
+#[test]
+fn it_goes_where_a_copy_is_near() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &[]), runner("2", &[])];
+    runners[1].copies.disk = vec!["c".into()];
+    let orders = case.plan(&configuration(&["c"]), &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+}
+
+#[test]
+fn room_is_made_before_a_load_is_ordered() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &["a", "b"])];
+    let orders = case.plan(&configuration(&["a", "b", "c"]), &mut runners);
+    assert!(
+        matches!(&orders[..], [(_, OrderAction::UnloadModel { .. })]),
+        "{orders:?}"
+    );
+}
+
+#[test]
+fn a_model_that_is_wanted_and_the_last_does_not_make_way() {
+    let wishes = vec![wish("a", None, 1), wish("b", None, 1), wish("c", None, 1)];
+    let mut case = Case::new(ONE, wishes);
+    let mut runners = [runner("1", &["a", "b"])];
+    assert_eq!(
+        case.plan(&configuration(&["a", "b", "c"]), &mut runners),
+        []
+    );
+}
+
+#[test]
+fn nothing_is_ordered_at_a_busy_or_unknown_runner() {
+    for change in [
+        (|runner: &mut RunnerView| runner.busy = true) as fn(&mut RunnerView),
+        |runner| runner.reported = false,
+        |runner| runner.open = false,
+        |runner| runner.ordered = Some(unload("a")),
+    ] {
+        let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+        let mut runners = [runner("1", &[])];
+        change(&mut runners[0]);
+        assert_eq!(case.plan(&configuration(&["a", "c"]), &mut runners), []);
+    }
+}
+
+#[test]
+fn a_load_under_way_counts_as_a_replica_and_takes_memory() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 5)]);
+    let mut runners = [runner("1", &["a"]), runner("2", &[])];
+    runners[0].ordered = Some(load("c"));
+    runners[0].busy = true;
+    let configuration = configuration(&["a", "c"]);
+    assert_eq!(case.plan(&configuration, &mut runners), []);
+    let engine = configuration.services[SERVICE]
+        .engine
+        .as_ref()
+        .expect("it is one");
+    assert!(free_mb(&runners[0], engine) < 10.0);
+}
+
+#[test]
+fn an_unreachable_replica_is_replaced_within_the_count_decided() {
+    let lost = |policy: &str| {
+        let mut case = Case::new(policy, vec![wish("a", None, 1)]);
+        let mut runners = [runner("1", &["a"]), runner("2", &[])];
+        runners[0].reachable = false;
+        runners[0].reported = false;
+        case.plan(&configuration(&["a"]), &mut runners)
+    };
+    assert_eq!(lost(ONE), [("2".to_owned(), load("a"))]);
+    assert_eq!(lost("fn decide(context) { #{ replicas: 1 } }"), []);
+}
+
+#[test]
+fn loads_from_the_store_are_paced() {
+    let names: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let wishes = names.iter().map(|name| wish(name, None, 1)).collect();
+    let mut case = Case::new(ONE, wishes);
+    let configuration = configuration(&names);
+    let mut runners: Vec<RunnerView> = (0..20)
+        .map(|number| runner(&number.to_string(), &[]))
+        .collect();
+    let mut loads = 0;
+    // Ten steps of half a second: five seconds at two loads a second.
+    for _ in 0..10 {
+        loads += case.plan(&configuration, &mut runners).len();
+        case.now += Duration::from_millis(500);
+        let wishes = names.iter().map(|name| wish(name, None, 1)).collect();
+        case.book.update("node".into(), wishes, case.now);
+    }
+    assert!((8..=13).contains(&loads), "{loads} loads in five seconds");
+}
+
+#[test]
+fn a_full_runner_drops_the_adapter_used_the_longest_ago() {
+    let mut case = Case::new(ONE, vec![wish("a", Some("new"), 1)]);
+    let earlier = case.now - Duration::from_secs(1);
+    let mut used = wish("a", Some("recent"), 0);
+    used.in_flight = 1;
+    case.book.update("other".into(), vec![used], earlier);
+    case.book.update("other".into(), Vec::new(), case.now);
+    let mut runners = [runner("1", &["a"])];
+    runners[0].models[0].adapters = vec!["recent".into(), "old".into()];
+    let orders = case.plan(&configuration(&["a"]), &mut runners);
+    let expected = OrderAction::UnloadAdapter {
+        model: "a".into(),
+        adapter: "old".into(),
+    };
+    assert_eq!(orders, [("1".to_owned(), expected)]);
+}
+
+#[test]
+fn a_lease_is_used_only_while_it_surely_lasts_and_after_its_quiet_time() {
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let settings = LeaseSettings {
+        margin: second / 5,
+        quiet: 3 * second,
+    };
+    let mut lease = Lease::new(1, 7, start, 4 * second, start, settings);
+    assert!(!lease.may_order(start + 2 * second));
+    assert!(lease.may_order(start + 3 * second));
+    assert!(!lease.may_order(start + 4 * second - second / 10));
+    lease.renewed(start + 3 * second, 4 * second);
+    assert!(lease.may_order(start + 6 * second));
+    assert!(!lease.surely_held(start + 7 * second));
+}
