Keep a runner free for adapters of models in use

Change: a load at the last free runner of a model whose adapters are in use costs six seconds more than elsewhere.

--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -1,6 +1,6 @@
 //! Which models are loaded on which runner.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -19,6 +19,8 @@
 const SAME_ZONE_COST: f64 = 0.3;
 /// Cost in seconds of loading beside a model that is in use: both take longer.
 const IN_USE_COST: f64 = 1.0;
+/// Cost in seconds of a load that keeps adapters from being loaded meanwhile.
+const ADAPTERS_BLOCKED_COST: f64 = 6.0;
 /// Largest cost in seconds of a replica that nobody waits for.
 const SPARE_REPLICA_COST: f64 = 12.0;
 
@@ -44,6 +46,8 @@
     pub demand: &'a BTreeMap<Arc<str>, ModelDemand>,
     /// What the policy decided, by model.
     pub decided: &'a BTreeMap<Arc<str>, Decided>,
+    /// Models of which adapters are in use.
+    pub adapted: &'a BTreeSet<Arc<str>>,
     /// When models were last used.
     pub book: &'a DemandBook,
     /// Now.
@@ -173,6 +177,9 @@
             cost += SAME_ZONE_COST;
         }
         cost += IN_USE_COST * self.models_in_use(runner) as f64;
+        if self.is_last_for_adapters(runners, runner) {
+            cost += ADAPTERS_BLOCKED_COST;
+        }
         let mut missing = spec.weights_mb - free_mb(runner, self.engine);
         let mut victim = None;
         if missing > 0.0 {
@@ -195,6 +202,21 @@
         (missing <= 0.0).then_some((cost, victim))
     }
 
+    /// Whether a load there would leave no runner that takes adapters of some
+    /// model whose adapters are in use.
+    fn is_last_for_adapters(&self, runners: &[RunnerView], runner: &RunnerView) -> bool {
+        let other = |model: &Arc<str>| {
+            runners
+                .iter()
+                .filter(|other| other.id != runner.id && other.orderable())
+                .any(|other| other.held(model).is_some())
+        };
+        runner
+            .models
+            .iter()
+            .any(|held| self.adapted.contains(&held.model) && !other(&held.model))
+    }
+
     /// Models held there that somebody uses or waits for.
     fn models_in_use(&self, runner: &RunnerView) -> usize {
         let in_use = |model: &Arc<str>| {
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -17,6 +17,9 @@
 /// What holds for a model whose policy has failed from the start.
 const UNDECIDED: Decided = Decided { wanted: 1, most: 1 };
 
+/// Requests a second at which an adapter is in use.
+const ADAPTER_RATE: f64 = 0.02;
+
 /// What the planner is told once.
 #[derive(Debug)]
 pub struct PlannerSettings {
@@ -88,12 +91,18 @@
                     }
                 }
             }
+            let adapted: BTreeSet<Arc<str>> = adapters
+                .iter()
+                .filter(|(_, demand)| demand.is_active() || demand.rate > ADAPTER_RATE)
+                .map(|((model, _), _)| model.clone())
+                .collect();
             let decided = self.decide(&service.name, engine, &models, runners);
             let plan = ModelPlan {
                 service: &service.name,
                 engine,
                 demand: &models,
                 decided: &decided,
+                adapted: &adapted,
                 book,
                 now,
             };
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -269,3 +269,18 @@
     assert!(lease.may_order(start + 6 * second));
     assert!(!lease.surely_held(start + 7 * second));
 }
+
+/// Found on scale days: adapters waited for seconds behind the load of a model
+/// that had been ordered at the only runner that could take them.
+#[test]
+fn a_load_leaves_a_runner_that_takes_adapters() {
+    let mut adapted = wish("a", Some("x"), 0);
+    adapted.in_flight = 1;
+    let mut case = Case::new(ONE, vec![adapted, wish("c", None, 1)]);
+    let mut runners = [runner("1", &["a"]), runner("2", &["b"])];
+    // The runner that must stay free would be the quicker one.
+    runners[0].copies.memory = vec!["c".into()];
+    runners[0].models[0].adapters = vec!["x".into()];
+    let orders = case.plan(&configuration(&["a", "b", "c"]), &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+}
