Bound the memory of bodies; log fields that do not collide

A body sets aside what it says it needs, or the limit, out of a quarter of the process's memory; without room the request is refused as not run. A line's node stood twice in started, placement_leader and leader_silent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout_at};
 
 use crate::context::Context;
@@ -18,7 +19,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A request as it is sent to runners.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Outgoing {
     /// The client's method.
     pub method: Method,
@@ -30,6 +31,8 @@
     pub body: Bytes,
     /// Id of the client's attempt.
     pub request_id: Option<String>,
+    /// The memory set aside for the body.
+    pub _memory: OwnedSemaphorePermit,
 }
 
 /// An attempt that got the head of an answer.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use barleyspar_catalog::{Dialect, NodeSettings, RouteTable};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::dispatch::DispatchHandle;
 use crate::inflight::InFlight;
@@ -12,6 +12,18 @@
 use crate::network::Network;
 use crate::upstream::Pool;
 
+/// Bytes of a unit of memory for bodies.
+pub const BODY_UNIT: usize = 1024;
+/// Part of the process's memory that bodies of requests may take together.
+const BODY_PART: u64 = 4;
+
+/// Memory for bodies of a process with `memory_bytes`.
+pub fn body_memory(memory_bytes: u64) -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(
+        (memory_bytes / BODY_PART) as usize / BODY_UNIT,
+    ))
+}
+
 /// Shared by all tasks of a gateway; everything in it is immutable, a handle
 /// or a channel.
 #[derive(Clone)]
@@ -30,6 +42,8 @@
     pub pool: Arc<Pool>,
     /// Whether the process is being stopped.
     pub lifecycle: Lifecycle,
+    /// Memory for bodies of requests, in units of [`BODY_UNIT`] bytes.
+    pub body_memory: Arc<Semaphore>,
     /// Figures.
     pub metrics: Arc<Metrics>,
     /// Callers' requests in flight.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -64,7 +64,7 @@
             if let Some(record) = &record {
                 tracing::info!(
                     event = "placement_leader",
-                    node = &*record.node,
+                    leader = &*record.node,
                     token = record.token
                 );
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::body::AnswerBody;
-use crate::context::Context;
+use crate::context::{Context, body_memory};
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
 use crate::lifecycle::{Lifecycle, Stage};
@@ -162,6 +162,7 @@
         lifecycle,
         requests: Arc::default(),
         metrics: Arc::default(),
+        body_memory: body_memory(settings.limits.memory_bytes),
     };
     let store = Store::new(
         settings.store_address,
@@ -237,8 +238,11 @@
     serve(&context, callers, questions);
     tracing::info!(
         event = "started",
-        node = &*settings.name,
-        zone = &*settings.zone
+        zone = &*settings.zone,
+        callers = %settings.caller_address,
+        store = %settings.store_address,
+        fencing_enforced = settings.bounds.fencing_enforced,
+        retry_extra = settings.bounds.retry_extra
     );
     Ok(context)
 }
--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -96,7 +96,7 @@
             if self.is_silent(&leader) {
                 tracing::info!(
                     event = "leader_silent",
-                    node = &*leader.node,
+                    leader = &*leader.node,
                     token = leader.token
                 );
                 return Some(leader.token);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,14 +9,16 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Request, Response, StatusCode, request};
+use http_body::Body;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::answers::{OwnAnswer, close_if_draining};
 use crate::attempt::{Answered, Outgoing, attempt};
 use crate::body::AnswerBody;
-use crate::context::Context;
+use crate::context::{BODY_UNIT, Context};
 use crate::dispatch::Permit;
 use crate::exchange::Exchange;
 use crate::journal;
@@ -103,6 +105,7 @@
     if !ends_in_time(context, &route) {
         return Err(OwnAnswer::refused("stopping", STOPPING_RETRY_AFTER));
     }
+    let memory = reserve_memory(context, &body, configuration.limits.body_bytes)?;
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let service = context.dispatch.split(&route).await;
     let deadline = received + time_allowed(&facts, &route);
@@ -112,7 +115,7 @@
         route,
         service,
         facts.clone(),
-        outgoing(head, body, facts.request_id),
+        outgoing(head, body, facts.request_id, memory),
         received,
         deadline,
     );
@@ -145,7 +148,12 @@
     by_client.min(route.timeout.unwrap_or(USUAL_DEADLINE))
 }
 
-fn outgoing(head: request::Parts, body: Bytes, request_id: Option<String>) -> Outgoing {
+fn outgoing(
+    head: request::Parts,
+    body: Bytes,
+    request_id: Option<String>,
+    memory: OwnedSemaphorePermit,
+) -> Outgoing {
     let target = head
         .uri
         .path_and_query()
@@ -157,7 +165,29 @@
         headers: head.headers,
         body,
         request_id,
+        _memory: memory,
+    }
+}
+
+/// Sets memory aside for a body: what it says it needs, or what it may need.
+fn reserve_memory(
+    context: &Context,
+    body: &Incoming,
+    limit: usize,
+) -> Result<OwnedSemaphorePermit, OwnAnswer> {
+    let bytes = body.size_hint().upper().unwrap_or(limit as u64);
+    if bytes > limit as u64 {
+        return Err(OwnAnswer::rejected(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body_too_large",
+        ));
     }
+    let units = (bytes as usize).div_ceil(BODY_UNIT) as u32;
+    context
+        .body_memory
+        .clone()
+        .try_acquire_many_owned(units)
+        .map_err(|_| OwnAnswer::refused("body_memory", REJECTED_RETRY_AFTER))
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, OwnAnswer> {
--- a/crates/standin/tests/requests.rs
+++ b/crates/standin/tests/requests.rs
@@ -210,3 +210,13 @@
     assert!(retries <= 50 + 40, "{retries} retries");
     assert!(retries > 0, "no retry at all");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_body_over_the_limit_is_refused_before_it_is_sent_on() {
+    let mut world = world().await;
+    world.configure(|configuration| configuration.limits.body_bytes = 4);
+    world.pass(SECOND).await;
+    assert_eq!(world.ask(1, "/once/x", "four", None).await.code(), 200);
+    assert_eq!(world.ask(1, "/once/x", "fives", None).await.code(), 413);
+    assert_eq!(world.runs_of("fives"), 0);
+}
