--- /dev/null
+++ b/crates/gateway/src/placement/entry.rs
@@ -0,0 +1,78 @@
+//! A runner as the leader keeps it: what it reported and what it was ordered.
+
+use std::time::Duration;
+
+use barleyspar_catalog::{Order, OrderAction, Report, Runner};
+use barleyspar_loading::RunnerView;
+use tokio::time::Instant;
+
+/// Time until a report is read again.
+pub const REPORT_AGAIN: Duration = Duration::from_millis(250);
+
+/// A runner with its entry and what the leader does there.
+pub struct Entry {
+    /// The runner as discovery shows it.
+    pub runner: Runner,
+    /// The runner as the planner sees it.
+    pub view: RunnerView,
+    /// When its report is read next, if it is.
+    pub report_at: Option<Instant>,
+    /// When its report was asked for last.
+    pub looked_at: Instant,
+    /// Whether its report is being read.
+    pub asking: bool,
+    /// Whether an order is on its way to it.
+    pub ordering: bool,
+}
+
+impl Entry {
+    /// A runner of which only the discovery's entry is known.
+    pub fn new(runner: &Runner) -> Self {
+        Self {
+            runner: runner.clone(),
+            view: RunnerView::new(runner),
+            report_at: Some(Instant::now()),
+            looked_at: Instant::now(),
+            asking: false,
+            ordering: false,
+        }
+    }
+}
+
+/// Takes in a report that is not older than what is known.
+pub fn take_report(entry: &mut Entry, report: Report) {
+    let view = &mut entry.view;
+    view.reported = true;
+    view.reachable = true;
+    view.sequence = report.sequence;
+    view.busy = report.busy;
+    view.models = report.models;
+    view.pending_adapters = report.pending_adapters;
+    if !report.copies.memory.is_empty() || !report.copies.disk.is_empty() {
+        view.copies = report.copies;
+    }
+    if !entry.ordering && !view.busy {
+        view.ordered = None;
+    }
+    let settled = !view.busy && view.pending_adapters.is_empty();
+    entry.report_at = (!settled).then(|| Instant::now() + REPORT_AGAIN);
+}
+
+/// Takes in that the runner accepted `order`.
+pub fn accepted(entry: &mut Entry, order: &Order) {
+    let view = &mut entry.view;
+    view.sequence = order.expected_sequence + 1;
+    match &order.action {
+        OrderAction::LoadModel { .. } | OrderAction::UnloadModel { .. } => view.busy = true,
+        OrderAction::LoadAdapter { model, adapter } => {
+            view.ordered = None;
+            view.pending_adapters.push((model.clone(), adapter.clone()));
+        }
+        OrderAction::UnloadAdapter { model, adapter } => {
+            view.ordered = None;
+            for held in view.models.iter_mut().filter(|held| held.model == *model) {
+                held.adapters.retain(|name| name != adapter);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! The placement of models: who leads it, and the leader's orders.
 
+mod entry;
 mod lease;
 mod order;
 mod task;
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{
-    Configuration, Order, OrderAction, OrderAnswer, Report, Runner, RunnerState,
-};
+use barleyspar_catalog::{Configuration, Order, OrderAction, OrderAnswer, Runner, RunnerState};
 use barleyspar_dispatch::{RunnerKey, runner_key};
 use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView, Source};
 use tokio::sync::{mpsc, watch};
@@ -15,6 +13,7 @@
 use crate::context::Context;
 use crate::messages::Message;
 use crate::peers::PeerHandle;
+use crate::placement::entry::{Entry, REPORT_AGAIN, accepted, take_report};
 use crate::placement::lease::holder;
 use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
@@ -23,8 +22,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Age of what a report says.
 const REPORT_LAG: Duration = Duration::from_millis(130);
-/// Time until a report is read again.
-const REPORT_AGAIN: Duration = Duration::from_millis(250);
 /// Time between two looks at a runner that some node cannot reach.
 const DOUBT_PAUSE: Duration = Duration::from_millis(400);
 /// Pause in the task's own steps after which it must have been frozen.
@@ -34,16 +31,6 @@
 /// Time until a runner that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
-/// A runner with its entry and what the leader does there.
-struct Entry {
-    runner: Runner,
-    view: RunnerView,
-    report_at: Option<Instant>,
-    looked_at: Instant,
-    asking: bool,
-    ordering: bool,
-}
-
 /// The task.
 pub struct PlacementTask {
     context: Context,
@@ -177,14 +164,7 @@
         let entry = self
             .entries
             .entry(runner.id.clone())
-            .or_insert_with(|| Entry {
-                view: RunnerView::new(&runner),
-                runner: runner.clone(),
-                report_at: Some(Instant::now()),
-                looked_at: Instant::now(),
-                asking: false,
-                ordering: false,
-            });
+            .or_insert_with(|| Entry::new(&runner));
         if runner.state == RunnerState::Draining {
             entry.view.open = false;
         }
@@ -388,44 +368,6 @@
     }
 }
 
-/// Takes in a report that is not older than what is known.
-fn take_report(entry: &mut Entry, report: Report) {
-    let view = &mut entry.view;
-    view.reported = true;
-    view.reachable = true;
-    view.sequence = report.sequence;
-    view.busy = report.busy;
-    view.models = report.models;
-    view.pending_adapters = report.pending_adapters;
-    if !report.copies.memory.is_empty() || !report.copies.disk.is_empty() {
-        view.copies = report.copies;
-    }
-    if !entry.ordering && !view.busy {
-        view.ordered = None;
-    }
-    let settled = !view.busy && view.pending_adapters.is_empty();
-    entry.report_at = (!settled).then(|| Instant::now() + REPORT_AGAIN);
-}
-
-/// Takes in that the runner accepted `order`.
-fn accepted(entry: &mut Entry, order: &Order) {
-    let view = &mut entry.view;
-    view.sequence = order.expected_sequence + 1;
-    match &order.action {
-        OrderAction::LoadModel { .. } | OrderAction::UnloadModel { .. } => view.busy = true,
-        OrderAction::LoadAdapter { model, adapter } => {
-            view.ordered = None;
-            view.pending_adapters.push((model.clone(), adapter.clone()));
-        }
-        OrderAction::UnloadAdapter { model, adapter } => {
-            view.ordered = None;
-            for held in view.models.iter_mut().filter(|held| held.model == *model) {
-                held.adapters.retain(|name| name != adapter);
-            }
-        }
-    }
-}
-
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod dialect;
 mod network;
 mod runner;
+mod runner_body;
 mod store;
 mod world;
 
