Connect to runners in one place; remove what nothing calls

Requests and orders each had their own way from the pool to a connection: Context::connect serves both. Gone, since nothing used it: four queries of the dispatcher, an outcome that nobody reported, the pace's wait, a view's requests in flight, the stand-in store's call count, a second look at closed connections.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -95,11 +95,6 @@
         self.nodes = nodes.max(1);
     }
 
-    /// Nodes that share limits.
-    pub fn nodes(&self) -> usize {
-        self.nodes
-    }
-
     /// Takes in a runner's entry.
     pub fn update_runner(&mut self, runner: Runner, now: Instant) {
         match self.runners.get_mut(&runner.id) {
@@ -136,19 +131,6 @@
         });
     }
 
-    /// A runner, if it takes new work.
-    pub fn open_runner(&self, id: &str) -> Option<&Arc<Runner>> {
-        self.runners
-            .get(id)
-            .filter(|entry| entry.is_open())
-            .map(|entry| &entry.runner)
-    }
-
-    /// All runners known.
-    pub fn runners(&self) -> impl Iterator<Item = &Arc<Runner>> {
-        self.runners.values().map(|entry| &entry.runner)
-    }
-
     /// Takes in another node's attempts in flight.
     pub fn set_peer_load(
         &mut self,
@@ -200,12 +182,6 @@
         self.queue.len()
     }
 
-    /// Retries left for `service`.
-    pub fn retries_left(&mut self, service: &Arc<str>, now: Instant) -> f64 {
-        let nodes = self.nodes;
-        self.budget(service).left(now, nodes)
-    }
-
     fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
         let (limits, started) = (self.limits, self.started);
         self.budgets
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -49,8 +49,6 @@
     Busy,
     /// The runner does not hold what was asked for; it did not run.
     NotHeld,
-    /// Another runner has the address; it did not run.
-    WrongRunner,
     /// The attempt failed.
     Failed(Failure),
     /// The client left or its time was up: says nothing of the runner.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -36,7 +36,6 @@
             Some(wanted) => entry.lacks(wanted, now),
             None => entry.health.block_for(now, WRONG_RUNNER_BLOCK),
         },
-        Outcome::WrongRunner => entry.health.block_for(now, WRONG_RUNNER_BLOCK),
         Outcome::Failed(failure) => entry.health.failed(now, failure),
         Outcome::Abandoned => {}
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,12 +11,9 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout_at};
 
-use crate::context::Context;
+use crate::context::{CONNECT_TIMEOUT, Context};
 use crate::dispatch::Permit;
-use crate::upstream::{Checkout, Connection};
-
-/// Time for a connection to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use crate::upstream::{ConnectError, Connection};
 
 /// A request as it is sent to runners.
 #[derive(Debug)]
@@ -192,24 +189,17 @@
     runner: &Runner,
     patience: Instant,
 ) -> Result<Connection, AttemptError> {
-    let share = context.connection_share(&runner.service);
-    let slot = match context.pool.checkout(&runner.id, share) {
-        Checkout::Idle(connection) => return Ok(*connection),
-        Checkout::Open(slot) => slot,
-        Checkout::Full => {
-            let cause = "no connection left in this node's share".to_owned();
-            return Err(AttemptError::unsent(Outcome::Busy, cause));
-        }
-    };
     let left = patience.saturating_duration_since(Instant::now());
-    Connection::open(
-        &*context.network,
-        runner.address,
-        CONNECT_TIMEOUT.min(left),
-        Some(slot),
-    )
-    .await
-    .map_err(|error| AttemptError::unsent(Outcome::Failed(Failure::Unreachable), error.to_string()))
+    let connected = context.connect(runner, CONNECT_TIMEOUT.min(left)).await;
+    connected.map_err(|error| {
+        let outcome = match error {
+            ConnectError::NoShareLeft => Outcome::Busy,
+            ConnectError::Refused(_) | ConnectError::TimedOut => {
+                Outcome::Failed(Failure::Unreachable)
+            }
+        };
+        AttemptError::unsent(outcome, error.to_string())
+    })
 }
 
 fn build(context: &Context, outgoing: &Outgoing, forward: Forward) -> Request<Bytes> {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,8 +1,9 @@
 //! What all parts of a gateway share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use barleyspar_catalog::{Dialect, NodeSettings, RouteTable};
+use barleyspar_catalog::{Dialect, NodeSettings, RouteTable, Runner};
 use tokio::sync::{Semaphore, watch};
 
 use crate::dispatch::DispatchHandle;
@@ -10,8 +11,10 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::network::Network;
-use crate::upstream::Pool;
+use crate::upstream::{Checkout, ConnectError, Connection, Pool};
 
+/// Time for a connection to a runner to come up.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Bytes of a unit of memory for bodies.
 pub const BODY_UNIT: usize = 1024;
 /// Part of the process's memory that bodies of requests may take together.
@@ -51,8 +54,23 @@
 }
 
 impl Context {
+    /// A connection to `runner`: one that rested, or a new one within `timeout`.
+    pub async fn connect(
+        &self,
+        runner: &Runner,
+        timeout: Duration,
+    ) -> Result<Connection, ConnectError> {
+        let share = self.connection_share(&runner.service);
+        let slot = match self.pool.checkout(&runner.id, share) {
+            Checkout::Idle(connection) => return Ok(*connection),
+            Checkout::Open(slot) => slot,
+            Checkout::Full => return Err(ConnectError::NoShareLeft),
+        };
+        Connection::open(&*self.network, runner.address, timeout, Some(slot)).await
+    }
+
     /// Connections that this node may have to one runner of `service`.
-    pub fn connection_share(&self, service: &str) -> u32 {
+    fn connection_share(&self, service: &str) -> u32 {
         /// The rest covers nodes that do not know of each other yet.
         const USED_PART: f64 = 0.8;
         let routes = self.routes.borrow();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -318,6 +318,6 @@
 async fn sweep(context: Context) {
     loop {
         sleep(SWEEP).await;
-        context.pool.sweep(|_| true);
+        context.pool.sweep();
     }
 }
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -13,11 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use crate::context::Context;
-use crate::upstream::{Checkout, Connection};
+use crate::context::{CONNECT_TIMEOUT, Context};
 
-/// Time for a connection to a runner to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Bytes of an answer that are read.
@@ -103,7 +100,10 @@
     mut request: Request<Bytes>,
     allowed: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), CallError> {
-    let mut connection = connect(context, runner).await?;
+    let mut connection = context
+        .connect(runner, CONNECT_TIMEOUT)
+        .await
+        .map_err(|error| CallError::NotSent(error.to_string()))?;
     if let Ok(host) = HeaderValue::from_str(&runner.address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
@@ -134,20 +134,3 @@
         .put_back(&runner.id, connection, facts.keep_alive_seconds);
     Ok((head.status, body))
 }
-
-async fn connect(context: &Context, runner: &Runner) -> Result<Connection, CallError> {
-    let share = context.connection_share(&runner.service);
-    let slot = match context.pool.checkout(&runner.id, share) {
-        Checkout::Idle(connection) => return Ok(*connection),
-        Checkout::Open(slot) => slot,
-        Checkout::Full => return Err(CallError::NotSent("no connection left".to_owned())),
-    };
-    Connection::open(
-        &*context.network,
-        runner.address,
-        CONNECT_TIMEOUT,
-        Some(slot),
-    )
-    .await
-    .map_err(|error| CallError::NotSent(error.to_string()))
-}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -102,7 +102,7 @@
 
     fn checkout(&self) -> Option<Connection> {
         let mut idle = self.lock();
-        idle.retain(|connection| !connection.is_closed() && connection.is_alive());
+        idle.retain(Connection::is_alive);
         idle.pop()
     }
 }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -34,6 +34,9 @@
     /// Nothing came back in time.
     #[error("no answer to the connection's opening")]
     TimedOut,
+    /// This node's share of the runner's connections is used up.
+    #[error("no connection left in this node's share")]
+    NoShareLeft,
 }
 
 /// Why a request got no head of an answer.
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,5 +4,5 @@
 mod pool;
 mod tracked;
 
-pub use connection::Connection;
+pub use connection::{ConnectError, Connection};
 pub use pool::{Checkout, Pool};
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -79,12 +79,12 @@
         });
     }
 
-    /// Closes what rests too long, and forgets runners that are not in `known`.
-    pub fn sweep(&self, known: impl Fn(&str) -> bool) {
+    /// Closes what rests too long, and forgets runners without a connection.
+    pub fn sweep(&self) {
         self.with(|entries| {
-            entries.retain(|runner, entry| {
+            entries.retain(|_, entry| {
                 entry.idle.retain(Connection::is_alive);
-                known(runner) || entry.open.load(Ordering::Relaxed) > 0
+                entry.open.load(Ordering::Relaxed) > 0
             });
         });
     }
--- a/crates/loading/src/pace.rs
+++ b/crates/loading/src/pace.rs
@@ -1,6 +1,6 @@
 //! Paces loads from the weight store.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Part of the store's rate that is used: an order without an answer may be
 /// carried out later, in a window that has its own loads.
@@ -37,10 +37,4 @@
     pub fn take(&mut self) {
         self.tokens -= 1.0;
     }
-
-    /// Time until the next load at `rate` loads a second.
-    pub fn wait(&self, rate: f64) -> Duration {
-        let missing = (1.0 - self.tokens).max(0.0);
-        Duration::from_secs_f64(missing / (rate * USED_PART).max(0.01))
-    }
 }
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -1,6 +1,5 @@
 //! A model runner as the planner sees it.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use barleyspar_catalog::{HeldModel, OrderAction, Runner, RunnerState, WeightCopies};
@@ -43,8 +42,6 @@
     pub copies: WeightCopies,
     /// The order under way.
     pub ordered: Option<OrderAction>,
-    /// Requests in flight by model.
-    pub in_flight: BTreeMap<Arc<str>, u32>,
 }
 
 impl RunnerView {
@@ -63,7 +60,6 @@
             pending_adapters: Vec::new(),
             copies: runner.copies.clone(),
             ordered: None,
-            in_flight: BTreeMap::new(),
         }
     }
 
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -69,7 +69,6 @@
         pending_adapters: Vec::new(),
         copies: WeightCopies::default(),
         ordered: None,
-        in_flight: BTreeMap::new(),
     }
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -38,7 +38,6 @@
     down: bool,
     refused: BTreeSet<IpAddr>,
     lose_answers: u32,
-    calls: u64,
 }
 
 /// The store. Clones are the same store.
@@ -106,11 +105,6 @@
         state.history.clear();
     }
 
-    /// Calls so far.
-    pub fn calls(&self) -> u64 {
-        self.lock().calls
-    }
-
     /// The value under `key`.
     pub fn get(&self, key: &str) -> Option<Bytes> {
         self.lock()
@@ -150,7 +144,6 @@
             .to_bytes();
         sleep(ANSWER_TIME).await;
         let call: StoreCall = decode(&body).expect("calls are well formed");
-        self.lock().calls += 1;
         if self.lock().down {
             std::future::pending::<()>().await;
         }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -105,11 +105,6 @@
         IpAddr::V4(Ipv4Addr::new(10, 1, 0, number))
     }
 
-    /// The store's host.
-    pub fn store_host() -> IpAddr {
-        STORE.ip()
-    }
-
     /// Starts gateway `number` with bounds as `change` leaves them.
     pub async fn start_gateway_with(&mut self, number: u8, change: impl FnOnce(&mut Bounds)) {
         let mut settings = settings(number);
