Follow the store through one watcher and a tree of followers

Cause: each gateway watched the store itself, and each batch of changes cost each of them a call. Ruled out: longer pauses between polls (still a call a machine, and changes later); a call for each change at each node after a notice (80 calls a change). Change: the feed. Nodes form a tree computed from the peers they hear; its root watches, the others follow a parent and pass on. Each frame says how old its knowledge is; a node whose knowledge grows too old asks the store itself, so a wrong, dead, frozen or cut off parent costs calls, not bounds. A node that the store refuses learns from a peer, also at its start. Failed calls back off.

--- a/crates/catalog/src/settings.rs
+++ b/crates/catalog/src/settings.rs
@@ -36,6 +36,8 @@
     pub memory_bytes: u64,
     /// Sockets and files of the process.
     pub descriptors: u32,
+    /// Megabits a second of the machine's link.
+    pub link_megabits: u32,
 }
 
 /// Bounds that the site promises or expects.
@@ -43,6 +45,10 @@
 pub struct Bounds {
     /// Time from the request to stop until the process is killed.
     pub grace_period: Duration,
+    /// Time within which an accepted configuration must be in force.
+    pub change_in_force: Duration,
+    /// Time after which a leaving runner must get no more work.
+    pub drain_timeout: Duration,
     /// Retries per request over all nodes.
     pub retry_ratio: f64,
     /// Window in which retries are counted.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,10 +6,10 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::context::Context;
+use crate::feed::Change;
 use crate::peers::PeerHandle;
 use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle};
 use crate::register::MEMBER_PREFIX;
-use crate::watch::Change;
 
 /// Where changes go.
 pub struct Discovery {
--- /dev/null
+++ b/crates/gateway/src/feed/poll.rs
@@ -0,0 +1,87 @@
+//! Calls of the feed to the store: everything, or what has changed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use barleyspar_catalog::{Event, Item, StoreAnswer, StoreCall, StoreError};
+use tokio::time::Instant;
+
+use crate::store::Store;
+
+/// Time beyond that until the answer must be there.
+const POLL_SLACK: Duration = Duration::from_millis(600);
+
+/// Everything the store holds.
+pub struct Everything {
+    /// The items.
+    pub items: Vec<Item>,
+    /// A revision from which to follow changes.
+    pub revision: u64,
+    /// When the first call was sent.
+    pub asked: Instant,
+}
+
+/// Changes after a revision.
+pub struct Changes {
+    /// The changes, in order.
+    pub events: Vec<Event>,
+    /// The store's revision.
+    pub revision: u64,
+    /// When the call was sent.
+    pub asked: Instant,
+}
+
+/// Reads all items, waiting for each page for `patience` at most.
+pub async fn read_everything(store: &Store, patience: Duration) -> Result<Everything, StoreError> {
+    let asked = Instant::now();
+    let mut items: BTreeMap<String, Item> = BTreeMap::new();
+    let mut after = None;
+    let mut first_revision = None;
+    loop {
+        let call = StoreCall::Range {
+            prefix: String::new(),
+            after: after.clone(),
+        };
+        let StoreAnswer::Page {
+            items: page,
+            more,
+            revision,
+        } = store.call(&call, patience).await?
+        else {
+            return Err(StoreError::Malformed("no page".to_owned()));
+        };
+        // Pages form no snapshot: what changed meanwhile comes again as an event.
+        let revision = *first_revision.get_or_insert(revision);
+        after = page.last().map(|item| item.key.clone());
+        items.extend(page.into_iter().map(|item| (item.key.clone(), item)));
+        if !more || after.is_none() {
+            return Ok(Everything {
+                items: items.into_values().collect(),
+                revision,
+                asked,
+            });
+        }
+    }
+}
+
+/// Waits up to `wait` for changes after `revision`.
+pub async fn read_changes(
+    store: &Store,
+    revision: u64,
+    wait: Duration,
+) -> Result<Changes, StoreError> {
+    let asked = Instant::now();
+    let call = StoreCall::Watch {
+        prefix: String::new(),
+        after: revision,
+        wait,
+    };
+    match store.call(&call, wait + POLL_SLACK).await? {
+        StoreAnswer::Events { events, revision } => Ok(Changes {
+            events,
+            revision,
+            asked,
+        }),
+        _ => Err(StoreError::Malformed("no events".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/state.rs
@@ -0,0 +1,167 @@
+//! A node's copy of the store, and the changes that led to it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{Event, Item};
+use tokio::time::Instant;
+
+use crate::feed::frame::{Packed, pack};
+
+/// Batches that are kept for followers; one that is further behind gets everything.
+const KEPT_BATCHES: usize = 64;
+
+/// Most steps from the store's watcher. Each step's time on the way makes
+/// knowledge look a little younger than it is; nodes that came to follow each
+/// other would keep theirs young for ever.
+const DEEPEST: u32 = 6;
+
+/// What the feed tells the node's other parts.
+#[derive(Debug, PartialEq)]
+pub enum Change {
+    /// Everything there is, read anew.
+    Everything(Vec<Item>),
+    /// One change.
+    Event(Event),
+}
+
+/// Changes in the store's order, as they go to followers.
+#[derive(Debug)]
+pub struct Batch {
+    /// The store's revision after the last of them.
+    pub to: u64,
+    /// The changes.
+    pub events: Packed,
+}
+
+/// What a follower lacks.
+#[derive(Debug)]
+pub enum Missing {
+    /// These batches, in order; none if it lacks nothing.
+    Batches(Vec<Arc<Batch>>),
+    /// Everything.
+    Everything(Vec<Item>),
+}
+
+/// A copy of the store, complete up to a revision and as of a moment.
+#[derive(Debug, Default)]
+pub struct FeedState {
+    items: BTreeMap<String, Item>,
+    batches: VecDeque<Arc<Batch>>,
+    /// The revision from which the batches show all changes.
+    batches_from: u64,
+    revision: u64,
+    complete_at: Option<Instant>,
+    depth: u32,
+}
+
+impl FeedState {
+    /// The store's revision that the copy shows; 0 while nothing is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether anything is known.
+    pub fn is_known(&self) -> bool {
+        self.revision > 0
+    }
+
+    /// Steps between this node and the store's watcher.
+    pub fn depth(&self) -> u32 {
+        self.depth
+    }
+
+    /// Time since which changes may have been missed; `None` while nothing is known.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.complete_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Takes in a whole copy, complete at `complete_at`. Whether it is newer
+    /// than what was known.
+    pub fn take_everything(&mut self, items: &[Item], revision: u64) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.items = items
+            .iter()
+            .map(|item| (item.key.clone(), item.clone()))
+            .collect();
+        self.batches.clear();
+        self.batches_from = revision;
+        self.revision = revision;
+        true
+    }
+
+    /// Takes in changes up to `revision`; those that were not known before.
+    pub fn take_events(&mut self, events: Vec<Event>, revision: u64) -> Vec<Event> {
+        let news: Vec<Event> = events
+            .into_iter()
+            .filter(|event| self.is_news(event))
+            .collect();
+        for event in &news {
+            self.apply(event);
+        }
+        self.revision = self.revision.max(revision);
+        if !news.is_empty() {
+            self.batches.push_back(Arc::new(Batch {
+                to: self.revision,
+                events: pack(&news),
+            }));
+        }
+        if self.batches.len() > KEPT_BATCHES
+            && let Some(oldest) = self.batches.pop_front()
+        {
+            self.batches_from = oldest.to;
+        }
+        news
+    }
+
+    /// Whether the event is later than all that is known of its key. Pages of
+    /// one reading form no snapshot, so an item may be ahead of the revision.
+    fn is_news(&self, event: &Event) -> bool {
+        let (key, revision) = match event {
+            Event::Written(item) => (&item.key, item.revision),
+            Event::Removed { key, revision } => (key, *revision),
+        };
+        let known = self.items.get(key).map_or(0, |item| item.revision);
+        revision > self.revision && revision > known
+    }
+
+    /// Notes that the copy with `revision` was complete at `at`, as known over
+    /// `depth` steps. Whether that is newer than what was known.
+    pub fn confirm(&mut self, revision: u64, at: Instant, depth: u32) -> bool {
+        let older = self.complete_at.is_some_and(|known| known >= at);
+        if revision < self.revision || older || depth > DEEPEST {
+            return false;
+        }
+        self.complete_at = Some(at);
+        self.depth = depth;
+        true
+    }
+
+    /// What a copy with `revision` lacks of this one.
+    pub fn missing(&self, revision: u64) -> Missing {
+        if revision < self.batches_from {
+            return Missing::Everything(self.items.values().cloned().collect());
+        }
+        Missing::Batches(
+            self.batches
+                .iter()
+                .filter(|batch| batch.to > revision)
+                .cloned()
+                .collect(),
+        )
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Written(item) => {
+                self.items.insert(item.key.clone(), item.clone());
+            }
+            Event::Removed { key, .. } => {
+                self.items.remove(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+use barleyspar_catalog::{Event, Item};
+use tokio::time::Instant;
+
+use super::state::{FeedState, Missing};
+
+fn item(key: &str, revision: u64) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: format!("{key}{revision}").into(),
+        revision,
+    }
+}
+
+fn written(key: &str, revision: u64) -> Event {
+    Event::Written(item(key, revision))
+}
+
+fn state() -> FeedState {
+    let mut state = FeedState::default();
+    assert!(state.take_everything(&[item("a", 3), item("b", 12)], 10));
+    state
+}
+
+#[test]
+fn an_older_copy_changes_nothing() {
+    let mut state = state();
+    assert!(!state.take_everything(&[], 9));
+    assert_eq!(state.revision(), 10);
+}
+
+#[test]
+fn changes_that_are_known_are_no_news() {
+    let mut state = state();
+    let events = vec![written("a", 9), written("a", 11), written("b", 11)];
+    // The page of `b` was read later than the revision says.
+    assert_eq!(state.take_events(events, 13), vec![written("a", 11)]);
+    assert_eq!(state.revision(), 13);
+}
+
+#[test]
+fn a_follower_gets_the_batches_that_it_lacks() {
+    let mut state = state();
+    state.take_events(vec![written("a", 14)], 15);
+    state.take_events(vec![written("a", 18)], 18);
+    let Missing::Batches(batches) = state.missing(15) else {
+        panic!("batches reach back to 15");
+    };
+    assert_eq!(batches.len(), 1);
+    assert_eq!(batches[0].events.events().unwrap(), vec![written("a", 18)]);
+    assert!(matches!(state.missing(20), Missing::Batches(none) if none.is_empty()));
+}
+
+#[test]
+fn a_follower_far_behind_gets_everything() {
+    let mut state = state();
+    assert!(matches!(state.missing(9), Missing::Everything(items) if items.len() == 2));
+    for revision in 20..200 {
+        state.take_events(vec![written("a", revision)], revision);
+    }
+    assert!(matches!(state.missing(20), Missing::Everything(_)));
+    assert!(matches!(state.missing(190), Missing::Batches(batches) if batches.len() == 9));
+}
+
+#[tokio::test(start_paused = true)]
+async fn knowledge_is_as_old_as_its_last_confirmation() {
+    let mut state = state();
+    let began = Instant::now();
+    assert_eq!(state.age(began), None);
+    assert!(state.confirm(10, began, 0));
+    assert!(!state.confirm(9, began + Duration::from_secs(1), 0));
+    let now = began + Duration::from_secs(2);
+    assert_eq!(state.age(now), Some(Duration::from_secs(2)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn knowledge_that_goes_round_is_not_kept_young() {
+    let mut state = state();
+    let mut at = Instant::now();
+    for depth in 0..100 {
+        at += Duration::from_millis(1);
+        state.confirm(10, at, depth);
+    }
+    let now = at;
+    assert!(state.age(now).unwrap() > Duration::from_millis(90));
+}
--- /dev/null
+++ b/crates/gateway/src/feed/task.rs
@@ -0,0 +1,297 @@
+//! The task that keeps this node's copy current.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{Event, Item, StoreError};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::context::Context;
+use crate::feed::follow::{Arrived, Following};
+use crate::feed::frame::Content;
+use crate::feed::poll::{read_changes, read_everything};
+use crate::feed::state::{Change, FeedState};
+use crate::feed::times::FeedTimes;
+use crate::feed::tree::{self, Myself, Parent};
+use crate::peers::{Heard, longest_silence};
+use crate::store::Store;
+
+/// Time for one page of a range at first. It doubles while pages take longer:
+/// when all nodes start at once, the store's link is busy for seconds.
+const SHORTEST_RANGE_TIMEOUT: Duration = Duration::from_millis(1000);
+const LONGEST_RANGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a failed call, doubled with each further failure.
+const SHORTEST_RETRY_PAUSE: Duration = Duration::from_millis(150);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(1200);
+/// Time for which a parent whose knowledge grew too old is not followed.
+const STALE_AVOIDED_FOR: Duration = Duration::from_secs(5);
+/// Time for which a parent that cannot be reached is not followed.
+const BROKEN_AVOIDED_FOR: Duration = Duration::from_secs(2);
+/// Time for a peer to show newer knowledge when the store serves us none.
+const PEER_TRIAL: Duration = Duration::from_millis(1000);
+/// Time for which another parent must be the right one before it is followed.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+
+/// Whom to ask next.
+enum Source {
+    Store,
+    Peer(Parent),
+}
+
+/// The task.
+pub struct FeedTask {
+    context: Context,
+    store: Store,
+    heard: watch::Receiver<HashMap<Arc<str>, Heard>>,
+    state: watch::Sender<FeedState>,
+    changes: mpsc::Sender<Change>,
+    times: FeedTimes,
+    avoided: HashMap<Arc<str>, Instant>,
+    range_timeout: Duration,
+    store_failures: u32,
+    /// Whether a peer is asked before the store, which failed last.
+    peer_is_next: bool,
+    history_lost: bool,
+}
+
+impl FeedTask {
+    /// A task that keeps `state` current and tells `changes` what is new.
+    pub fn new(
+        context: Context,
+        store: Store,
+        heard: watch::Receiver<HashMap<Arc<str>, Heard>>,
+        state: watch::Sender<FeedState>,
+        changes: mpsc::Sender<Change>,
+    ) -> Self {
+        let times = FeedTimes::new(&context.settings.bounds);
+        Self {
+            context,
+            store,
+            heard,
+            state,
+            changes,
+            times,
+            avoided: HashMap::new(),
+            range_timeout: SHORTEST_RANGE_TIMEOUT,
+            store_failures: 0,
+            peer_is_next: false,
+            history_lost: false,
+        }
+    }
+
+    /// Runs until nobody listens any more.
+    pub async fn run(mut self) {
+        while !self.changes.is_closed() {
+            match self.next_source() {
+                Source::Store => self.ask_store().await,
+                Source::Peer(parent) => self.follow(parent).await,
+            }
+        }
+    }
+
+    fn next_source(&mut self) -> Source {
+        let now = Instant::now();
+        self.avoided.retain(|_, until| now < *until);
+        let avoided = |name: &str| self.avoided.contains_key(name);
+        let heard = self.heard.borrow();
+        if self.deadline() <= now || self.history_lost {
+            let peer = self
+                .peer_is_next
+                .then(|| tree::any_peer(&heard, avoided))
+                .flatten();
+            return peer.map_or(Source::Store, Source::Peer);
+        }
+        let silence = longest_silence(self.context.dispatch.nodes());
+        match tree::parent(&self.myself(), &heard, silence, avoided) {
+            Some(parent) => Source::Peer(parent),
+            None => Source::Store,
+        }
+    }
+
+    fn myself(&self) -> Myself {
+        let settings = &self.context.settings;
+        Myself {
+            name: settings.name.clone(),
+            capacity: settings.limits.link_megabits,
+        }
+    }
+
+    /// When this node's knowledge is too old to rely on a parent.
+    fn deadline(&self) -> Instant {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        match state.age(now) {
+            Some(age) => now + self.times.longest_age(state.depth()).saturating_sub(age),
+            None => now,
+        }
+    }
+
+    async fn ask_store(&mut self) {
+        let known = self.state.borrow().is_known() && !self.history_lost;
+        let result = if known {
+            self.ask_for_changes().await
+        } else {
+            self.ask_for_everything().await
+        };
+        match result {
+            Ok(()) => self.store_failures = 0,
+            Err(StoreError::HistoryLost) => self.history_lost = true,
+            Err(_) => {
+                let doublings = self.store_failures.min(8);
+                self.store_failures += 1;
+                self.peer_is_next = true;
+                let pause = SHORTEST_RETRY_PAUSE * 2_u32.pow(doublings);
+                sleep(pause.min(LONGEST_RETRY_PAUSE)).await;
+            }
+        }
+    }
+
+    async fn ask_for_changes(&mut self) -> Result<(), StoreError> {
+        let overdue = self.deadline() <= Instant::now();
+        let wait = if overdue {
+            Duration::ZERO
+        } else {
+            self.times.poll
+        };
+        let revision = self.state.borrow().revision();
+        let answer = read_changes(&self.store, revision, wait).await?;
+        let any = !answer.events.is_empty();
+        self.take_events(answer.events, answer.revision, answer.asked, 0)
+            .await;
+        if any {
+            sleep(self.times.batch_pause).await;
+        }
+        Ok(())
+    }
+
+    async fn ask_for_everything(&mut self) -> Result<(), StoreError> {
+        let started = Instant::now();
+        let answer = read_everything(&self.store, self.range_timeout).await;
+        if answer.is_err() && started.elapsed() >= self.range_timeout {
+            self.range_timeout = (self.range_timeout * 2).min(LONGEST_RANGE_TIMEOUT);
+        }
+        let answer = answer?;
+        self.range_timeout = SHORTEST_RANGE_TIMEOUT;
+        self.history_lost = false;
+        tracing::info!(event = "store_read", revision = answer.revision);
+        self.take_everything(answer.items, answer.revision, answer.asked, 0)
+            .await;
+        Ok(())
+    }
+
+    /// Follows `parent` until it is of no more use or not the right one.
+    async fn follow(&mut self, parent: Parent) {
+        self.peer_is_next = false;
+        let name = parent.name.clone();
+        let trial = Instant::now() + PEER_TRIAL;
+        let overdue = self.deadline() <= Instant::now();
+        let revision = self.state.borrow().revision();
+        let begun = Following::begin(&*self.context.network, &parent, revision).await;
+        let mut following = match begun {
+            Ok(following) => following,
+            Err(error) => return self.avoid(name, BROKEN_AVOIDED_FOR, &error.to_string()),
+        };
+        tracing::info!(event = "feed_followed", parent = &*name, revision);
+        let mut unsettled_since = None;
+        loop {
+            let until = if overdue {
+                self.deadline().max(trial)
+            } else {
+                self.deadline()
+            };
+            match timeout_at(until, following.next()).await {
+                Err(_) => {
+                    return self.avoid(name, STALE_AVOIDED_FOR, "its knowledge is old");
+                }
+                Ok(Err(error)) => {
+                    return self.avoid(name, BROKEN_AVOIDED_FOR, &error.to_string());
+                }
+                Ok(Ok(arrived)) => {
+                    if let Err(error) = self.take(arrived).await {
+                        return self.avoid(name, STALE_AVOIDED_FOR, &error.to_string());
+                    }
+                }
+            }
+            if self.has_settled_elsewhere(&name, &mut unsettled_since) {
+                return;
+            }
+        }
+    }
+
+    fn avoid(&mut self, name: Arc<str>, time: Duration, cause: &str) {
+        tracing::info!(event = "feed_left", parent = &*name, cause);
+        self.avoided.insert(name, Instant::now() + time);
+    }
+
+    /// Whether another parent than `followed` has been the right one for a while.
+    fn has_settled_elsewhere(&mut self, followed: &str, since: &mut Option<Instant>) -> bool {
+        let right = matches!(self.next_source(), Source::Peer(parent) if &*parent.name == followed);
+        if right {
+            *since = None;
+            return false;
+        }
+        since.get_or_insert_with(Instant::now).elapsed() > SETTLED_AFTER
+    }
+
+    async fn take(&mut self, arrived: Arrived) -> io::Result<()> {
+        let Arrived { frame, complete_at } = arrived;
+        let depth = frame.depth + 1;
+        match frame.content {
+            Content::Everything(packed) => {
+                let items = packed.items()?;
+                self.take_everything(items, frame.revision, complete_at, depth)
+                    .await;
+                self.history_lost = false;
+            }
+            Content::Events(batches) => {
+                let mut events = Vec::new();
+                for batch in &batches {
+                    events.extend(batch.events()?);
+                }
+                self.take_events(events, frame.revision, complete_at, depth)
+                    .await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn take_everything(
+        &self,
+        items: Vec<Item>,
+        revision: u64,
+        complete_at: Instant,
+        depth: u32,
+    ) {
+        let mut newer = false;
+        self.state.send_if_modified(|state| {
+            newer = state.take_everything(&items, revision);
+            state.confirm(revision, complete_at, depth) || newer
+        });
+        if newer {
+            // Without a listener the task ends at its next step.
+            let _ = self.changes.send(Change::Everything(items)).await;
+        }
+    }
+
+    async fn take_events(
+        &self,
+        events: Vec<Event>,
+        revision: u64,
+        complete_at: Instant,
+        depth: u32,
+    ) {
+        let mut news = Vec::new();
+        // Only what is new goes on: two nodes that follow each other while the
+        // store serves neither would tell each other the same without end.
+        self.state.send_if_modified(|state| {
+            news = state.take_events(events, revision);
+            state.confirm(revision, complete_at, depth) || !news.is_empty()
+        });
+        for event in news {
+            let _ = self.changes.send(Change::Event(event)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/tree.rs
@@ -0,0 +1,85 @@
+//! Who follows whom: pure functions of the peers that a node hears.
+//!
+//! A parent always stands before its followers in one order that all nodes
+//! agree on, so nodes that hear different peers still form no circle.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::peers::Heard;
+
+/// Followers of one node.
+pub const FANOUT: usize = 12;
+
+/// A node to follow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Parent {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Where it takes followers.
+    pub address: SocketAddr,
+}
+
+/// This node, as it stands in the order.
+#[derive(Debug, Clone)]
+pub struct Myself {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Megabits a second of its link.
+    pub capacity: u32,
+}
+
+/// Place in the order: machines with a faster link first, then by a hash.
+type Place = (std::cmp::Reverse<u32>, u64);
+
+fn place(name: &str, capacity: u32) -> Place {
+    (
+        std::cmp::Reverse(capacity),
+        barleyspar_domain::rank("feed", name),
+    )
+}
+
+/// The peer to follow, or `None` if this node is to follow the store. Peers not
+/// heard for `silence` and those that `avoided` names do not count.
+pub fn parent(
+    myself: &Myself,
+    heard: &HashMap<Arc<str>, Heard>,
+    silence: Duration,
+    avoided: impl Fn(&str) -> bool,
+) -> Option<Parent> {
+    let own = place(&myself.name, myself.capacity);
+    let mut before: Vec<(Place, &Arc<str>, &Heard)> = heard
+        .iter()
+        .filter(|(name, peer)| peer.at.elapsed() < silence && !avoided(name))
+        .map(|(name, peer)| (place(name, peer.capacity), name, peer))
+        .filter(|(peer, _, _)| *peer < own)
+        .collect();
+    let position = before.len();
+    let index = position.checked_sub(1)? / FANOUT;
+    let (_, (_, name, peer), _) = before.select_nth_unstable_by_key(index, |entry| entry.0);
+    Some(Parent {
+        name: name.clone(),
+        address: peer.address,
+    })
+}
+
+/// Any peer to follow, for a node that the store does not serve: the one heard
+/// last of those that `avoided` does not name.
+pub fn any_peer(
+    heard: &HashMap<Arc<str>, Heard>,
+    avoided: impl Fn(&str) -> bool,
+) -> Option<Parent> {
+    let latest = |peer: &Heard| -> Instant { peer.at };
+    heard
+        .iter()
+        .filter(|(name, _)| !avoided(name))
+        .max_by_key(|(name, peer)| (latest(peer), (*name).clone()))
+        .map(|(name, peer)| Parent {
+            name: name.clone(),
+            address: peer.address,
+        })
+}
--- /dev/null
+++ b/crates/gateway/src/feed/tree_tests.rs
@@ -0,0 +1,97 @@
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::tree::{FANOUT, Myself, parent};
+use crate::peers::Heard;
+
+const SILENCE: Duration = Duration::from_secs(2);
+
+fn name(number: u8) -> Arc<str> {
+    format!("node-{number}").into()
+}
+
+/// The first five nodes have faster links.
+fn capacity(number: u8) -> u32 {
+    if number < 5 { 200 } else { 10 }
+}
+
+fn heard(nodes: u8, except: u8) -> HashMap<Arc<str>, Heard> {
+    (0..nodes)
+        .filter(|number| *number != except)
+        .map(|number| {
+            let peer = Heard {
+                at: Instant::now(),
+                address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), 1),
+                capacity: capacity(number),
+            };
+            (name(number), peer)
+        })
+        .collect()
+}
+
+fn parent_of(number: u8, nodes: u8, avoided: &[Arc<str>]) -> Option<Arc<str>> {
+    let myself = Myself {
+        name: name(number),
+        capacity: capacity(number),
+    };
+    let avoided = |name: &str| avoided.iter().any(|avoided| &**avoided == name);
+    parent(&myself, &heard(nodes, number), SILENCE, avoided).map(|parent| parent.name)
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_node_follows_the_store_and_all_others_reach_it() {
+    const NODES: u8 = 200;
+    let parents: HashMap<Arc<str>, Option<Arc<str>>> = (0..NODES)
+        .map(|number| (name(number), parent_of(number, NODES, &[])))
+        .collect();
+    let roots = parents.values().filter(|parent| parent.is_none()).count();
+    assert_eq!(roots, 1);
+    for start in parents.keys() {
+        let mut steps = 0;
+        let mut at = start.clone();
+        while let Some(next) = &parents[&at] {
+            at = next.clone();
+            steps += 1;
+            assert!(steps <= 3, "{start} is too far from the root");
+        }
+    }
+    for node in parents.keys() {
+        let followers = parents
+            .values()
+            .filter(|parent| parent.as_ref() == Some(node));
+        assert!(followers.count() <= FANOUT);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn faster_machines_stand_nearer_to_the_root() {
+    let parents: Vec<Option<Arc<str>>> = (0..60).map(|number| parent_of(number, 60, &[])).collect();
+    let fast: Vec<Arc<str>> = (0..5).map(name).collect();
+    assert!(
+        parents.iter().flatten().all(|parent| fast.contains(parent)),
+        "five fast machines carry sixty"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_avoided_parent_is_replaced() {
+    let first = parent_of(30, 60, &[]).unwrap();
+    let second = parent_of(30, 60, std::slice::from_ref(&first)).unwrap();
+    assert_ne!(first, second);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_is_no_parent() {
+    let peers = heard(2, 1);
+    let myself = Myself {
+        name: name(1),
+        capacity: 1,
+    };
+    assert!(parent(&myself, &peers, SILENCE, |_| false).is_some());
+    tokio::time::advance(SILENCE * 2).await;
+    assert!(parent(&myself, &peers, SILENCE, |_| false).is_none());
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod events;
 mod exchange;
+mod feed;
 mod inflight;
 mod journal;
 mod lifecycle;
@@ -28,7 +29,6 @@
 mod stream;
 mod tasks;
 mod upstream;
-mod watch;
 
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
 pub use network::{ByteStream, Datagrams, Listener, Network, Sockets};
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -16,6 +16,8 @@
         node: Arc<str>,
         /// Where the sender takes messages.
         address: SocketAddr,
+        /// Megabits a second of the sender's link.
+        capacity: u32,
         /// The counts.
         in_flight: Vec<(RunnerKey, u32)>,
     },
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,12 +17,13 @@
 use crate::context::{Context, body_memory};
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
+use crate::feed::{FeedState, FeedTask};
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::listener::{self, ListenerLimits};
 use crate::network::{Listener, Network, Sockets};
 use crate::placement::{self, LeaseKeeper, PlacementTask};
 use crate::store::Store;
-use crate::{dispatch, peers, readiness, register, request, watch as store_watch};
+use crate::{dispatch, feed, peers, readiness, register, request};
 
 /// Changes of the store that may wait to be taken in.
 const CHANGES: usize = 64;
@@ -180,6 +181,10 @@
         .datagrams(settings.peer_address)
         .await
         .map_err(|cause| address_error("peer address", settings.peer_address, cause))?;
+    let followers = network
+        .listen(settings.peer_address)
+        .await
+        .map_err(|cause| address_error("peer address", settings.peer_address, cause))?;
     let callers = network
         .listen(settings.caller_address)
         .await
@@ -197,6 +202,7 @@
         leader: leader_sender,
     };
     let heard = peer_handle.heard();
+    let feed_heard = peer_handle.heard();
     let planner = Planner::new(PlannerSettings { policy }, now);
     let placement_task = PlacementTask::new(
         context.clone(),
@@ -222,7 +228,16 @@
         held,
     };
     crate::tasks::spawn(discovery.run(changes));
-    crate::tasks::spawn(store_watch::follow(store.clone(), changes_sender));
+    let (feed_state, feed_seen) = watch::channel(FeedState::default());
+    let feed_task = FeedTask::new(
+        context.clone(),
+        store.clone(),
+        feed_heard,
+        feed_state,
+        changes_sender,
+    );
+    crate::tasks::spawn(feed::serve(followers, feed_seen));
+    crate::tasks::spawn(feed_task.run());
     crate::tasks::spawn(register::register(store, context.clone()));
     crate::tasks::spawn(peer_task.run());
     crate::tasks::spawn(placement_task.run());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,10 @@
 const URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which a member is counted after the last sign of it.
 const COUNTED_FOR: Duration = Duration::from_secs(15);
+/// Shortest silence of a peer that may be thought to be gone.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(1300);
+/// Messages that must have been missed from a peer that may be gone.
+const MISSED_MESSAGES: u32 = 3;
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 1200;
 /// Largest datagram that is read.
@@ -41,7 +45,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerHandle {
     commands: mpsc::UnboundedSender<Command>,
-    heard: watch::Receiver<HashMap<Arc<str>, Instant>>,
+    heard: watch::Receiver<HashMap<Arc<str>, Heard>>,
 }
 
 impl PeerHandle {
@@ -64,7 +68,7 @@
     }
 
     /// When each peer was last heard.
-    pub fn heard(&self) -> watch::Receiver<HashMap<Arc<str>, Instant>> {
+    pub fn heard(&self) -> watch::Receiver<HashMap<Arc<str>, Heard>> {
         self.heard.clone()
     }
 
@@ -79,6 +83,22 @@
     SHORTEST_INTERVAL.max(INTERVAL_PER_PEER * peers)
 }
 
+/// Silence after which one of `peers` peers may be thought to be gone.
+pub fn longest_silence(peers: u32) -> Duration {
+    SHORTEST_SILENCE.max(message_interval(peers) * MISSED_MESSAGES)
+}
+
+/// The last sign of a peer.
+#[derive(Debug, Clone, Copy)]
+pub struct Heard {
+    /// When it came.
+    pub at: Instant,
+    /// Where the peer takes messages and followers.
+    pub address: SocketAddr,
+    /// Megabits a second of the peer's link.
+    pub capacity: u32,
+}
+
 #[derive(Debug)]
 struct Member {
     address: SocketAddr,
@@ -95,7 +115,7 @@
     placement: PlacementHandle,
     urgent: Arc<Notify>,
     commands: mpsc::UnboundedReceiver<Command>,
-    heard: watch::Sender<HashMap<Arc<str>, Instant>>,
+    heard: watch::Sender<HashMap<Arc<str>, Heard>>,
 }
 
 /// Creates the handle; [`PeerTask::new`] takes the other end.
@@ -111,7 +131,7 @@
 /// The receiving end of a [`PeerHandle`].
 pub struct PeerInbox(
     mpsc::UnboundedReceiver<Command>,
-    watch::Sender<HashMap<Arc<str>, Instant>>,
+    watch::Sender<HashMap<Arc<str>, Heard>>,
 );
 
 impl PeerTask {
@@ -183,11 +203,17 @@
             Some(Message::Load {
                 node,
                 address,
+                capacity,
                 in_flight,
             }) => {
                 self.saw(node.clone(), address);
+                let latest = Heard {
+                    at: Instant::now(),
+                    address,
+                    capacity,
+                };
                 self.heard.send_modify(|heard| {
-                    heard.insert(node.clone(), Instant::now());
+                    heard.insert(node.clone(), latest);
                 });
                 self.context.dispatch.set_peer_load(node, in_flight);
             }
@@ -253,7 +279,7 @@
         self.members
             .retain(|_, member| member.stored || member.seen.elapsed() < COUNTED_FOR);
         self.heard
-            .send_modify(|heard| heard.retain(|_, at| at.elapsed() < COUNTED_FOR));
+            .send_modify(|heard| heard.retain(|_, peer| peer.at.elapsed() < COUNTED_FOR));
         let nodes = self.members.len() + 1;
         self.context.metrics.nodes(nodes);
         self.context.dispatch.set_nodes(nodes);
@@ -267,6 +293,7 @@
         let message = Message::Load {
             node: self.context.settings.name.clone(),
             address: self.context.settings.peer_address,
+            capacity: self.context.settings.limits.link_megabits,
             in_flight: snapshot.load,
         };
         self.send_all(&message).await;
--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -11,7 +11,7 @@
 
 use crate::context::Context;
 use crate::lifecycle::Stage;
-use crate::peers::message_interval;
+use crate::peers::{Heard, longest_silence};
 use crate::placement::{LEADER_KEY, LeaderRecord};
 use crate::store::Store;
 
@@ -23,10 +23,6 @@
 const FENCED_TIME_TO_LIVE: f64 = 2.0;
 /// Renewals in a time to live.
 const RENEWALS: u32 = 5;
-/// Shortest silence of a leader after which it is replaced.
-const SHORTEST_SILENCE: Duration = Duration::from_millis(1300);
-/// Messages that a leader must have missed before it is replaced.
-const MISSED_MESSAGES: u32 = 3;
 /// Time between two looks at a silent leader.
 const SILENCE_STEP: Duration = Duration::from_millis(200);
 /// Time after taking the lease before the first order, with fences.
@@ -51,7 +47,7 @@
     /// Who leads, as the store shows it.
     pub leader: watch::Receiver<Option<LeaderRecord>>,
     /// When each peer was last heard.
-    pub heard: watch::Receiver<HashMap<Arc<str>, Instant>>,
+    pub heard: watch::Receiver<HashMap<Arc<str>, Heard>>,
     /// The lease while this node holds it.
     pub held: watch::Sender<Option<Lease>>,
 }
@@ -113,9 +109,8 @@
         if leader.node == self.context.settings.name {
             return true;
         }
-        let interval = message_interval(self.context.dispatch.nodes());
-        let longest = SHORTEST_SILENCE.max(interval * MISSED_MESSAGES);
-        let heard = self.heard.borrow().get(&leader.node).copied();
+        let longest = longest_silence(self.context.dispatch.nodes());
+        let heard = self.heard.borrow().get(&leader.node).map(|peer| peer.at);
         let since = heard.unwrap_or(leader.known_since).max(leader.known_since);
         since.elapsed() > longest
     }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -38,6 +38,7 @@
     down: bool,
     refused: BTreeSet<IpAddr>,
     lose_answers: u32,
+    calls: u64,
 }
 
 /// The store. Clones are the same store.
@@ -98,6 +99,11 @@
         self.lock().lose_answers = count;
     }
 
+    /// Calls that came so far, refused ones too.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
     /// Forgets its history.
     pub fn forget_history(&self) {
         let mut state = self.lock();
@@ -142,6 +148,7 @@
             .await
             .map_err(broken)?
             .to_bytes();
+        self.lock().calls += 1;
         sleep(ANSWER_TIME).await;
         let call: StoreCall = decode(&body).expect("calls are well formed");
         if self.lock().down {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -221,9 +221,12 @@
         limits: MachineLimits {
             memory_bytes: 256_000_000,
             descriptors: 4096,
+            link_megabits: 1000,
         },
         bounds: Bounds {
             grace_period: Duration::from_secs(8),
+            change_in_force: Duration::from_secs(2),
+            drain_timeout: Duration::from_secs(2),
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_extra: 50.0,
--- /dev/null
+++ b/crates/standin/tests/feed.rs
@@ -0,0 +1,120 @@
+//! How changes in the store reach all gateways through one of them.
+
+use std::time::Duration;
+
+use barleyspar_catalog::RequestKind;
+use barleyspar_standin::{World, plain_service, route};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time within which a change must be in force.
+const BOUND: Duration = Duration::from_secs(2);
+const GATEWAYS: u8 = 8;
+
+async fn world() -> World {
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/plain/", "plain", RequestKind::Idempotent)],
+    );
+    world.start_runner("plain-1", "plain", &[]);
+    for number in 1..=GATEWAYS {
+        world.start_gateway(number).await;
+    }
+    world.pass(5 * SECOND).await;
+    world
+}
+
+fn add_route(world: &mut World, path: &str) {
+    let added = route(path, "plain", RequestKind::Idempotent);
+    world.configure(|configuration| configuration.routes.push(added.into()));
+}
+
+async fn assert_in_force(world: &World, gateways: impl Iterator<Item = u8>, path: &str) {
+    for number in gateways {
+        let answer = world.ask(number, path, path, None).await;
+        assert_eq!(answer.code(), 200, "gateway {number}, {path}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn gateways_at_rest_cost_few_calls_to_the_store() {
+    let world = world().await;
+    let before = world.store.calls();
+    world.pass(60 * SECOND).await;
+    let calls = world.store.calls() - before;
+    // One watcher at two or three polls a second; renewals of leases besides.
+    assert!(calls < 60 * 6, "{calls} calls in a minute");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_everywhere_within_its_bound() {
+    let mut world = world().await;
+    for change in 0..5 {
+        let path = format!("/added-{change}/");
+        add_route(&mut world, &path);
+        world.pass(BOUND / 2).await;
+        assert_in_force(&world, 1..=GATEWAYS, &path).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_whichever_gateway_dies_before_it() {
+    for victim in 1..=GATEWAYS {
+        let mut world = world().await;
+        world.kill_gateway(victim);
+        add_route(&mut world, "/added/");
+        world.pass(BOUND).await;
+        let others = (1..=GATEWAYS).filter(|number| *number != victim);
+        assert_in_force(&world, others, "/added/").await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_whichever_gateway_is_cut_off_from_its_peers() {
+    for victim in 1..=GATEWAYS {
+        let mut world = world().await;
+        for other in (1..=GATEWAYS).filter(|number| *number != victim) {
+            world.network.cut(World::host(victim), World::host(other));
+        }
+        add_route(&mut world, "/added/");
+        world.pass(BOUND).await;
+        // The one that is cut off reaches the store, as the others do.
+        assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_whichever_gateway_the_store_refuses() {
+    for victim in 1..=GATEWAYS {
+        let mut world = world().await;
+        world.store.refuse(World::host(victim), true);
+        add_route(&mut world, "/first/");
+        world.pass(BOUND).await;
+        let others = || (1..=GATEWAYS).filter(|number| *number != victim);
+        assert_in_force(&world, others(), "/first/").await;
+        add_route(&mut world, "/second/");
+        world.pass(4 * SECOND).await;
+        // Its peers tell the one that is refused.
+        assert_in_force(&world, 1..=GATEWAYS, "/second/").await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_starts_while_the_store_is_down_learns_from_its_peers() {
+    let mut world = world().await;
+    world.kill_gateway(3);
+    world.store.set_down(true);
+    world.start_gateway(3).await;
+    world.pass(6 * SECOND).await;
+    assert_in_force(&world, 3..=3, "/plain/").await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_the_store_costs_few_calls() {
+    let world = world().await;
+    world.store.set_down(true);
+    let before = world.store.calls();
+    world.pass(10 * SECOND).await;
+    let calls = world.store.calls() - before;
+    let of_each = calls / u64::from(GATEWAYS);
+    assert!(of_each <= 15, "{of_each} calls of each in ten seconds");
+}
