Send nothing for models on their way out; lead from the largest machines

A runner that is told to unload serves the model's last requests for seconds and refuses new ones, but goes on naming it in its entry; nodes believed entries older than the leader's word after half a second. The leader stood on one of the smallest machines and sent a datagram to each of 79 nodes for each change of a runner: orders took 0.2 s, datagrams were lost. Ruled out: full runners (74 % of the rejections found fewer than four requests there); crashed ones (89 of 824 misdirected requests). Change: the leader names what a runner is unloading, and nodes keep to that; what it says goes out in batches; candidates for the lease try in the order of their links' speed; a runner with room that refuses a model gets no more for it for a moment; an address that another runner has counts as unreachable.

--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -5,6 +5,8 @@
 pub struct AnswerFacts {
     /// Id of the request that the runner says it answers.
     pub request_id: Option<String>,
+    /// Incarnation of the runner that answers, where it says so.
+    pub runner: Option<String>,
     /// Whether the runner says that the request did not run.
     pub not_run: bool,
     /// Whether the answer carries the runner's signature, without which a
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,15 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{
-    Configuration, EngineSpec, HeldModel, ModelReference, Runner, RunnerState,
-};
+use barleyspar_catalog::{Configuration, EngineSpec, ModelReference, Runner, RunnerState};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::choice::cheapest;
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
 use crate::health::Outcome;
+use crate::inventory::Inventory;
 use crate::outcome::apply;
 use crate::query::{Acquired, AttemptKind, Grant, PermitId, Query, Refusal, RefusalReason, Ticket};
 use crate::queue::Queue;
@@ -121,11 +120,12 @@
     }
 
     /// Takes in what a runner holds, from its own report.
-    pub fn update_models(&mut self, id: &str, sequence: u64, models: Vec<HeldModel>, now: Instant) {
-        if let Some(entry) = self.runners.get_mut(id) {
-            entry.update_models(sequence, models, now);
+    pub fn update_models(&mut self, inventory: Inventory, now: Instant) {
+        let id = inventory.runner.clone();
+        if let Some(entry) = self.runners.get_mut(&id) {
+            entry.update_models(inventory, now);
         }
-        self.end_cold_starts(id, now);
+        self.end_cold_starts(&id, now);
     }
 
     /// Forgets a runner.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -49,6 +49,8 @@
     Busy,
     /// The runner does not hold what was asked for; it did not run.
     NotHeld,
+    /// Another runner has its address: this one is gone.
+    Replaced,
     /// The attempt failed.
     Failed(Failure),
     /// The client left or its time was up: says nothing of the runner.
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -30,7 +30,14 @@
         }
         Outcome::Busy => {
             entry.health.failed(now, Failure::Error);
-            entry.health.busy_for(now, BUSY_BLOCK);
+            match wanted {
+                Some(wanted) if entry.has_much_room() => entry.refuses(wanted, now),
+                _ => entry.health.busy_for(now, BUSY_BLOCK),
+            }
+        }
+        Outcome::Replaced => {
+            entry.health.failed(now, Failure::Unreachable);
+            entry.health.block_for(now, WRONG_RUNNER_BLOCK);
         }
         Outcome::NotHeld => match wanted {
             Some(wanted) => entry.lacks(wanted, now),
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -5,9 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{HeldModel, ModelReference, Runner, RunnerState};
+use barleyspar_catalog::{ModelReference, Runner, RunnerState};
 
 use crate::health::Health;
+use crate::inventory::Inventory;
 
 /// A runner's incarnation in messages between nodes.
 pub type RunnerKey = u32;
@@ -18,12 +19,18 @@
 }
 
 /// Time after a report in which an entry may still be older than it.
-const ENTRY_LAG: Duration = Duration::from_millis(500);
+const ENTRY_LAG: Duration = Duration::from_millis(2000);
+/// Longest time that a runner takes to drop a model, its last requests included.
+const LONGEST_UNLOAD: Duration = Duration::from_secs(15);
 /// Weight of the newest stream's pace.
 const GAP_WEIGHT: f64 = 0.3;
 /// Time for which a runner is thought not to hold what it said it lacks.
 const NOT_HELD_TIME: Duration = Duration::from_millis(1500);
 
+/// Time for which a runner with room that refused a model gets no more requests
+/// for it: an order that concerns the model must be under way.
+const REFUSED_TIME: Duration = Duration::from_millis(400);
+
 /// A runner with what this node knows of it.
 #[derive(Debug)]
 pub struct RunnerEntry {
@@ -42,6 +49,8 @@
     /// Whether it takes new work, for attempts that are about to be sent.
     pub open: Arc<AtomicBool>,
     lacking: HashMap<ModelReference, Instant>,
+    /// Models on their way out, and until when that is believed.
+    unloading: HashMap<Arc<str>, Instant>,
     reported: Option<Reported>,
     /// Usual seconds between two events of a stream, by model.
     gaps: HashMap<Arc<str>, f64>,
@@ -66,6 +75,7 @@
             health: Health::new(now),
             open: Arc::new(AtomicBool::new(true)),
             lacking: HashMap::new(),
+            unloading: HashMap::new(),
             reported: None,
             gaps: HashMap::new(),
         }
@@ -103,13 +113,19 @@
     }
 
     /// Takes in what the runner holds, from its own report.
-    pub fn update_models(&mut self, sequence: u64, models: Vec<HeldModel>, now: Instant) {
+    pub fn update_models(&mut self, inventory: Inventory, now: Instant) {
+        let sequence = inventory.sequence;
         if self.reported.is_some_and(|known| sequence < known.sequence) {
             return;
         }
         self.reported = Some(Reported { sequence, at: now });
         self.lacking.clear();
-        Arc::make_mut(&mut self.runner).models = models;
+        self.unloading = inventory
+            .unloading
+            .into_iter()
+            .map(|model| (model, now + LONGEST_UNLOAD))
+            .collect();
+        Arc::make_mut(&mut self.runner).models = inventory.models;
     }
 
     /// Remembers that the runner said it does not hold `wanted`.
@@ -117,6 +133,16 @@
         self.lacking.insert(wanted, now + NOT_HELD_TIME);
     }
 
+    /// Remembers that the runner refused `wanted` although it has room.
+    pub fn refuses(&mut self, wanted: ModelReference, now: Instant) {
+        self.lacking.insert(wanted, now + REFUSED_TIME);
+    }
+
+    /// Whether most of its slots are free.
+    pub fn has_much_room(&self) -> bool {
+        self.total_in_flight() * 2 < self.runner.slots
+    }
+
     /// Takes in how far apart a stream's events came.
     pub fn streamed(&mut self, model: &Arc<str>, usual_gap: Duration) {
         let sample = usual_gap.as_secs_f64();
@@ -141,6 +167,10 @@
         if self.lacking.get(wanted).is_some_and(|until| now < *until) {
             return false;
         }
+        let unloading = self.unloading.get(&wanted.model);
+        if unloading.is_some_and(|until| now < *until) {
+            return false;
+        }
         let held = self
             .runner
             .models
--- /dev/null
+++ b/crates/dispatch/tests/common/mod.rs
@@ -0,0 +1,97 @@
+#![allow(dead_code)] // Each test file uses a part.
+//! One model service with one runner, for tests of the dispatcher.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use barleyspar_catalog::{
+    Configuration, EngineSpec, ModelReference, ModelSpec, Runner, RunnerState, Service,
+};
+use barleyspar_dispatch::{AttemptKind, BudgetLimits, Dispatcher, Query};
+
+pub const SECOND: Duration = Duration::from_secs(1);
+pub const LOAD: Duration = Duration::from_secs(3);
+
+/// One service of engines and one model.
+fn configuration() -> Configuration {
+    let model = ModelSpec {
+        weights_mb: 50.0,
+        remote_load: LOAD,
+        disk_load: LOAD,
+        memory_load: LOAD,
+        adapter_mb: 1.0,
+    };
+    let engine = EngineSpec {
+        slots: 8,
+        cache_tokens: 100_000,
+        memory_mb: 200.0,
+        adapter_capacity: 8,
+        loads_per_second: 5.0,
+        models: BTreeMap::from([("cold".into(), model)]),
+    };
+    let service = Service {
+        name: "engine".into(),
+        connection_limit: 100,
+        engine: Some(engine),
+    };
+    Configuration {
+        version: 1,
+        services: BTreeMap::from([("engine".into(), Arc::new(service))]),
+        ..Configuration::default()
+    }
+}
+
+/// An empty engine.
+pub fn runner() -> Runner {
+    Runner {
+        id: "runner-1".into(),
+        service: "engine".into(),
+        address: "10.0.0.1:80".parse().expect("it is an address"),
+        zone: "zone".into(),
+        slots: 8,
+        state: RunnerState::Available,
+        warming: Duration::ZERO,
+        remaining: None,
+        heartbeat: 1,
+        models: Vec::new(),
+        copies: Default::default(),
+    }
+}
+
+/// A dispatcher that knows the engine.
+pub fn dispatcher(now: Instant) -> Dispatcher {
+    let limits = BudgetLimits {
+        ratio: 0.2,
+        window: 10 * SECOND,
+        extra: 10.0,
+    };
+    let mut dispatcher = Dispatcher::new("zone".into(), limits, now);
+    dispatcher.set_configuration(Arc::new(configuration()));
+    dispatcher.update_runner(runner(), now);
+    dispatcher
+}
+
+/// A request whose client expects an event within `target` and leaves after
+/// `patience` without one.
+pub fn query(now: Instant, target: Duration, patience: Duration) -> Query {
+    Query {
+        service: "engine".into(),
+        wanted: Some(ModelReference {
+            model: "cold".into(),
+            adapter: None,
+        }),
+        priority: 1,
+        tokens: 100,
+        prompt_tokens: 100,
+        affinity: None,
+        deadline: now + 15 * SECOND,
+        target_latency: Some(target),
+        patience: Some(patience),
+        hold_limit: now + 7 * SECOND,
+        returning: false,
+        excluded: Vec::new(),
+        attempt: AttemptKind::First,
+        may_wait: true,
+    }
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use barleyspar_catalog::{Configuration, HeldModel, Route, Runner};
+use barleyspar_catalog::{Configuration, Route, Runner};
 use barleyspar_dispatch::{
-    Acquired, BudgetLimits, DemandItem, Dispatcher, Grant, Outcome, PermitId, Query, Refusal,
-    RunnerKey, Splitter, Ticket,
+    Acquired, BudgetLimits, DemandItem, Dispatcher, Grant, Inventory, Outcome, PermitId, Query,
+    Refusal, RunnerKey, Splitter, Ticket,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -85,7 +85,7 @@
     UpdateRunner(Box<Runner>),
     RemoveRunner(Arc<str>),
     RetainRunners(Vec<Arc<str>>),
-    UpdateModels(Arc<str>, u64, Vec<HeldModel>),
+    UpdateModels(Inventory),
     PeerLoad(Arc<str>, Vec<(RunnerKey, u32)>),
     SetNodes(usize),
     SetLimits(BudgetLimits),
@@ -182,8 +182,8 @@
     }
 
     /// Takes in what a runner holds.
-    pub fn update_models(&self, id: Arc<str>, sequence: u64, models: Vec<HeldModel>) {
-        self.send(Command::UpdateModels(id, sequence, models));
+    pub fn update_models(&self, inventory: Inventory) {
+        self.send(Command::UpdateModels(inventory));
     }
 
     /// Takes in another node's load.
@@ -288,9 +288,7 @@
             Command::UpdateRunner(runner) => self.dispatcher.update_runner(*runner, now()),
             Command::RemoveRunner(id) => self.dispatcher.remove_runner(&id),
             Command::RetainRunners(kept) => self.dispatcher.retain_runners(&kept),
-            Command::UpdateModels(id, sequence, models) => {
-                self.dispatcher.update_models(&id, sequence, models, now());
-            }
+            Command::UpdateModels(inventory) => self.dispatcher.update_models(inventory, now()),
             Command::PeerLoad(node, load) => self.dispatcher.set_peer_load(node, load, now()),
             Command::SetLimits(limits) => self.dispatcher.set_limits(limits),
             Command::SetNodes(nodes) => self.dispatcher.set_nodes(nodes),
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -105,20 +105,17 @@
             return peer.map_or(Source::Store, Source::Peer);
         }
         let silence = longest_silence(self.context.dispatch.nodes());
-        match tree::parent(&self.myself(), &heard, silence, avoided) {
+        match tree::parent(
+            &Myself::of(&self.context.settings),
+            &heard,
+            silence,
+            avoided,
+        ) {
             Some(parent) => Source::Peer(parent),
             None => Source::Store,
         }
     }
 
-    fn myself(&self) -> Myself {
-        let settings = &self.context.settings;
-        Myself {
-            name: settings.name.clone(),
-            capacity: settings.limits.link_megabits,
-        }
-    }
-
     /// When this node's knowledge is too old to rely on a parent.
     fn deadline(&self) -> Instant {
         let now = Instant::now();
--- a/crates/gateway/src/feed/tree.rs
+++ b/crates/gateway/src/feed/tree.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use barleyspar_catalog::NodeSettings;
 use tokio::time::Instant;
 
 use crate::peers::Heard;
@@ -33,6 +34,16 @@
     pub capacity: u32,
 }
 
+impl Myself {
+    /// The node with these settings.
+    pub fn of(settings: &NodeSettings) -> Self {
+        Self {
+            name: settings.name.clone(),
+            capacity: settings.limits.link_megabits,
+        }
+    }
+}
+
 /// Place in the order: machines with a faster link first, then by a hash.
 type Place = (std::cmp::Reverse<u32>, u64);
 
@@ -43,21 +54,37 @@
     )
 }
 
-/// The peer to follow, or `None` if this node is to follow the store. Peers not
-/// heard for `silence` and those that `avoided` names do not count.
-pub fn parent(
+/// Peers heard within `silence` that stand before this node in the order.
+fn peers_before<'a>(
     myself: &Myself,
-    heard: &HashMap<Arc<str>, Heard>,
+    heard: &'a HashMap<Arc<str>, Heard>,
     silence: Duration,
     avoided: impl Fn(&str) -> bool,
-) -> Option<Parent> {
+) -> Vec<(Place, &'a Arc<str>, &'a Heard)> {
     let own = place(&myself.name, myself.capacity);
-    let mut before: Vec<(Place, &Arc<str>, &Heard)> = heard
+    heard
         .iter()
         .filter(|(name, peer)| peer.at.elapsed() < silence && !avoided(name))
         .map(|(name, peer)| (place(name, peer.capacity), name, peer))
         .filter(|(peer, _, _)| *peer < own)
-        .collect();
+        .collect()
+}
+
+/// How many peers heard within `silence` stand before this node: machines with
+/// a faster link, which have more of everything as a rule, stand first.
+pub fn position(myself: &Myself, heard: &HashMap<Arc<str>, Heard>, silence: Duration) -> usize {
+    peers_before(myself, heard, silence, |_| false).len()
+}
+
+/// The peer to follow, or `None` if this node is to follow the store. Peers not
+/// heard for `silence` and those that `avoided` names do not count.
+pub fn parent(
+    myself: &Myself,
+    heard: &HashMap<Arc<str>, Heard>,
+    silence: Duration,
+    avoided: impl Fn(&str) -> bool,
+) -> Option<Parent> {
+    let mut before = peers_before(myself, heard, silence, avoided);
     let position = before.len();
     let index = position.checked_sub(1)? / FANOUT;
     let (_, (_, name, peer), _) = before.select_nth_unstable_by_key(index, |entry| entry.0);
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use barleyspar_catalog::HeldModel;
-use barleyspar_dispatch::{DemandItem, RunnerKey};
+use barleyspar_dispatch::{DemandItem, Inventory, RunnerKey};
 use serde::{Deserialize, Serialize};
 
 /// A message between nodes.
@@ -30,15 +29,8 @@
         /// Runners that it cannot reach.
         unreachable: Vec<RunnerKey>,
     },
-    /// What a runner holds, from the placement leader.
-    Held {
-        /// The runner.
-        runner: Arc<str>,
-        /// Orders it has taken.
-        sequence: u64,
-        /// Its models.
-        models: Vec<HeldModel>,
-    },
+    /// What runners hold, from the placement leader.
+    Held(Vec<Inventory>),
 }
 
 impl Message {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -222,14 +222,10 @@
                 items,
                 unreachable,
             }) => self.placement.demand(node, items, unreachable),
-            Some(Message::Held {
-                runner,
-                sequence,
-                models,
-            }) => {
-                self.context
-                    .dispatch
-                    .update_models(runner, sequence, models);
+            Some(Message::Held(inventories)) => {
+                for inventory in inventories {
+                    self.context.dispatch.update_models(inventory);
+                }
             }
             None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
         }
--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::context::Context;
+use crate::feed::{Myself, position};
 use crate::lifecycle::Stage;
 use crate::peers::{Heard, longest_silence};
 use crate::placement::{LEADER_KEY, LeaderRecord};
@@ -31,6 +32,8 @@
 const MARGIN: Duration = Duration::from_millis(200);
 /// Pause for each better placed candidate before the lease is tried for.
 const RANK_PAUSE: Duration = Duration::from_millis(120);
+/// Pause at the start, to hear of larger machines.
+const FIRST_PAUSE: Duration = Duration::from_millis(600);
 /// Best places that are told apart.
 const MOST_RANKS: usize = 12;
 /// Time for one call.
@@ -69,6 +72,7 @@
     }
 
     async fn compete(&mut self) {
+        sleep(FIRST_PAUSE).await;
         loop {
             let predecessor = self.vacancy().await;
             sleep(self.rank_pause()).await;
@@ -115,12 +119,12 @@
         since.elapsed() > longest
     }
 
-    /// Nodes try one after the other, in an order that differs each time.
+    /// Nodes try one after the other, those on larger machines first.
     fn rank_pause(&self) -> Duration {
-        let name = &self.context.settings.name;
-        let places = (self.context.dispatch.nodes() as usize).clamp(1, MOST_RANKS);
-        let place = barleyspar_domain::rank("placement", name) as usize % places;
-        RANK_PAUSE * place as u32
+        let silence = longest_silence(self.context.dispatch.nodes());
+        let myself = Myself::of(&self.context.settings);
+        let place = position(&myself, &self.heard.borrow(), silence);
+        RANK_PAUSE * place.min(MOST_RANKS) as u32
     }
 
     fn time_to_live(&self) -> Duration {
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -1,11 +1,11 @@
 //! The task that leads the placement while this node holds the lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use barleyspar_catalog::{Configuration, Order, OrderAction, OrderAnswer, Runner, RunnerState};
-use barleyspar_dispatch::{RunnerKey, runner_key};
+use barleyspar_dispatch::{Inventory, RunnerKey, runner_key};
 use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView, Source};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -28,6 +28,10 @@
 const FREEZE: Duration = Duration::from_millis(500);
 /// Time after a freeze without orders, to hear of a successor.
 const QUIET_AFTER_FREEZE: Duration = Duration::from_millis(700);
+/// Shortest time between two messages of what runners hold, for each node.
+const BROADCAST_PAUSE: Duration = Duration::from_millis(1);
+/// Runners in one message of what they hold.
+const INVENTORIES_IN_MESSAGE: usize = 6;
 /// Time until a runner that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -42,6 +46,8 @@
     leading: Option<u64>,
     /// Highest token of ours that a runner refused for a higher one.
     fenced_token: u64,
+    /// Runners of which other nodes have yet to be told.
+    unpublished: BTreeSet<Arc<str>>,
     peers: PeerHandle,
     handle: PlacementHandle,
     inbox: mpsc::UnboundedReceiver<Command>,
@@ -66,6 +72,7 @@
             lease,
             leading: None,
             fenced_token: 0,
+            unpublished: BTreeSet::new(),
             peers,
             handle,
             inbox: inbox.0,
@@ -77,6 +84,7 @@
         let mut next = Instant::now() + TICK;
         let mut stepped_at = None;
         let mut quiet_until = Instant::now();
+        let mut next_broadcast = Instant::now();
         // The keeper of the lease ends when the process is told to stop.
         let mut lease_over = false;
         loop {
@@ -88,6 +96,11 @@
                 },
                 changed = lease.changed(), if !lease_over => lease_over = changed.is_err(),
                 () = sleep_until(next), if self.leading.is_some() => {}
+                () = sleep_until(next_broadcast), if !self.unpublished.is_empty() => {
+                    self.broadcast();
+                    next_broadcast = Instant::now() + BROADCAST_PAUSE * self.context.dispatch.nodes();
+                    continue;
+                }
             }
             while let Ok(command) = self.inbox.try_recv() {
                 self.command(command);
@@ -235,27 +248,24 @@
         self.publish(&result.runner);
     }
 
-    /// Tells all nodes what a runner holds.
-    fn publish(&self, runner: &Arc<str>) {
-        let Some(entry) = self.entries.get(runner) else {
-            return;
-        };
-        let view = &entry.view;
-        let models: Vec<_> = view
-            .models
+    /// Takes in at this node what a runner holds, and notes it for the others.
+    fn publish(&mut self, runner: &Arc<str>) {
+        if let Some(entry) = self.entries.get(runner) {
+            self.context.dispatch.update_models(inventory(&entry.view));
+            self.unpublished.insert(runner.clone());
+        }
+    }
+
+    /// Tells all nodes what runners hold, in messages of bounded length.
+    fn broadcast(&mut self) {
+        let inventories: Vec<Inventory> = std::mem::take(&mut self.unpublished)
             .iter()
-            .filter(|held| !view.unloads(&held.model))
-            .cloned()
+            .filter_map(|runner| self.entries.get(runner))
+            .map(|entry| inventory(&entry.view))
             .collect();
-        let message = Message::Held {
-            runner: runner.clone(),
-            sequence: view.sequence,
-            models: models.clone(),
-        };
-        self.peers.broadcast(message);
-        self.context
-            .dispatch
-            .update_models(runner.clone(), view.sequence, models);
+        for part in inventories.chunks(INVENTORIES_IN_MESSAGE) {
+            self.peers.broadcast(Message::Held(part.to_vec()));
+        }
     }
 
     fn order(&mut self) {
@@ -377,6 +387,21 @@
     }
 }
 
+/// What a runner holds, for other nodes.
+fn inventory(view: &RunnerView) -> Inventory {
+    let (unloading, held): (Vec<_>, Vec<_>) = view
+        .models
+        .iter()
+        .cloned()
+        .partition(|held| view.unloads(&held.model));
+    Inventory {
+        runner: view.id.clone(),
+        sequence: view.sequence,
+        models: held,
+        unloading: unloading.into_iter().map(|held| held.model).collect(),
+    }
+}
+
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{RequestFacts, RequestKind, Route};
+use barleyspar_catalog::{AnswerFacts, RequestFacts, RequestKind, Route};
 use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal};
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
@@ -347,7 +347,7 @@
     answered: Answered,
 ) -> Result<Answered, Next> {
     let rejection = match answered.status {
-        StatusCode::MISDIRECTED_REQUEST => Some(Outcome::NotHeld),
+        StatusCode::MISDIRECTED_REQUEST => Some(misdirected(runner, &answered.facts)),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
             if answered.facts.not_run =>
         {
@@ -392,6 +392,14 @@
     )))
 }
 
+/// What it says of `runner` that a request for it was misdirected.
+pub fn misdirected(runner: &Arc<str>, facts: &AnswerFacts) -> Outcome {
+    match &facts.runner {
+        Some(answering) if **answering != **runner => Outcome::Replaced,
+        _ => Outcome::NotHeld,
+    }
+}
+
 /// Whether passing the answer on would promise that a request did not run
 /// which did.
 fn breaks_promise(exchange: &Exchange, answered: &Answered) -> bool {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::exchange::Exchange;
 use crate::journal;
 use crate::relay;
+use crate::request::misdirected;
 
 /// Shortest pause between events that counts as a stall.
 const SHORTEST_GAP_STALL: Duration = Duration::from_millis(700);
@@ -259,12 +260,12 @@
             self.exchange.ran_at(runner, Verdict::Ran);
             return self.may_resume().then_some(AttemptKind::Retry);
         }
-        let misdirected = answered.status == StatusCode::MISDIRECTED_REQUEST;
-        answered.permit.finish(if misdirected {
-            Outcome::NotHeld
+        let outcome = if answered.status == StatusCode::MISDIRECTED_REQUEST {
+            misdirected(runner, &answered.facts)
         } else {
             Outcome::Busy
-        });
+        };
+        answered.permit.finish(outcome);
         self.exchange
             .after_rejection(runner)
             .then_some(AttemptKind::Retry)
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -124,6 +124,7 @@
         let headers = &head.headers;
         AnswerFacts {
             request_id: text(headers, names::REQUEST_ID),
+            runner: None,
             not_run: headers.contains_key(names::NOT_RUN),
             signed: headers.contains_key(names::SIGNATURE),
             keep_alive_seconds: Some(10),
