Blur the choice of a runner among many nodes; look for the store sooner while nothing is known

Cause: nodes know of each other's requests for up to 0.8 s late, so all of 80 chose the same runner meanwhile: prompts met there and held up its streams.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -24,13 +24,38 @@
 /// Cost of a runner that is still slow from its start.
 const WARMING_COST: f64 = 0.3;
 
+/// Requests in flight by which the choice is blurred among many nodes: what each
+/// knows of the others is as old for all, and all would choose the same runner.
+const BLUR_REQUESTS: f64 = 2.0;
+/// Nodes from which on the choice is blurred whole.
+const BLURRED_NODES: f64 = 24.0;
+
+/// What the choice depends on besides the runners and the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Chooser<'a> {
+    /// The node's zone.
+    pub zone: &'a str,
+    /// Nodes that choose among the same runners.
+    pub nodes: usize,
+    /// A number that differs with each choice and node.
+    pub seed: u64,
+    /// Now.
+    pub now: Instant,
+}
+
+impl Chooser<'_> {
+    /// Requests to add to those in flight at the runner, 0 to
+    /// [`BLUR_REQUESTS`].
+    fn blur(&self, entry: &RunnerEntry) -> f64 {
+        let strength = (self.nodes.saturating_sub(1) as f64 / BLURRED_NODES).min(1.0);
+        let random = barleyspar_domain::rank(&self.seed, &*entry.runner.id) as f64;
+        BLUR_REQUESTS * strength * random / u64::MAX as f64
+    }
+}
+
 /// The cheapest of `candidates` for `query`, as an index.
-pub fn cheapest(
-    candidates: &[&RunnerEntry],
-    query: &Query,
-    own_zone: &str,
-    now: Instant,
-) -> Option<usize> {
+pub fn cheapest(candidates: &[&RunnerEntry], query: &Query, chooser: Chooser<'_>) -> Option<usize> {
+    let now = chooser.now;
     let best_failure = candidates
         .iter()
         .map(|entry| entry.health.failure_rate(now))
@@ -51,14 +76,15 @@
     let cached_at = query.affinity.and_then(|key| preferred(candidates, key));
     let cost = |index: usize| {
         let entry = candidates[index];
-        let mut cost = f64::from(entry.total_in_flight()) / f64::from(entry.runner.slots.max(1));
+        let in_flight = f64::from(entry.total_in_flight()) + chooser.blur(entry);
+        let mut cost = in_flight / f64::from(entry.runner.slots.max(1));
         cost += FAILURE_COST * (entry.health.failure_rate(now) - best_failure);
         cost += slowness(entry.health.response_seconds(), best_response);
         if let Some(gap) = gap(entry) {
             cost += SLOW_STREAM_COST * thousands * (gap / best_gap - 1.0).min(1.0);
         }
         cost += UNREAD_COST * entry.unread_tokens as f64 / 1000.0;
-        if &*entry.runner.zone != own_zone {
+        if &*entry.runner.zone != chooser.zone {
             cost += OTHER_ZONE_COST;
         }
         if cached_at.is_some_and(|cached| cached != index) {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use barleyspar_catalog::{Configuration, EngineSpec, ModelReference, Runner, RunnerState};
 
 use crate::budget::{BudgetLimits, RetryBudget};
-use crate::choice::cheapest;
+use crate::choice::{Chooser, cheapest};
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
 use crate::health::Outcome;
@@ -44,6 +44,7 @@
 /// The state of all of this node's requests and of all runners it knows.
 #[derive(Debug)]
 pub struct Dispatcher {
+    name: Arc<str>,
     zone: Arc<str>,
     limits: BudgetLimits,
     started: Instant,
@@ -60,9 +61,10 @@
 }
 
 impl Dispatcher {
-    /// A dispatcher of a node in `zone` that started at `now`.
-    pub fn new(zone: Arc<str>, limits: BudgetLimits, now: Instant) -> Self {
+    /// A dispatcher of the node `name` in `zone` that started at `now`.
+    pub fn new(name: Arc<str>, zone: Arc<str>, limits: BudgetLimits, now: Instant) -> Self {
         Self {
+            name,
             zone,
             limits,
             started: now,
@@ -256,7 +258,13 @@
             .filter(|entry| !entry.health.is_busy(now))
             .filter(|entry| has_room(entry, query, engine))
             .collect();
-        let index = cheapest(&candidates, query, &self.zone, now)?;
+        let chooser = Chooser {
+            zone: &self.zone,
+            nodes: self.nodes,
+            seed: barleyspar_domain::rank(&self.next_id, &*self.name),
+            now,
+        };
+        let index = cheapest(&candidates, query, chooser)?;
         let id = candidates[index].runner.id.clone();
         let count = candidates.len();
         Some(self.grant(&id, query, count))
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -66,7 +66,7 @@
         window: 10 * SECOND,
         extra: 10.0,
     };
-    let mut dispatcher = Dispatcher::new("zone".into(), limits, now);
+    let mut dispatcher = Dispatcher::new("node".into(), "zone".into(), limits, now);
     dispatcher.set_configuration(Arc::new(configuration()));
     dispatcher.update_runner(runner(), now);
     dispatcher
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -26,6 +26,8 @@
 /// Pause after a failed call, doubled with each further failure.
 const SHORTEST_RETRY_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(1200);
+/// Longest pause of a node that knows nothing yet.
+const LONGEST_FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Time for which a parent whose knowledge grew too old is not followed.
 const STALE_AVOIDED_FOR: Duration = Duration::from_secs(5);
 /// Time for which a parent that cannot be reached is not followed.
@@ -141,7 +143,13 @@
                 self.store_failures += 1;
                 self.peer_is_next = true;
                 let pause = SHORTEST_RETRY_PAUSE * 2_u32.pow(doublings);
-                sleep(pause.min(LONGEST_RETRY_PAUSE)).await;
+                // A node that knows nothing serves nobody.
+                let longest = if known {
+                    LONGEST_RETRY_PAUSE
+                } else {
+                    LONGEST_FIRST_PAUSE
+                };
+                sleep(pause.min(longest)).await;
             }
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -152,7 +152,12 @@
     let urgent = Arc::new(Notify::new());
     let (routes_sender, routes) = watch::channel(None);
     let now = Instant::now().into_std();
-    let dispatcher = Dispatcher::new(settings.zone.clone(), budget(&settings), now);
+    let dispatcher = Dispatcher::new(
+        settings.name.clone(),
+        settings.zone.clone(),
+        budget(&settings),
+        now,
+    );
     let context = Context {
         dialect: dialect.clone(),
         network: network.clone(),
