--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,6 +16,10 @@
 /// Time between two looks at the queue when nothing happens.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3600);
 
+/// The same while requests wait: what a runner refused is tried again after a
+/// while, and no message says so.
+const WAITING_PAUSE: Duration = Duration::from_millis(200);
+
 /// A request's place in the queue, chosen by the request.
 type CallId = u64;
 
@@ -263,7 +267,8 @@
 
     fn pause(&self) -> Duration {
         self.dispatcher.next_refusal().map_or(LONGEST_PAUSE, |at| {
-            at.saturating_duration_since(now()) + Duration::from_millis(1)
+            let until = at.saturating_duration_since(now()) + Duration::from_millis(1);
+            until.min(WAITING_PAUSE)
         })
     }
 
