--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{Configuration, EngineSpec, ModelReference, Runner, RunnerState};
+use barleyspar_catalog::{Configuration, ModelReference, Runner};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::choice::{Chooser, cheapest};
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
+use crate::eligibility::{can_serve, has_room};
 use crate::health::Outcome;
 use crate::inventory::Inventory;
 use crate::outcome::apply;
@@ -17,10 +18,6 @@
 use crate::queue::Queue;
 use crate::runner::{RunnerEntry, RunnerKey, runner_key};
 
-/// Requests beyond its slots that a plain runner is given.
-const PLAIN_QUEUE: u32 = 2;
-/// Part of a runner's cache that requests in flight may want together.
-const CACHE_PART: f64 = 0.9;
 /// Time to be told to come back when nothing better is known.
 pub(crate) const USUAL_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time for which a silent node's load is believed.
@@ -373,30 +370,3 @@
         }
     }
 }
-
-/// Whether the runner takes requests for what is wanted.
-fn can_serve(
-    entry: &RunnerEntry,
-    query: &Query,
-    engine: Option<&EngineSpec>,
-    now: Instant,
-) -> bool {
-    debug_assert_eq!(entry.runner.state, RunnerState::Available);
-    match (engine, &query.wanted) {
-        (Some(_), Some(wanted)) => entry.takes(wanted, now),
-        _ => true,
-    }
-}
-
-/// Whether the runner has a slot and cache for the request.
-fn has_room(entry: &RunnerEntry, query: &Query, engine: Option<&EngineSpec>) -> bool {
-    let slots = entry.runner.slots.max(1);
-    match engine {
-        Some(engine) => {
-            let cache = engine.cache_tokens as f64 * CACHE_PART;
-            let fits = entry.tokens == 0 || (entry.tokens + query.tokens) as f64 <= cache;
-            entry.total_in_flight() < slots && fits
-        }
-        None => entry.total_in_flight() < slots + PLAIN_QUEUE,
-    }
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod cold_start;
 mod demand;
 mod dispatcher;
+mod eligibility;
 mod health;
 mod inventory;
 mod outcome;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! the answer; follows the platform's store; and leads the placement of models
 //! while it holds the lease for that.
 
+mod admission;
 mod answers;
 mod attempt;
 mod body;
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! The placement of models: who leads it, and the leader's orders.
 
 mod entry;
+mod inventories;
 mod lease;
 mod order;
 mod task;
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{Configuration, Order, OrderAction, OrderAnswer, Runner, RunnerState};
-use barleyspar_dispatch::{Inventory, RunnerKey, runner_key};
+use barleyspar_dispatch::{RunnerKey, runner_key};
 use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView, Source};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::Context;
-use crate::messages::Message;
 use crate::peers::PeerHandle;
 use crate::placement::entry::{Entry, REPORT_AGAIN, accepted, take_report};
+use crate::placement::inventories::{inventory, messages};
 use crate::placement::lease::holder;
 use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
@@ -30,8 +30,6 @@
 const QUIET_AFTER_FREEZE: Duration = Duration::from_millis(700);
 /// Shortest time between two messages of what runners hold, for each node.
 const BROADCAST_PAUSE: Duration = Duration::from_millis(1);
-/// Runners in one message of what they hold.
-const INVENTORIES_IN_MESSAGE: usize = 6;
 /// Time until a runner that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -256,16 +254,14 @@
         }
     }
 
-    /// Tells all nodes what runners hold, in messages of bounded length.
+    /// Tells all nodes what runners hold.
     fn broadcast(&mut self) {
-        let inventories: Vec<Inventory> = std::mem::take(&mut self.unpublished)
+        let unpublished = std::mem::take(&mut self.unpublished);
+        let entries = unpublished
             .iter()
-            .filter_map(|runner| self.entries.get(runner))
-            .map(|entry| inventory(&entry.view))
-            .collect();
-        for part in inventories.chunks(INVENTORIES_IN_MESSAGE) {
-            self.peers.broadcast(Message::Held(part.to_vec()));
-        }
+            .filter_map(|runner| self.entries.get(runner));
+        let inventories = entries.map(|entry| inventory(&entry.view)).collect();
+        messages(inventories).for_each(|message| self.peers.broadcast(message));
     }
 
     fn order(&mut self) {
@@ -393,21 +389,6 @@
     }
 }
 
-/// What a runner holds, for other nodes.
-fn inventory(view: &RunnerView) -> Inventory {
-    let (unloading, held): (Vec<_>, Vec<_>) = view
-        .models
-        .iter()
-        .cloned()
-        .partition(|held| view.unloads(&held.model));
-    Inventory {
-        runner: view.id.clone(),
-        sequence: view.sequence,
-        models: held,
-        unloading: unloading.into_iter().map(|held| held.model).collect(),
-    }
-}
-
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,42 +3,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{AnswerFacts, RequestFacts, RequestKind, Route};
+use barleyspar_catalog::{AnswerFacts, RequestKind};
 use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal};
 use barleyspar_domain::Verdict;
-use bytes::Bytes;
-use http::header::HOST;
-use http::{Request, Response, StatusCode, request};
-use http_body::Body;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::admission::admit;
 use crate::answers::{OwnAnswer, close_if_draining};
-use crate::attempt::{Answered, Outgoing, attempt};
+use crate::attempt::{Answered, attempt};
 use crate::body::AnswerBody;
-use crate::context::{BODY_UNIT, Context};
+use crate::context::Context;
 use crate::dispatch::Permit;
 use crate::exchange::Exchange;
 use crate::journal;
 use crate::lifecycle::Stage;
 use crate::relay;
 
-/// Time a request is held where neither client nor route says.
-const USUAL_DEADLINE: Duration = Duration::from_secs(60);
-/// Time for a client to send its body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// When to come back to a node that knows no configuration yet.
-const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Wait for a runner from which on the log tells of it.
 const WAIT_WORTH_LOGGING: Duration = Duration::from_millis(20);
 /// When to come back to a node that is being stopped: to another one, at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Time that a request without a stream usually takes at most.
-const LONGEST_PLAIN_REQUEST: Duration = Duration::from_millis(1500);
+pub const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// When to come back after runners rejected the request.
-const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Bytes of an answer that are collected before it is passed on.
 pub const WHOLE_ANSWER_BYTES: usize = 256 * 1024;
 /// Time to read a rejection's body, so that its connection can be used again.
@@ -79,133 +68,6 @@
     }
 }
 
-/// Finds the request's route and reads its body.
-async fn admit(
-    context: &Context,
-    head: request::Parts,
-    body: Incoming,
-    facts: RequestFacts,
-    received: Instant,
-) -> Result<Exchange, OwnAnswer> {
-    let table = context.routes.borrow().clone();
-    let Some(table) = table else {
-        return Err(OwnAnswer::refused("no_configuration", STARTING_RETRY_AFTER));
-    };
-    let host = head
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let route = table
-        .find(host, head.uri.path())
-        .cloned()
-        .ok_or(OwnAnswer::rejected(StatusCode::NOT_FOUND, "no_route"))?;
-    let configuration = table.configuration();
-    if !ends_in_time(context, &route) {
-        return Err(OwnAnswer::refused("stopping", STOPPING_RETRY_AFTER));
-    }
-    let memory = reserve_memory(context, &body, configuration.limits.body_bytes)?;
-    let body = read_body(body, configuration.limits.body_bytes).await?;
-    let service = context.dispatch.split(&route).await;
-    let deadline = received + time_allowed(&facts, &route);
-    let version = configuration.version;
-    let exchange = Exchange::new(
-        context.clone(),
-        route,
-        service,
-        facts.clone(),
-        outgoing(head, body, facts.request_id, memory),
-        received,
-        deadline,
-    );
-    journal::accepted(
-        exchange.id(),
-        &exchange.route,
-        version,
-        &exchange.service,
-        exchange.left(),
-    );
-    Ok(exchange)
-}
-
-/// Whether a request that comes now ends before the process does.
-fn ends_in_time(context: &Context, route: &Route) -> bool {
-    if context.lifecycle.stage() < Stage::Closing {
-        return true;
-    }
-    let left = context.lifecycle.time_left();
-    route.kind != RequestKind::Streaming
-        && left
-            > route
-                .timeout
-                .unwrap_or(USUAL_DEADLINE)
-                .min(LONGEST_PLAIN_REQUEST)
-}
-
-fn time_allowed(facts: &RequestFacts, route: &Route) -> Duration {
-    let by_client = facts.deadline.unwrap_or(USUAL_DEADLINE);
-    by_client.min(route.timeout.unwrap_or(USUAL_DEADLINE))
-}
-
-fn outgoing(
-    head: request::Parts,
-    body: Bytes,
-    request_id: Option<String>,
-    memory: OwnedSemaphorePermit,
-) -> Outgoing {
-    let target = head
-        .uri
-        .path_and_query()
-        .and_then(|target| target.as_str().parse().ok())
-        .unwrap_or(head.uri);
-    Outgoing {
-        method: head.method,
-        target,
-        headers: head.headers,
-        body,
-        request_id,
-        _memory: memory,
-    }
-}
-
-/// Sets memory aside for a body: what it says it needs, or what it may need.
-fn reserve_memory(
-    context: &Context,
-    body: &Incoming,
-    limit: usize,
-) -> Result<OwnedSemaphorePermit, OwnAnswer> {
-    let bytes = body.size_hint().upper().unwrap_or(limit as u64);
-    if bytes > limit as u64 {
-        return Err(OwnAnswer::rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-        ));
-    }
-    let units = (bytes as usize).div_ceil(BODY_UNIT) as u32;
-    context
-        .body_memory
-        .clone()
-        .try_acquire_many_owned(units)
-        .map_err(|_| OwnAnswer::refused("body_memory", REJECTED_RETRY_AFTER))
-}
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, OwnAnswer> {
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body_too_large",
-        )),
-        Ok(Err(_)) => Err(OwnAnswer::rejected(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_) => Err(OwnAnswer::rejected(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_timeout",
-        )),
-    }
-}
-
 /// Tries runners until there is an answer.
 async fn run(mut exchange: Exchange) -> Response<AnswerBody> {
     let mut kind = AttemptKind::First;
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -347,7 +347,7 @@
 /// orders within 0.3 s, each as soon as the one before was refused.
 #[tokio::test(start_paused = true)]
 async fn a_crashed_runner_is_not_ordered_over_and_over() {
-    let mut world = world().await;
+    let world = world().await;
     world.runners["engine-3"].crash(&world.network.clone());
     let before = world.network.refused_connections();
     // Only that runner has room: it is the cheapest until it does not answer.
