Leave a runner for good once another one has its address

Ruled out: the order of loads. Change: that another runner has the address is final for the incarnation. Tests: a_runner_whose_address_another_one_has_is_left_alone_and_reported, extended. Open: the leader still believes the former incarnation's inventory until the entry goes, since the new one's reports look merely old (sequence 0).

--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -38,6 +38,7 @@
         Outcome::Replaced => {
             entry.health.failed(now, Failure::Unreachable);
             entry.health.block_for(now, WRONG_RUNNER_BLOCK);
+            entry.replace();
         }
         Outcome::NotHeld => match wanted {
             Some(wanted) => entry.lacks(wanted, now),
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -48,6 +48,8 @@
     pub health: Health,
     /// Whether it takes new work, for attempts that are about to be sent.
     pub open: Arc<AtomicBool>,
+    /// Whether another runner has its address: this one never comes back.
+    replaced: bool,
     lacking: HashMap<ModelReference, Instant>,
     /// Models on their way out, and until when that is believed.
     unloading: HashMap<Arc<str>, Instant>,
@@ -78,6 +80,7 @@
             peer_in_flight: 0,
             health: Health::new(now),
             open: Arc::new(AtomicBool::new(true)),
+            replaced: false,
             lacking: HashMap::new(),
             unloading: HashMap::new(),
             refusing: HashMap::new(),
@@ -120,6 +123,12 @@
         self.open.store(false, Ordering::Relaxed);
     }
 
+    /// Another runner answered at its address.
+    pub fn replace(&mut self) {
+        self.replaced = true;
+        self.close();
+    }
+
     /// Takes in what the runner holds, from its own report.
     pub fn update_models(&mut self, inventory: Inventory, now: Instant) {
         let sequence = inventory.sequence;
@@ -168,7 +177,7 @@
 
     /// Whether the runner takes new work.
     pub fn is_open(&self) -> bool {
-        self.runner.state == RunnerState::Available
+        self.runner.state == RunnerState::Available && !self.replaced
     }
 
     /// Whether the runner holds `wanted`, as far as this node knows.
--- a/crates/dispatch/tests/inventory.rs
+++ b/crates/dispatch/tests/inventory.rs
@@ -72,4 +72,6 @@
     };
     dispatcher.finish(grant.permit, Outcome::Replaced, now);
     assert_eq!(dispatcher.unreachable(now).len(), 1);
+    // Found on a scale day: with no other holder it was asked 265 times more.
+    assert!(!is_granted(&mut dispatcher, now + 30 * SECOND));
 }
