Read the present state once changes do not arrive; ask the store when overdue

Two faults together. (1) `next_source` compared `now` with a deadline that, once passed, was a later `now`: with a real clock that never holds, so an overdue node went from one parent to the next (286 times) and never to the store; a paused clock hides it. (2) A poll's answer had to arrive within a fixed 600 ms; the history since the known revision did not, however often it was asked for.

Ruled out: the store (well from 16.7 s on), the ring of followers by itself (depth and age are believed at most six steps).

Change: one pure `is_overdue` for all; patience doubles with each late answer (0.6 to 2.4 s for polls, 1 to 10 s for pages); after two late polls the present state is read, whose size does not grow. Tests: 200 changes missed over a slow link (failed before), a deadline seen by a clock that moves on.

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -10,6 +10,7 @@
 
 mod follow;
 mod frame;
+mod patience;
 mod poll;
 mod serve;
 mod state;
--- a/crates/gateway/src/feed/poll.rs
+++ b/crates/gateway/src/feed/poll.rs
@@ -8,9 +8,6 @@
 
 use crate::store::Store;
 
-/// Time beyond that until the answer must be there.
-const POLL_SLACK: Duration = Duration::from_millis(600);
-
 /// Everything the store holds.
 pub struct Everything {
     /// The items.
@@ -64,11 +61,13 @@
     }
 }
 
-/// Waits up to `wait` for changes after `revision`.
+/// Waits up to `wait` for changes after `revision`, and `patience` longer for
+/// the answer to arrive.
 pub async fn read_changes(
     store: &Store,
     revision: u64,
     wait: Duration,
+    patience: Duration,
 ) -> Result<Changes, StoreError> {
     let asked = Instant::now();
     let call = StoreCall::Watch {
@@ -76,7 +75,7 @@
         after: revision,
         wait,
     };
-    match store.call(&call, wait + POLL_SLACK).await? {
+    match store.call(&call, wait + patience).await? {
         StoreAnswer::Events { events, revision } => Ok(Changes {
             events,
             revision,
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use crate::feed::frame::{Packed, pack};
+use crate::feed::times::FeedTimes;
 
 /// Batches that are kept for followers; one that is further behind gets everything.
 const KEPT_BATCHES: usize = 64;
@@ -77,6 +78,19 @@
         self.complete_at.map(|at| now.saturating_duration_since(at))
     }
 
+    /// Whether the copy is too old at `now` to rely on a parent.
+    pub fn is_overdue(&self, times: &FeedTimes, now: Instant) -> bool {
+        self.age(now)
+            .is_none_or(|age| age >= times.longest_age(self.depth))
+    }
+
+    /// When the copy becomes too old to rely on a parent; `now` if it is.
+    pub fn deadline(&self, times: &FeedTimes, now: Instant) -> Instant {
+        self.age(now).map_or(now, |age| {
+            now + times.longest_age(self.depth).saturating_sub(age)
+        })
+    }
+
     /// Takes in a whole copy, complete at `complete_at`. Whether it is newer
     /// than what was known.
     pub fn take_everything(&mut self, items: &[Item], revision: u64) -> bool {
--- a/crates/gateway/src/feed/state_tests.rs
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
-use barleyspar_catalog::{Event, Item};
+use barleyspar_catalog::{Bounds, Event, Item};
 use tokio::time::Instant;
 
 use super::state::{FeedState, Missing};
+use super::times::FeedTimes;
 
 fn item(key: &str, revision: u64) -> Item {
     Item {
@@ -13,6 +14,22 @@
     }
 }
 
+fn bounds() -> Bounds {
+    let second = Duration::from_secs(1);
+    Bounds {
+        grace_period: 8 * second,
+        change_in_force: 2 * second,
+        drain_timeout: 2 * second,
+        retry_ratio: 0.2,
+        retry_window: 10 * second,
+        retry_extra: 50.0,
+        lease_duration: 3 * second,
+        fencing_enforced: true,
+        load_window: 5 * second,
+        load_overage: 1.1,
+    }
+}
+
 fn written(key: &str, revision: u64) -> Event {
     Event::Written(item(key, revision))
 }
@@ -85,3 +102,19 @@
     let now = at;
     assert!(state.age(now).unwrap() > Duration::from_millis(90));
 }
+
+#[test]
+fn a_copy_is_overdue_from_its_deadline_on() {
+    let times = FeedTimes::new(&bounds());
+    let mut state = state();
+    let complete_at = Instant::now();
+    assert!(state.is_overdue(&times, complete_at), "never confirmed");
+    state.confirm(10, complete_at, 1);
+    let deadline = state.deadline(&times, complete_at);
+    let moment = Duration::from_nanos(1);
+    assert!(!state.is_overdue(&times, deadline - moment));
+    // A clock that moves on between two looks changes nothing.
+    assert!(state.is_overdue(&times, deadline));
+    assert!(state.is_overdue(&times, deadline + moment));
+    assert!(state.deadline(&times, deadline + moment) > deadline);
+}
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -12,6 +12,7 @@
 use crate::context::Context;
 use crate::feed::follow::{Arrived, Following};
 use crate::feed::frame::Content;
+use crate::feed::patience::Patience;
 use crate::feed::poll::{read_changes, read_everything};
 use crate::feed::state::{Change, FeedState};
 use crate::feed::times::FeedTimes;
@@ -19,10 +20,6 @@
 use crate::peers::{Heard, longest_silence};
 use crate::store::Store;
 
-/// Time for one page of a range at first. It doubles while pages take longer:
-/// when all nodes start at once, the store's link is busy for seconds.
-const SHORTEST_RANGE_TIMEOUT: Duration = Duration::from_millis(1000);
-const LONGEST_RANGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed call, doubled with each further failure.
 const SHORTEST_RETRY_PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(1200);
@@ -52,11 +49,12 @@
     changes: mpsc::Sender<Change>,
     times: FeedTimes,
     avoided: HashMap<Arc<str>, Instant>,
-    range_timeout: Duration,
+    patience: Patience,
     store_failures: u32,
     /// Whether a peer is asked before the store, which failed last.
     peer_is_next: bool,
-    history_lost: bool,
+    /// Whether changes since the known revision cannot be had any more.
+    reads_anew: bool,
 }
 
 impl FeedTask {
@@ -77,10 +75,10 @@
             changes,
             times,
             avoided: HashMap::new(),
-            range_timeout: SHORTEST_RANGE_TIMEOUT,
+            patience: Patience::default(),
             store_failures: 0,
             peer_is_next: false,
-            history_lost: false,
+            reads_anew: false,
         }
     }
 
@@ -99,7 +97,7 @@
         self.avoided.retain(|_, until| now < *until);
         let avoided = |name: &str| self.avoided.contains_key(name);
         let heard = self.heard.borrow();
-        if self.deadline() <= now || self.history_lost {
+        if self.is_overdue(now) || self.reads_anew {
             let peer = self
                 .peer_is_next
                 .then(|| tree::any_peer(&heard, avoided))
@@ -118,18 +116,17 @@
         }
     }
 
+    fn is_overdue(&self, now: Instant) -> bool {
+        self.state.borrow().is_overdue(&self.times, now)
+    }
+
     /// When this node's knowledge is too old to rely on a parent.
     fn deadline(&self) -> Instant {
-        let now = Instant::now();
-        let state = self.state.borrow();
-        match state.age(now) {
-            Some(age) => now + self.times.longest_age(state.depth()).saturating_sub(age),
-            None => now,
-        }
+        self.state.borrow().deadline(&self.times, Instant::now())
     }
 
     async fn ask_store(&mut self) {
-        let known = self.state.borrow().is_known() && !self.history_lost;
+        let known = self.state.borrow().is_known() && !self.reads_anew;
         let result = if known {
             self.ask_for_changes().await
         } else {
@@ -137,7 +134,7 @@
         };
         match result {
             Ok(()) => self.store_failures = 0,
-            Err(StoreError::HistoryLost) => self.history_lost = true,
+            Err(StoreError::HistoryLost) => self.reads_anew = true,
             Err(_) => {
                 let doublings = self.store_failures.min(8);
                 self.store_failures += 1;
@@ -155,14 +152,18 @@
     }
 
     async fn ask_for_changes(&mut self) -> Result<(), StoreError> {
-        let overdue = self.deadline() <= Instant::now();
-        let wait = if overdue {
+        let wait = if self.is_overdue(Instant::now()) {
             Duration::ZERO
         } else {
             self.times.poll
         };
         let revision = self.state.borrow().revision();
-        let answer = read_changes(&self.store, revision, wait).await?;
+        let answer = read_changes(&self.store, revision, wait, self.patience.poll()).await;
+        if matches!(answer, Err(StoreError::Unanswered(_))) {
+            self.reads_anew |= self.patience.poll_was_late();
+        }
+        let answer = answer?;
+        self.patience.answered();
         let any = !answer.events.is_empty();
         self.take_events(answer.events, answer.revision, answer.asked, 0)
             .await;
@@ -173,14 +174,13 @@
     }
 
     async fn ask_for_everything(&mut self) -> Result<(), StoreError> {
-        let started = Instant::now();
-        let answer = read_everything(&self.store, self.range_timeout).await;
-        if answer.is_err() && started.elapsed() >= self.range_timeout {
-            self.range_timeout = (self.range_timeout * 2).min(LONGEST_RANGE_TIMEOUT);
+        let answer = read_everything(&self.store, self.patience.page()).await;
+        if matches!(answer, Err(StoreError::Unanswered(_))) {
+            self.patience.page_was_late();
         }
         let answer = answer?;
-        self.range_timeout = SHORTEST_RANGE_TIMEOUT;
-        self.history_lost = false;
+        self.patience.answered();
+        self.reads_anew = false;
         tracing::info!(event = "store_read", revision = answer.revision);
         self.take_everything(answer.items, answer.revision, answer.asked, 0)
             .await;
@@ -192,7 +192,7 @@
         self.peer_is_next = false;
         let name = parent.name.clone();
         let trial = Instant::now() + PEER_TRIAL;
-        let overdue = self.deadline() <= Instant::now();
+        let overdue = self.is_overdue(Instant::now());
         let revision = self.state.borrow().revision();
         let begun = Following::begin(&*self.context.network, &parent, revision).await;
         let mut following = match begun {
@@ -249,7 +249,7 @@
                 let items = packed.items()?;
                 self.take_everything(items, frame.revision, complete_at, depth)
                     .await;
-                self.history_lost = false;
+                self.reads_anew = false;
             }
             Content::Events(batches) => {
                 let mut events = Vec::new();
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -38,6 +38,7 @@
     down: bool,
     refused: BTreeSet<IpAddr>,
     lose_answers: u32,
+    time_per_item: Duration,
     calls: u64,
 }
 
@@ -99,6 +100,11 @@
         self.lock().lose_answers = count;
     }
 
+    /// Time that each item or event of an answer takes, as over a slow link.
+    pub fn set_time_per_item(&self, time: Duration) {
+        self.lock().time_per_item = time;
+    }
+
     /// Calls that came so far, refused ones too.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -162,6 +168,9 @@
         if self.loses_answer(&call) {
             std::future::pending::<()>().await;
         }
+        if let Ok(answer) = &result {
+            sleep(self.transfer_time(answer)).await;
+        }
         let (status, bytes) = match result {
             Ok(answer) => (StatusCode::OK, encode(&answer)),
             Err(error) => (error_status(&error), Bytes::new()),
@@ -171,6 +180,15 @@
         Ok(response)
     }
 
+    fn transfer_time(&self, answer: &StoreAnswer) -> Duration {
+        let items = match answer {
+            StoreAnswer::Page { items, .. } => items.len(),
+            StoreAnswer::Events { events, .. } => events.len(),
+            _ => 0,
+        };
+        self.lock().time_per_item * items as u32
+    }
+
     fn loses_answer(&self, call: &StoreCall) -> bool {
         let mut state = self.lock();
         let changes = matches!(call, StoreCall::Commit(_) | StoreCall::GrantLease { .. });
--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -118,3 +118,20 @@
     let of_each = calls / u64::from(GATEWAYS);
     assert!(of_each <= 15, "{of_each} calls of each in ten seconds");
 }
+
+#[tokio::test(start_paused = true)]
+async fn gateways_that_fell_far_behind_read_the_present_state() {
+    const CHANGES: u32 = 200;
+    let mut world = world().await;
+    // All that was missed takes a second to arrive, the present state a tenth.
+    world.store.set_time_per_item(5 * SECOND / 1000);
+    world.store.set_down(true);
+    for _ in 0..CHANGES {
+        add_route(&mut world, "/again/");
+    }
+    add_route(&mut world, "/added/");
+    world.pass(3 * SECOND).await;
+    world.store.set_down(false);
+    world.pass(2 * BOUND).await;
+    assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
+}
