Count what a load costs the streams beside it

Change: a place's cost holds a part (0.15) of the streams in flight and to come there while the load lasts, weighted by rank; so loads gather at runners with few streams.

--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -10,7 +10,7 @@
 use crate::census::Census;
 use crate::demand::ModelDemand;
 use crate::memory::free_mb;
-use crate::value::ReplicaValue;
+use crate::value::{ReplicaValue, rank_weight};
 use crate::view::{RunnerView, Source};
 
 /// Time until an unload is done and known to be.
@@ -25,6 +25,8 @@
 const SAME_ZONE_COST: f64 = 0.3;
 /// Cost in seconds of a load that keeps adapters from being loaded meanwhile.
 const ADAPTERS_BLOCKED_COST: f64 = 6.0;
+/// Part of the streams at a runner that a load there makes late.
+const DISTURBED_PART: f64 = 0.15;
 /// Shortest time by which a gain is divided.
 const SHORTEST_STEP: f64 = 0.2;
 
@@ -161,7 +163,9 @@
     ) -> Option<Place> {
         let spec = self.engine.models.get(model)?;
         let source = runner.source(model);
-        let mut seconds = self.busy_for(runner) + self.load_seconds(spec, source);
+        let load_seconds = self.load_seconds(spec, source);
+        let disturbance = self.disturbance(census, runner, load_seconds);
+        let mut seconds = self.busy_for(runner) + load_seconds;
         if census.of(model).zones.contains(&runner.zone) {
             seconds += SAME_ZONE_COST;
         }
@@ -174,10 +178,23 @@
             runner: index,
             victims,
             source,
-            score: (gain - loss) / seconds.max(SHORTEST_STEP),
+            score: (gain - loss - disturbance) / seconds.max(SHORTEST_STEP),
         })
     }
 
+    /// What a load of `seconds` costs the streams at the runner: its steps take
+    /// longer meanwhile.
+    fn disturbance(&self, census: &Census, runner: &RunnerView, seconds: f64) -> f64 {
+        let streams = |model: &Arc<str>| {
+            let demand = self.demand(model);
+            let replicas = census.of(model).reachable.max(1) as f64;
+            let present = f64::from(demand.in_flight) + demand.rate * seconds;
+            rank_weight(demand.priority) * present / replicas
+        };
+        let streams: f64 = runner.models.iter().map(|held| streams(&held.model)).sum();
+        DISTURBED_PART * streams
+    }
+
     fn load_seconds(&self, spec: &ModelSpec, source: Source) -> f64 {
         match source {
             Source::Memory => spec.memory_load.as_secs_f64(),
