--- a/crates/barleyspar/src/arguments.rs
+++ b/crates/barleyspar/src/arguments.rs
@@ -3,12 +3,13 @@
 use std::path::PathBuf;
 
 use barleyspar_domain::ObjectKind;
+use barleyspar_loading::Switches;
 use lexopt::prelude::*;
 
 /// Help text.
 pub const USAGE: &str = "\
 usage: barleyspar node --config FILE
-       barleyspar gateway --policy FILE [--metrics-port PORT]
+       barleyspar gateway --policy FILE [--metrics-port PORT] [--without MECHANISM,...]
        barleyspar trace REQUEST [FILE...]
        barleyspar check FILE...
        barleyspar apply FILE... [--wait] [--read-at POSITION] REMOTE
@@ -64,10 +65,11 @@
     Help,
     /// Run a node.
     Node { config: PathBuf },
-    /// Run a gateway on the users' platform.
+    /// Run a gateway on the users' platform, without the mechanisms switched off.
     Gateway {
         policy: PathBuf,
         metrics_port: Option<u16>,
+        switches: Switches,
     },
     /// Tell a request's story from logs.
     Trace {
@@ -87,6 +89,7 @@
     config: Option<PathBuf>,
     policy: Option<PathBuf>,
     metrics_port: Option<u16>,
+    switches: Switches,
     wait: bool,
     read_at: Option<u64>,
 }
@@ -100,6 +103,7 @@
             Long("help") | Short('h') => return Ok(Command::Help),
             Long("config") => given.config = Some(parser.value()?.into()),
             Long("metrics-port") => given.metrics_port = Some(parser.value()?.parse()?),
+            Long("without") => given.switches = parser.value()?.parse()?,
             Long("policy") => given.policy = Some(parser.value()?.into()),
             Long("wait") => given.wait = true,
             Long("read-at") => given.read_at = Some(parser.value()?.parse()?),
@@ -139,10 +143,10 @@
         }
         "gateway" => {
             let policy = given.policy.ok_or("--policy is missing")?;
-            let metrics_port = given.metrics_port;
             return Ok(Command::Gateway {
                 policy,
-                metrics_port,
+                metrics_port: given.metrics_port,
+                switches: given.switches,
             });
         }
         "trace" => {
--- a/crates/barleyspar/src/gateway.rs
+++ b/crates/barleyspar/src/gateway.rs
@@ -5,14 +5,22 @@
 use std::sync::Arc;
 
 use barleyspar_dialect::{PlatformDialect, SETTINGS_VARIABLE, read_settings};
+use barleyspar_gateway::Placing;
+use barleyspar_loading::Switches;
 use barleyspar_policy::Program;
 
 use crate::errors::CommandError;
 use crate::logs;
 
-/// Runs a gateway with the policy in `policy` and the platform's settings.
-pub fn run(policy: &Path, metrics_port: Option<u16>) -> Result<(), CommandError> {
+/// Runs a gateway with the policy in `policy` and the platform's settings,
+/// without the mechanisms that `switches` switches off.
+pub fn run(
+    policy: &Path,
+    metrics_port: Option<u16>,
+    switches: Switches,
+) -> Result<(), CommandError> {
     let policy = read_policy(policy)?;
+    let placing = Placing { policy, switches };
     let path = std::env::var_os(SETTINGS_VARIABLE)
         .map(PathBuf::from)
         .unwrap_or_default();
@@ -27,7 +35,7 @@
         read_again,
         settings,
         Arc::new(PlatformDialect),
-        policy,
+        placing,
     ))?;
     Ok(())
 }
--- a/crates/barleyspar/src/main.rs
+++ b/crates/barleyspar/src/main.rs
@@ -31,7 +31,8 @@
         Command::Gateway {
             policy,
             metrics_port,
-        } => gateway::run(&policy, metrics_port),
+            switches,
+        } => gateway::run(&policy, metrics_port, switches),
         Command::Trace { request, files } => trace::run(&request, &files),
         Command::Check { files } => check::run(&files),
         Command::Remote(remote, action) => commands::run(&remote, &action),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,5 +33,5 @@
 
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
 pub use network::{ByteStream, Datagrams, Listener, Network, Sockets};
-pub use node::{Gateway, NodeError, run};
+pub use node::{Gateway, NodeError, Placing, run};
 pub use tasks::TaskGroup;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,7 +6,7 @@
 
 use barleyspar_catalog::{Dialect, NodeSettings};
 use barleyspar_dispatch::{BudgetLimits, Dispatcher};
-use barleyspar_loading::{PaceLimits, Planner, PlannerSettings};
+use barleyspar_loading::{PaceLimits, Planner, PlannerSettings, Switches};
 use barleyspar_policy::Program;
 use thiserror::Error;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -58,16 +58,35 @@
     Signals(io::Error),
 }
 
+/// How models are placed: what operators and those who measure decide.
+#[derive(Debug)]
+pub struct Placing {
+    /// How many replicas a model may have.
+    pub policy: Program,
+    /// What is switched off.
+    pub switches: Switches,
+}
+
+impl Placing {
+    fn with_pace(self, pace: PaceLimits) -> PlannerSettings {
+        PlannerSettings {
+            policy: self.policy,
+            pace,
+            switches: self.switches,
+        }
+    }
+}
+
 /// Runs a gateway until it is told to stop.
 pub async fn run(
     read_settings: impl Fn() -> Result<NodeSettings, String> + Send + 'static,
     settings: NodeSettings,
     dialect: Arc<dyn Dialect>,
-    policy: Program,
+    placing: Placing,
 ) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
-    let gateway = Gateway::start(settings, dialect, policy, Arc::new(Sockets)).await?;
+    let gateway = Gateway::start(settings, dialect, placing, Arc::new(Sockets)).await?;
     let dispatch = gateway.context.dispatch.clone();
     let limits = budget(&gateway.context.settings);
     crate::tasks::spawn(follow_settings(hangup, read_settings, limits, dispatch));
@@ -89,11 +108,11 @@
     pub async fn start(
         settings: NodeSettings,
         dialect: Arc<dyn Dialect>,
-        policy: Program,
+        placing: Placing,
         network: Arc<dyn Network>,
     ) -> Result<Self, NodeError> {
         let (stage, lifecycle) = Lifecycle::running();
-        let context = start(settings, dialect, policy, network, lifecycle).await?;
+        let context = start(settings, dialect, placing, network, lifecycle).await?;
         Ok(Self { context, stage })
     }
 
@@ -144,7 +163,7 @@
 async fn start(
     settings: NodeSettings,
     dialect: Arc<dyn Dialect>,
-    policy: Program,
+    placing: Placing,
     network: Arc<dyn Network>,
     lifecycle: Lifecycle,
 ) -> Result<Context, NodeError> {
@@ -213,7 +232,7 @@
         window: settings.bounds.load_window,
         overage: settings.bounds.load_overage,
     };
-    let planner = Planner::new(PlannerSettings { policy, pace }, now);
+    let planner = Planner::new(placing.with_pace(pace), now);
     let placement_task = PlacementTask::new(
         context.clone(),
         planner,
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -11,6 +11,7 @@
 mod planner;
 mod reservations;
 mod store_share;
+mod switches;
 mod value;
 mod view;
 
@@ -19,4 +20,5 @@
 pub use memory::{free_mb, used_mb};
 pub use pace::{LoadPace, PaceLimits};
 pub use planner::{PlannedOrder, Planner, PlannerSettings};
+pub use switches::{Mechanism, Switches, UnknownMechanism};
 pub use view::{RunnerView, Source};
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -10,6 +10,7 @@
 use crate::census::Census;
 use crate::demand::ModelDemand;
 use crate::memory::free_mb;
+use crate::switches::{Mechanism, Switches};
 use crate::value::{ReplicaValue, rank_weight};
 use crate::view::{RunnerView, Source};
 
@@ -59,6 +60,8 @@
     pub decided: &'a BTreeMap<Arc<str>, Decided>,
     /// Models of which adapters are in use.
     pub adapted: &'a BTreeSet<Arc<str>>,
+    /// What is switched off.
+    pub switches: &'a Switches,
     /// Now.
     pub now: Instant,
 }
@@ -124,9 +127,19 @@
         self.demand.get(model).copied().unwrap_or_default()
     }
 
+    /// Weight of one request of this demand.
+    fn weight(&self, demand: &ModelDemand) -> f64 {
+        if self.switches.is_on(Mechanism::Ranks) {
+            rank_weight(demand.priority)
+        } else {
+            rank_weight(0)
+        }
+    }
+
     fn value(&self, model: &str) -> ReplicaValue {
+        let demand = self.demand(model);
         let starved = self.starved.get(model).copied().unwrap_or(0.0);
-        ReplicaValue::new(&self.demand(model), starved, self.needed(model))
+        ReplicaValue::new(&demand, self.weight(&demand), starved, self.needed(model))
     }
 
     /// The best place for one more replica of `model`, also one at a runner that
@@ -141,12 +154,14 @@
         remote: bool,
     ) -> Option<Place> {
         let gain = self.value(model).gain(census.of(model).reachable);
+        let waits = self.switches.is_on(Mechanism::NearCopies);
         runners
             .iter()
             .enumerate()
             .filter(|(_, runner)| runner.service == *self.service && runner.open)
             .filter(|(_, runner)| runner.reported && runner.held(model).is_none())
             .filter(|(_, runner)| is_free(runner))
+            .filter(|(_, runner)| waits || runner.orderable())
             .filter(|(_, runner)| remote || runner.source(model) != Source::Remote)
             .filter_map(|(index, runner)| self.place(runners, census, (index, runner), model, gain))
             .filter(|place| place.score > 0.0)
@@ -185,11 +200,14 @@
     /// What a load of `seconds` costs the streams at the runner: its steps take
     /// longer meanwhile.
     fn disturbance(&self, census: &Census, runner: &RunnerView, seconds: f64) -> f64 {
+        if !self.switches.is_on(Mechanism::Disturbance) {
+            return 0.0;
+        }
         let streams = |model: &Arc<str>| {
             let demand = self.demand(model);
             let replicas = census.of(model).reachable.max(1) as f64;
             let present = f64::from(demand.in_flight) + demand.rate * seconds;
-            rank_weight(demand.priority) * present / replicas
+            self.weight(&demand) * present / replicas
         };
         let streams: f64 = runner.models.iter().map(|held| streams(&held.model)).sum();
         DISTURBED_PART * streams
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -15,6 +15,7 @@
 use crate::pace::{LoadPace, PaceLimits};
 use crate::reservations::Reservations;
 use crate::store_share::StoreShare;
+use crate::switches::{Mechanism, Switches};
 use crate::view::{RunnerView, Source};
 
 /// What holds for a model whose policy has failed from the start.
@@ -30,6 +31,8 @@
     pub policy: Program,
     /// How many loads from the weight store may begin.
     pub pace: PaceLimits,
+    /// What is switched off.
+    pub switches: Switches,
 }
 
 /// An order to be given.
@@ -141,6 +144,7 @@
                 starved: &state.starved.clone(),
                 decided: &decided,
                 adapted: &adapted,
+                switches: &self.settings.switches.clone(),
                 now,
             };
             self.plan_models(&plan, &mut state, runners, &mut orders);
@@ -183,9 +187,10 @@
                 .filter(|runner| runner.service == *service && runner.open && runner.reachable)
                 .any(|runner| runner.held(model).is_some())
         };
+        let counts = self.settings.switches.is_on(Mechanism::Starvation);
         state.starved.retain(|model, _| !is_there(model));
         for (model, demand) in demand {
-            if demand.rate > 0.0 && !is_there(model) {
+            if counts && demand.rate > 0.0 && !is_there(model) {
                 let starved = state.starved.entry(model.clone()).or_default();
                 *starved += demand.rate * passed.as_secs_f64();
             }
@@ -290,7 +295,8 @@
     ) -> Option<Place> {
         let is_free = |runner: &RunnerView| self.reservations.get(&runner.id).is_none();
         let rate = plan.engine.loads_per_second;
-        let remote = state.share.has_room(self.reserved_remote(runners))
+        let shared = plan.switches.is_on(Mechanism::StoreShare);
+        let remote = (!shared || state.share.has_room(self.reserved_remote(runners)))
             && state.pace.ready(plan.now, rate) - planned_remote as f64 >= 1.0;
         plan.best_place(runners, census, model, is_free, remote)
     }
@@ -328,6 +334,9 @@
         let action = match victims.into_iter().next() {
             Some(victim) => {
                 census.remove(runner, &victim);
+                if !plan.switches.is_on(Mechanism::Reservations) {
+                    self.reservations.remove(&runner.id);
+                }
                 OrderAction::UnloadModel { model: victim }
             }
             None => {
--- a/crates/loading/src/value.rs
+++ b/crates/loading/src/value.rs
@@ -24,10 +24,10 @@
 }
 
 impl ReplicaValue {
-    /// The value for this demand, of which `starved` requests came while there
-    /// was no replica, if the policy wants `needed` replicas.
-    pub fn new(demand: &ModelDemand, starved: f64, needed: usize) -> Self {
-        let weight = rank_weight(demand.priority);
+    /// The value for this demand, whose requests have this `weight` each and of
+    /// which `starved` came while there was no replica, if the policy wants
+    /// `needed` replicas.
+    pub fn new(demand: &ModelDemand, weight: f64, starved: f64, needed: usize) -> Self {
         let coming = demand.rate * HORIZON + f64::from(demand.waiting);
         Self {
             first: weight * (coming + starved),
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -11,7 +11,7 @@
 use barleyspar_dispatch::DemandItem;
 use barleyspar_loading::{
     DemandBook, Lease, LeaseSettings, LoadPace, PaceLimits, Planner, PlannerSettings, RunnerView,
-    free_mb,
+    Switches, free_mb,
 };
 use barleyspar_policy::Program;
 
@@ -119,6 +119,7 @@
                         window: Duration::from_secs(5),
                         overage: 1.1,
                     },
+                    switches: Switches::default(),
                 },
                 started,
             ),
@@ -416,3 +417,64 @@
     };
     assert_eq!(orders, [("1".to_owned(), adapter)]);
 }
+
+#[test]
+fn an_unknown_switch_is_named() {
+    let error = "ranks,speed"
+        .parse::<Switches>()
+        .expect_err("there is none");
+    assert!(error.to_string().contains("\"speed\""), "{error}");
+    assert!(error.to_string().contains("near-copies"), "{error}");
+    assert_eq!("".parse(), Ok(Switches::default()));
+}
+
+/// Found on the third customer's days: loads of 6 s from the weight store were
+/// begun while the runner that had the weights on disk was busy for a moment.
+#[test]
+fn a_busy_runner_with_a_copy_is_waited_for() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &[]), runner("2", &[])];
+    runners[1].copies.memory = vec!["c".into()];
+    runners[1].busy = true;
+    runners[1].busy_until = Some(case.now + Duration::from_millis(500));
+    let configuration = configuration(&["c"]);
+    assert_eq!(case.plan(&configuration, &mut runners), []);
+    runners[1].busy = false;
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+}
+
+/// Found on the third customer's days: places stood empty for 2 s, since after
+/// each unload some other model seemed more urgent at some other runner.
+#[test]
+fn room_that_was_made_is_used_for_what_it_was_made_for() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &["a", "b"]), runner("2", &["a", "b"])];
+    let configuration = configuration(&["a", "b", "c", "d"]);
+    let orders = case.plan(&configuration, &mut runners);
+    let [(freed, OrderAction::UnloadModel { model: victim })] = &orders[..] else {
+        panic!("{orders:?}");
+    };
+    let place = runners
+        .iter()
+        .position(|runner| *runner.id == **freed)
+        .expect("it is one of them");
+    runners[place].models.retain(|held| held.model != *victim);
+    runners[place].ordered = None;
+    // Meanwhile many more wait for another model.
+    let wishes = vec![wish("c", None, 1), wish("d", None, 50)];
+    case.book.update("node".into(), wishes, case.now);
+    let orders = case.plan(&configuration, &mut runners);
+    assert!(orders.contains(&(freed.clone(), load("c"))), "{orders:?}");
+}
+
+#[test]
+fn a_load_goes_where_it_disturbs_few_streams() {
+    let mut streaming = wish("a", None, 0);
+    streaming.in_flight = 30;
+    streaming.rate = 10.0;
+    let mut case = Case::new(ONE, vec![streaming, wish("c", None, 1)]);
+    let mut runners = [runner("1", &["a"]), runner("2", &["b"])];
+    let orders = case.plan(&configuration(&["a", "b", "c"]), &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+}
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -9,7 +9,8 @@
     Backend, Bounds, ClientLimits, Configuration, EngineSpec, MachineLimits, ModelSpec,
     NodeSettings, RequestKind, Route, Service,
 };
-use barleyspar_gateway::{Gateway, TaskGroup};
+use barleyspar_gateway::{Gateway, Placing, TaskGroup};
+use barleyspar_loading::Switches;
 use barleyspar_policy::Program;
 use tokio::time::sleep;
 
@@ -109,12 +110,15 @@
     pub async fn start_gateway_with(&mut self, number: u8, change: impl FnOnce(&mut Bounds)) {
         let mut settings = settings(number);
         change(&mut settings.bounds);
-        let policy = Program::compile(POLICY).expect("the policy is well formed");
+        let placing = Placing {
+            policy: Program::compile(POLICY).expect("the policy is well formed"),
+            switches: Switches::default(),
+        };
         let network = self.network.host(Self::host(number));
         let (sender, started) = tokio::sync::oneshot::channel();
         let tasks = TaskGroup::default();
         tasks.spawn(async move {
-            let gateway = Gateway::start(settings, Arc::new(NativeDialect), policy, network)
+            let gateway = Gateway::start(settings, Arc::new(NativeDialect), placing, network)
                 .await
                 .expect("the gateway starts");
             let _ = sender.send(Arc::new(gateway));
