Tests: a leaving binds and no request is lost while the store is down

Both hold already: a runner that was draining stays so whatever older entries say, and a stop answers all that it took. Stand-in, virtual time; no change of code.

--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -394,3 +394,45 @@
     let refused = world.network.refused_connections() - before;
     assert!(refused < 20, "{refused} connections");
 }
+
+/// A leaving that a gateway knows of binds it while the store is away as well.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_runner_gets_nothing_while_the_store_is_down() {
+    let mut world = world().await;
+    let leaving = world.start_runner("plain-2", "plain", &[]);
+    world.pass(SECOND).await;
+    leaving.drain();
+    world.pass(SECOND).await;
+    world.store.set_down(true);
+    let before = leaving.arrivals();
+    for number in 0..30 {
+        let gateway = number % 3 + 1;
+        let answer = world
+            .ask(gateway, "/plain/x", &format!("r{number}"), None)
+            .await;
+        assert_eq!(answer.code(), 200);
+        world.pass(SECOND / 3).await;
+    }
+    world.store.set_down(false);
+    world.pass(3 * SECOND).await;
+    assert_eq!(leaving.arrivals(), before);
+}
+
+/// An outage of the store excuses no request that is lost around a planned stop.
+#[tokio::test(start_paused = true)]
+async fn a_stop_while_the_store_is_down_loses_no_plain_request() {
+    let world = world().await;
+    world.store.set_down(true);
+    world.pass(SECOND).await;
+    let gateway = world.gateway(1);
+    let ids: Vec<String> = (0..12).map(|number| format!("r{number}")).collect();
+    let asked = join_all(ids.iter().map(|id| world.ask(1, "/plain/x", id, None)));
+    let stop = async {
+        world.pass(SECOND / 100).await;
+        gateway.stop().await;
+    };
+    let (answers, ()) = tokio::join!(asked, stop);
+    for answer in answers {
+        assert!(matches!(answer.code(), 200 | 503), "{}", answer.code());
+    }
+}
