The policy says where a model may be, and sees its rank and who was starved

Cause: the gateway's planner asked the policy how many replicas and dropped its zones; the context said nothing of rank or of models never served. Change: decisions in a module of their own; places outside the decided zones are not considered; the context has `priority` and `starved`. Tests: zones, and a policy that waits for 1.5 starved requests.

--- a/crates/lab/src/sim/log_recorder.rs
+++ b/crates/lab/src/sim/log_recorder.rs
@@ -90,6 +90,8 @@
             requests_per_second: 0.0,
             in_flight: 0,
             waiting: 0,
+            priority: 0,
+            starved: 0.0,
             slots: 1,
         };
         let decision = Program::compile(program).and_then(|program| program.decide(&context));
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod adapters;
 mod census;
+mod decisions;
 mod demand;
 mod lease;
 mod memory;
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -8,6 +8,7 @@
 use barleyspar_catalog::{EngineSpec, ModelSpec};
 
 use crate::census::Census;
+use crate::decisions::Decided;
 use crate::demand::ModelDemand;
 use crate::memory::free_mb;
 use crate::switches::{Mechanism, Switches};
@@ -37,15 +38,6 @@
 /// Replicas that may be loaded at once of a model that has none.
 const FIRST_REPLICAS: usize = 2;
 
-/// How many replicas a policy decided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Decided {
-    /// To have while the model is in use.
-    pub wanted: usize,
-    /// At most, whatever happens.
-    pub most: usize,
-}
-
 /// What the planner knows of one service's models.
 pub struct ModelPlan<'a> {
     /// The service.
@@ -154,13 +146,14 @@
         remote: bool,
     ) -> Option<Place> {
         let gain = self.value(model).gain(census.of(model).reachable);
+        let decided = self.decided.get(model)?;
         let waits = self.switches.is_on(Mechanism::NearCopies);
         runners
             .iter()
             .enumerate()
             .filter(|(_, runner)| runner.service == *self.service && runner.open)
             .filter(|(_, runner)| runner.reported && runner.held(model).is_none())
-            .filter(|(_, runner)| is_free(runner))
+            .filter(|(_, runner)| decided.allows(&runner.zone) && is_free(runner))
             .filter(|(_, runner)| waits || runner.orderable())
             .filter(|(_, runner)| remote || runner.source(model) != Source::Remote)
             .filter_map(|(index, runner)| self.place(runners, census, (index, runner), model, gain))
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -4,23 +4,20 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use barleyspar_catalog::{Configuration, EngineSpec, OrderAction};
-use barleyspar_domain::ZoneName;
-use barleyspar_policy::{Context, Program};
+use barleyspar_catalog::{Configuration, OrderAction};
+use barleyspar_policy::Program;
 
 use crate::adapters::AdapterPlan;
 use crate::census::Census;
+use crate::decisions::{Decisions, Question};
 use crate::demand::{DemandBook, ModelDemand};
-use crate::models::{Decided, ModelPlan, Place};
+use crate::models::{ModelPlan, Place};
 use crate::pace::{LoadPace, PaceLimits};
 use crate::reservations::Reservations;
 use crate::store_share::StoreShare;
 use crate::switches::{Mechanism, Switches};
 use crate::view::{RunnerView, Source};
 
-/// What holds for a model whose policy has failed from the start.
-const UNDECIDED: Decided = Decided { wanted: 1, most: 1 };
-
 /// Requests a second at which an adapter is in use.
 const ADAPTER_RATE: f64 = 0.02;
 
@@ -64,7 +61,7 @@
     /// By runner, the sequence number at which a load was counted last: of all
     /// orders with one number, the runner carries out one.
     counted: BTreeMap<Arc<str>, u64>,
-    last_decision: BTreeMap<(Arc<str>, Arc<str>), Decided>,
+    decisions: Decisions,
     started: Instant,
     planned_at: Instant,
 }
@@ -77,7 +74,7 @@
             services: BTreeMap::new(),
             reservations: Reservations::default(),
             counted: BTreeMap::new(),
-            last_decision: BTreeMap::new(),
+            decisions: Decisions::default(),
             started: now,
             planned_at: now,
         }
@@ -124,7 +121,6 @@
                 .filter(|(_, demand)| demand.is_active() || demand.rate > ADAPTER_RATE)
                 .map(|((model, _), _)| model.clone())
                 .collect();
-            let decided = self.decide(&service.name, engine, &models, runners);
             // Adapters first: they take milliseconds, and wait for seconds once
             // their runner loads a model.
             let plan = AdapterPlan {
@@ -137,6 +133,14 @@
             plan_adapters(&plan, runners, &mut orders);
             let mut state = self.service_state(&service.name);
             self.observe(&service.name, &mut state, &models, runners, now);
+            let question = Question {
+                service: &service.name,
+                engine,
+                demand: &models,
+                starved: &state.starved,
+                runners,
+            };
+            let decided = self.decisions.decide(&self.settings.policy, &question);
             let plan = ModelPlan {
                 service: &service.name,
                 engine,
@@ -380,52 +384,6 @@
         self.counted.insert(runner.id.clone(), runner.sequence);
         true
     }
-
-    /// Replicas that the policy decides for each model with demand.
-    fn decide(
-        &mut self,
-        service: &Arc<str>,
-        engine: &EngineSpec,
-        demand: &BTreeMap<Arc<str>, ModelDemand>,
-        runners: &[RunnerView],
-    ) -> BTreeMap<Arc<str>, Decided> {
-        let open: Vec<&RunnerView> = runners
-            .iter()
-            .filter(|runner| runner.service == *service && runner.open)
-            .collect();
-        let zones: BTreeSet<ZoneName> = open
-            .iter()
-            .filter_map(|runner| ZoneName::try_from(&*runner.zone).ok())
-            .collect();
-        let zones: Vec<ZoneName> = zones.into_iter().collect();
-        demand
-            .iter()
-            .map(|(model, demand)| {
-                let context = Context {
-                    model: model.to_string(),
-                    service: service.to_string(),
-                    runners: open.len() as u32,
-                    zones: zones.clone(),
-                    hour: 0,
-                    minute: 0,
-                    requests_per_second: demand.rate,
-                    in_flight: demand.in_flight,
-                    waiting: demand.waiting,
-                    slots: engine.slots,
-                };
-                let key = (service.clone(), model.clone());
-                let decided = match self.settings.policy.decide(&context) {
-                    Ok(decision) => Decided {
-                        wanted: decision.wanted() as usize,
-                        most: decision.replicas as usize,
-                    },
-                    Err(_) => self.last_decision.get(&key).copied().unwrap_or(UNDECIDED),
-                };
-                self.last_decision.insert(key, decided);
-                (model.clone(), decided)
-            })
-            .collect()
-    }
 }
 
 fn plan_adapters(
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -478,3 +478,36 @@
     let orders = case.plan(&configuration(&["a", "b", "c"]), &mut runners);
     assert_eq!(orders, [("2".to_owned(), load("c"))]);
 }
+
+#[test]
+fn a_policy_says_in_which_zones_a_model_may_be() {
+    let policy = r#"fn decide(context) { #{ replicas: 1, zones: ["north"] } }"#;
+    let mut case = Case::new(policy, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &[]), runner("2", &["a"])];
+    runners[1].zone = "north".into();
+    // The other would be the quicker one.
+    runners[0].copies.memory = vec!["c".into()];
+    let orders = case.plan(&configuration(&["a", "c"]), &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+}
+
+#[test]
+fn a_policy_sees_the_rank_and_who_was_never_served() {
+    let policy = "fn decide(context) {
+        #{ replicas: if context.priority == 1 && context.starved > 1.5 { 1 } else { 0 } }
+    }";
+    let asked = || DemandItem {
+        rate: 1.0,
+        ..wish("c", None, 1)
+    };
+    let mut case = Case::new(policy, vec![asked()]);
+    let mut runners = [runner("1", &[])];
+    let configuration = configuration(&["c"]);
+    // Nobody has planned since the start, ten seconds ago: that counts once.
+    case.planner.restart(case.now);
+    assert_eq!(case.plan(&configuration, &mut runners), []);
+    case.now += Duration::from_secs(2);
+    case.book.update("node".into(), vec![asked()], case.now);
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders, [("1".to_owned(), load("c"))]);
+}
--- a/crates/placement/src/decisions.rs
+++ b/crates/placement/src/decisions.rs
@@ -130,6 +130,8 @@
             requests_per_second: 0.0,
             in_flight: 0,
             waiting: 0,
+            priority: 0,
+            starved: 0.0,
             slots: 1,
         }
     }
--- a/crates/policy/src/decision.rs
+++ b/crates/policy/src/decision.rs
@@ -32,6 +32,12 @@
     pub in_flight: u32,
     /// Requests that wait for the model.
     pub waiting: u32,
+    /// Most urgent rank among the requests for the model lately; 0 is the most
+    /// urgent.
+    pub priority: u8,
+    /// Requests that came for the model since it last had a replica; 0 while it
+    /// has one.
+    pub starved: f64,
     /// Requests that one runner works on at once.
     pub slots: u32,
 }
@@ -52,6 +58,8 @@
         );
         map.insert("in_flight".into(), i64::from(self.in_flight).into());
         map.insert("waiting".into(), i64::from(self.waiting).into());
+        map.insert("priority".into(), i64::from(self.priority).into());
+        map.insert("starved".into(), self.starved.into());
         map.insert("slots".into(), i64::from(self.slots).into());
         map.into()
     }
