--- /dev/null
+++ b/crates/loading/benches/planner.rs
@@ -0,0 +1,127 @@
+//! Processor time of one step of the planner, by the size of the site.
+//!
+//! `cargo bench -p barleyspar-loading` prints a line for each size: runners,
+//! models, those that somebody waits for, milliseconds for a step.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use barleyspar_catalog::{
+    ClientLimits, Configuration, EngineSpec, HeldModel, ModelSpec, Service, WeightCopies,
+};
+use barleyspar_dispatch::DemandItem;
+use barleyspar_loading::{DemandBook, PaceLimits, Planner, PlannerSettings, RunnerView, Switches};
+use barleyspar_policy::Program;
+
+/// Runners and models of the users' deployments, and of the brief's plan.
+const SIZES: [(usize, usize); 4] = [(9, 50), (90, 481), (240, 862), (3700, 900)];
+const HELD: usize = 3;
+const ON_DISK: usize = 18;
+/// One model in this many is waited for.
+const WAITED_FOR: usize = 12;
+const STEPS: u32 = 40;
+const POLICY: &str = include_str!("../../../deploy/policy.rhai");
+
+fn name(number: usize) -> Arc<str> {
+    format!("model-{number}").into()
+}
+
+fn configuration(models: usize) -> Configuration {
+    let spec = ModelSpec {
+        weights_mb: 70_000.0,
+        remote_load: Duration::from_secs(6),
+        disk_load: Duration::from_millis(840),
+        memory_load: Duration::from_millis(470),
+        adapter_mb: 66.0,
+    };
+    let engine = EngineSpec {
+        slots: 16,
+        cache_tokens: 80_000,
+        memory_mb: 230_000.0,
+        adapter_capacity: 8,
+        loads_per_second: 36.0,
+        models: (0..models)
+            .map(|number| (name(number), spec.clone()))
+            .collect(),
+    };
+    let service = Service {
+        name: "engine".into(),
+        connection_limit: 500,
+        engine: Some(engine),
+    };
+    Configuration {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
+        limits: ClientLimits::default(),
+    }
+}
+
+fn runner(number: usize, models: usize) -> RunnerView {
+    let at = |offset: usize| name((number * HELD + offset * 7) % models);
+    let held = |model| HeldModel {
+        model,
+        version: 1,
+        adapters: Vec::new(),
+    };
+    RunnerView {
+        id: format!("runner-{number}").into(),
+        service: "engine".into(),
+        zone: format!("zone-{}", number % 3).into(),
+        open: true,
+        reported: true,
+        reachable: true,
+        sequence: 0,
+        busy: false,
+        models: (0..HELD).map(at).map(held).collect(),
+        pending_adapters: Vec::new(),
+        copies: WeightCopies {
+            memory: Vec::new(),
+            disk: (0..ON_DISK).map(at).collect(),
+        },
+        ordered: None,
+        busy_until: None,
+    }
+}
+
+fn demand(models: usize) -> Vec<DemandItem> {
+    let item = |number: usize| DemandItem {
+        service: "engine".into(),
+        model: name(number),
+        adapter: None,
+        waiting: u32::from(number.is_multiple_of(WAITED_FOR)),
+        priority: (number % 3) as u8,
+        in_flight: 1,
+        rate: 0.2,
+    };
+    (0..models).map(item).collect()
+}
+
+fn main() {
+    for (runners, models) in SIZES {
+        let configuration = configuration(models);
+        let views: Vec<RunnerView> = (0..runners).map(|number| runner(number, models)).collect();
+        let settings = PlannerSettings {
+            policy: Program::compile(POLICY).expect("the policy is well formed"),
+            pace: PaceLimits {
+                window: Duration::from_secs(5),
+                overage: 1.1,
+            },
+            switches: Switches::default(),
+        };
+        let start = Instant::now();
+        let mut planner = Planner::new(settings, start);
+        let mut book = DemandBook::default();
+        book.update("node".into(), demand(models), start);
+        for _ in 0..STEPS {
+            planner.plan(&configuration, &mut views.clone(), &mut book, start);
+        }
+        let took = start.elapsed() / STEPS;
+        let waited_for = models.div_ceil(WAITED_FOR);
+        println!(
+            "{runners} runners, {models} models, {waited_for} waited for: {:.2} ms",
+            took.as_secs_f64() * 1000.0
+        );
+    }
+}
--- a/crates/loading/src/decisions.rs
+++ b/crates/loading/src/decisions.rs
@@ -68,10 +68,37 @@
     pub runners: &'a [RunnerView],
 }
 
+/// What a decision depends on, as coarsely as it makes a difference: the policy
+/// is asked again when this changes.
+#[derive(Debug, Default, PartialEq)]
+struct Inputs {
+    runners: u32,
+    zones: usize,
+    tenths_a_second: u64,
+    in_flight: u32,
+    waiting: u32,
+    priority: u8,
+    starved: u64,
+}
+
+impl Inputs {
+    fn of(context: &Context) -> Self {
+        Self {
+            runners: context.runners,
+            zones: context.zones.len(),
+            tenths_a_second: (context.requests_per_second * 10.0).round() as u64,
+            in_flight: context.in_flight,
+            waiting: context.waiting,
+            priority: context.priority,
+            starved: context.starved.round() as u64,
+        }
+    }
+}
+
 /// Decisions by service and model; the last one holds while the policy fails.
 #[derive(Debug, Default)]
 pub struct Decisions {
-    last: BTreeMap<(Arc<str>, Arc<str>), Decided>,
+    last: BTreeMap<(Arc<str>, Arc<str>), (Inputs, Decided)>,
 }
 
 impl Decisions {
@@ -110,10 +137,14 @@
                 .last
                 .entry((question.service.clone(), model.clone()))
                 .or_default();
-            if let Ok(decision) = policy.decide(&context) {
-                *last = decision.into();
+            let inputs = Inputs::of(&context);
+            if last.0 != inputs {
+                last.0 = inputs;
+                if let Ok(decision) = policy.decide(&context) {
+                    last.1 = decision.into();
+                }
             }
-            decided.insert(model.clone(), last.clone());
+            decided.insert(model.clone(), last.1.clone());
         }
         decided
     }
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -21,6 +21,9 @@
 /// Requests a second at which an adapter is in use.
 const ADAPTER_RATE: f64 = 0.02;
 
+/// Requests by which one that waits counts more for each second of waiting.
+const AGING: f64 = 1.0;
+
 /// What the planner is told once.
 #[derive(Debug)]
 pub struct PlannerSettings {
@@ -194,9 +197,11 @@
         let counts = self.settings.switches.is_on(Mechanism::Starvation);
         state.starved.retain(|model, _| !is_there(model));
         for (model, demand) in demand {
-            if counts && demand.rate > 0.0 && !is_there(model) {
+            let wanted = demand.rate > 0.0 || demand.waiting > 0;
+            if counts && wanted && !is_there(model) {
                 let starved = state.starved.entry(model.clone()).or_default();
-                *starved += demand.rate * passed.as_secs_f64();
+                let a_second = demand.rate + AGING * f64::from(demand.waiting);
+                *starved += a_second * passed.as_secs_f64();
             }
         }
     }
