Wait for an answer of the store that keeps coming

Ruled out: the store (stable until 12.6 s); a wrong parent (the age of its knowledge was told truly). Change: patience counts until an answer begins and then from part to part. Test: an answer that takes two seconds in twenty parts; failed before.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{Dialect, StoreAnswer, StoreCall, StoreError};
-use http::HeaderValue;
+use bytes::{Bytes, BytesMut};
 use http::header::HOST;
+use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
-use tokio::time::{Instant, timeout_at};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout};
 
 use crate::metrics::Metrics;
 use crate::network::Network;
@@ -17,6 +19,9 @@
 /// Seconds that a connection to the store may rest.
 const KEEP_ALIVE_SECONDS: u64 = 5;
 
+/// Longest time for one call, however its answer comes.
+const LONGEST_CALL: Duration = Duration::from_secs(40);
+
 /// Makes calls to the store. A connection on which an answer stayed out is not
 /// used again.
 #[derive(Clone)]
@@ -47,18 +52,18 @@
         }
     }
 
-    /// Makes one call and waits for its answer at most for `timeout`.
+    /// Makes one call. Waits for `patience` for its answer to begin, and as long
+    /// for each further part of it: a long answer that keeps coming is not given
+    /// up, since the next one would be no shorter.
     pub async fn call(
         &self,
         call: &StoreCall,
-        timeout: Duration,
+        patience: Duration,
     ) -> Result<StoreAnswer, StoreError> {
         let started = Instant::now();
-        let until = started + timeout;
-        let result = match timeout_at(until, self.exchange(call)).await {
-            Ok(result) => result,
-            Err(_) => Err(StoreError::Unanswered("time is up".to_owned())),
-        };
+        let result = timeout(LONGEST_CALL, self.exchange(call, patience))
+            .await
+            .unwrap_or_else(|_| Err(time_is_up()));
         let outcome = if result.is_ok() { "answered" } else { "failed" };
         self.metrics
             .store_call(call.name(), outcome, started.elapsed());
@@ -68,7 +73,22 @@
         result
     }
 
-    async fn exchange(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
+    async fn exchange(
+        &self,
+        call: &StoreCall,
+        patience: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let (mut connection, response) = timeout(patience, self.send(call))
+            .await
+            .unwrap_or_else(|_| Err(time_is_up()))?;
+        let status = response.status();
+        let body = read_body(response.into_body(), patience).await?;
+        connection.rest(Some(KEEP_ALIVE_SECONDS));
+        self.lock().push(connection);
+        self.dialect.read_store_answer(call, status, &body)
+    }
+
+    async fn send(&self, call: &StoreCall) -> Result<(Connection, Response<Incoming>), StoreError> {
         let mut connection = match self.checkout() {
             Some(connection) => connection,
             None => Connection::open(&*self.network, self.address, Duration::from_secs(60), None)
@@ -84,16 +104,7 @@
                 StoreError::Unavailable
             }
         })?;
-        let status = response.status();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|error| StoreError::Unanswered(error.to_string()))?
-            .to_bytes();
-        connection.rest(Some(KEEP_ALIVE_SECONDS));
-        self.lock().push(connection);
-        self.dialect.read_store_answer(call, status, &body)
+        Ok((connection, response))
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Connection>> {
@@ -106,3 +117,22 @@
         idle.pop()
     }
 }
+
+/// Reads a body of which each part comes within `patience`.
+async fn read_body(mut body: Incoming, patience: Duration) -> Result<Bytes, StoreError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = timeout(patience, body.frame())
+        .await
+        .map_err(|_| time_is_up())?
+    {
+        let frame = frame.map_err(|error| StoreError::Unanswered(error.to_string()))?;
+        if let Ok(part) = frame.into_data() {
+            whole.extend_from_slice(&part);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+fn time_is_up() -> StoreError {
+    StoreError::Unanswered("time is up".to_owned())
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -2,15 +2,18 @@
 //! outages, callers that are refused, answers lost after the change was done.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use barleyspar_catalog::{Event, Item, StoreAnswer, StoreCall, StoreError, Transaction};
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -20,9 +23,23 @@
 use crate::dialect::{decode, encode, error_status};
 use crate::network::MemoryNetwork;
 
+/// Pieces in which a slow answer is sent.
+const PIECES: usize = 20;
+
+type AnswerBody = BoxBody<Bytes, Infallible>;
+
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
+fn pieces(mut bytes: Bytes) -> Vec<Bytes> {
+    let size = bytes.len().div_ceil(PIECES);
+    let mut pieces = Vec::with_capacity(PIECES);
+    while !bytes.is_empty() {
+        pieces.push(bytes.split_to(size.min(bytes.len())));
+    }
+    pieces
+}
+
 struct Stored {
     item: Item,
     lease: u64,
@@ -39,6 +56,7 @@
     refused: BTreeSet<IpAddr>,
     lose_answers: u32,
     time_per_item: Duration,
+    piece_pause: Duration,
     calls: u64,
 }
 
@@ -105,6 +123,12 @@
         self.lock().time_per_item = time;
     }
 
+    /// Pause before each of the [`PIECES`] in which an answer is sent, as over a
+    /// link that is slow but steady.
+    pub fn set_piece_pause(&self, pause: Duration) {
+        self.lock().piece_pause = pause;
+    }
+
     /// Calls that came so far, refused ones too.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -146,7 +170,7 @@
         self,
         request: Request<Incoming>,
         caller: IpAddr,
-    ) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    ) -> Result<Response<AnswerBody>, std::io::Error> {
         let broken = |_| std::io::Error::from(std::io::ErrorKind::BrokenPipe);
         let body = request
             .into_body()
@@ -175,11 +199,24 @@
             Ok(answer) => (StatusCode::OK, encode(&answer)),
             Err(error) => (error_status(&error), Bytes::new()),
         };
-        let mut response = Response::new(Full::new(bytes));
+        let mut response = Response::new(self.body(bytes));
         *response.status_mut() = status;
         Ok(response)
     }
 
+    fn body(&self, bytes: Bytes) -> AnswerBody {
+        let pause = self.lock().piece_pause;
+        if pause.is_zero() || bytes.is_empty() {
+            return Full::new(bytes).boxed();
+        }
+        let pieces = pieces(bytes);
+        let sent = stream::iter(pieces).then(move |piece| async move {
+            sleep(pause).await;
+            Ok(Frame::data(piece))
+        });
+        BodyExt::boxed(StreamBody::new(sent))
+    }
+
     fn transfer_time(&self, answer: &StoreAnswer) -> Duration {
         let items = match answer {
             StoreAnswer::Page { items, .. } => items.len(),
--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -135,3 +135,21 @@
     world.pass(2 * BOUND).await;
     assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
 }
+
+/// Found on the small twin of a large site: in a storm of configurations the
+/// changes took over a second to arrive, and were given up each time.
+#[tokio::test(start_paused = true)]
+async fn changes_that_keep_coming_are_waited_for() {
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/plain/", "plain", RequestKind::Idempotent)],
+    );
+    world.start_runner("plain-1", "plain", &[]);
+    world.start_gateway(1).await;
+    world.pass(5 * SECOND).await;
+    // An answer takes two seconds, without a long pause in it.
+    world.store.set_piece_pause(SECOND / 10);
+    add_route(&mut world, "/added/");
+    world.pass(3 * SECOND).await;
+    assert_in_force(&world, 1..=1, "/added/").await;
+}
