--- a/crates/loading/src/census.rs
+++ b/crates/loading/src/census.rs
@@ -28,12 +28,8 @@
 }
 
 impl Census {
-    /// Counts what the open runners of `service` hold, load and will load.
-    pub fn new<'a>(
-        service: &str,
-        runners: &[RunnerView],
-        reserved: impl Fn(&str) -> Option<&'a Arc<str>>,
-    ) -> Self {
+    /// Counts what the open runners of `service` hold and load.
+    pub fn new(service: &str, runners: &[RunnerView]) -> Self {
         let mut census = Self::default();
         for runner in runners {
             if &*runner.service != service || !runner.open {
@@ -44,12 +40,11 @@
                     census.add(runner, &held.model, true);
                 }
             }
-            let coming = match &runner.ordered {
-                Some(OrderAction::LoadModel { model }) => Some(model),
-                _ => reserved(&runner.id),
-            };
-            if let Some(model) = coming.filter(|model| runner.held(model).is_none()) {
-                census.add(runner, model, false);
+            match &runner.ordered {
+                Some(OrderAction::LoadModel { model }) if runner.held(model).is_none() => {
+                    census.add(runner, model, false);
+                }
+                _ => {}
             }
         }
         census
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -10,8 +10,6 @@
 mod models;
 mod pace;
 mod planner;
-mod reservations;
-mod store_share;
 mod switches;
 mod value;
 mod view;
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -13,8 +13,6 @@
 use crate::demand::{DemandBook, ModelDemand};
 use crate::models::{ModelPlan, Place};
 use crate::pace::{LoadPace, PaceLimits};
-use crate::reservations::Reservations;
-use crate::store_share::StoreShare;
 use crate::switches::{Mechanism, Switches};
 use crate::view::{RunnerView, Source};
 
@@ -50,7 +48,6 @@
 #[derive(Debug)]
 struct ServiceState {
     pace: LoadPace,
-    share: StoreShare,
     /// Requests that came for models while they had no replica.
     starved: BTreeMap<Arc<str>, f64>,
 }
@@ -60,7 +57,6 @@
 pub struct Planner {
     settings: PlannerSettings,
     services: BTreeMap<Arc<str>, ServiceState>,
-    reservations: Reservations,
     /// By runner, the sequence number at which a load was counted last: of all
     /// orders with one number, the runner carries out one.
     counted: BTreeMap<Arc<str>, u64>,
@@ -75,7 +71,6 @@
         Self {
             settings,
             services: BTreeMap::new(),
-            reservations: Reservations::default(),
             counted: BTreeMap::new(),
             decisions: Decisions::default(),
             started: now,
@@ -83,10 +78,9 @@
         }
     }
 
-    /// Forgets its pace and plans: another node may have ordered until `now`.
+    /// Forgets its pace: another node may have ordered until `now`.
     pub fn restart(&mut self, now: Instant) {
         self.services.clear();
-        self.reservations.clear();
         self.counted.clear();
         self.started = now;
         self.planned_at = now;
@@ -135,7 +129,7 @@
             };
             plan_adapters(&plan, runners, &mut orders);
             let mut state = self.service_state(&service.name);
-            self.observe(&service.name, &mut state, &models, runners, now);
+            self.count_starved(&service.name, &mut state, &models, runners, now);
             let question = Question {
                 service: &service.name,
                 engine,
@@ -167,13 +161,12 @@
             .remove(service)
             .unwrap_or_else(|| ServiceState {
                 pace: LoadPace::new(limits, started),
-                share: StoreShare::default(),
                 starved: BTreeMap::new(),
             })
     }
 
-    /// Takes in loads that ended and requests that found no replica.
-    fn observe(
+    /// Counts requests for models that have no replica.
+    fn count_starved(
         &self,
         service: &Arc<str>,
         state: &mut ServiceState,
@@ -181,12 +174,6 @@
         runners: &[RunnerView],
         now: Instant,
     ) {
-        let find = |id: &str| runners.iter().find(|runner| &*runner.id == id);
-        let is_held = |id: &str, model: &str| {
-            let runner = find(id).filter(|runner| runner.open)?;
-            Some(runner.held(model).is_some())
-        };
-        state.share.update(is_held, now);
         let passed = now.saturating_duration_since(self.planned_at);
         let is_there = |model: &str| {
             runners
@@ -206,6 +193,8 @@
         }
     }
 
+    /// Chooses places for models that lack replicas, the best first, and orders
+    /// the first step towards each.
     fn plan_models(
         &mut self,
         plan: &ModelPlan<'_>,
@@ -213,59 +202,20 @@
         runners: &mut [RunnerView],
         orders: &mut Vec<PlannedOrder>,
     ) {
-        let is_wanted =
-            |service: &str, model: &str| service != &**plan.service || plan.is_in_use(model);
-        self.reservations.retain(runners, is_wanted, plan.now);
-        let reservations = &self.reservations;
-        let mut census = Census::new(plan.service, runners, |id| reservations.get(id));
-        self.carry_on(plan, state, runners, &mut census, orders);
-        self.set_aside(plan, state, runners, &mut census, orders);
-    }
-
-    /// The next order of each plan under way.
-    fn carry_on(
-        &mut self,
-        plan: &ModelPlan<'_>,
-        state: &mut ServiceState,
-        runners: &mut [RunnerView],
-        census: &mut Census,
-        orders: &mut Vec<PlannedOrder>,
-    ) {
-        for runner in runners.iter_mut() {
-            if runner.service != *plan.service || !runner.orderable() {
-                continue;
-            }
-            let Some(model) = self.reservations.get(&runner.id).cloned() else {
-                continue;
-            };
-            if !self.step(plan, state, (runner, &model), census, orders) {
-                self.reservations.remove(&runner.id);
-                census.remove(runner, &model);
-            }
-        }
-    }
-
-    /// Chooses places for models that lack replicas, the best first.
-    fn set_aside(
-        &mut self,
-        plan: &ModelPlan<'_>,
-        state: &mut ServiceState,
-        runners: &mut [RunnerView],
-        census: &mut Census,
-        orders: &mut Vec<PlannedOrder>,
-    ) {
-        let mut remote = 0;
+        let mut census = Census::new(plan.service, runners);
+        // Loads from the store for which room is being made; they begin soon.
+        let mut making_room = 0;
         let mut lacking: Vec<(Place, Arc<str>)> = plan
-            .lacking(census)
+            .lacking(&census)
             .into_iter()
             .filter_map(|model| {
-                let place = self.best_place(plan, state, runners, census, &model, remote)?;
+                let place = best_place(plan, state, runners, &census, &model, making_room)?;
                 Some((place, model))
             })
             .collect();
         while let Some((place, model)) = take_best(&mut lacking) {
             // What was done meanwhile may have changed its place and its worth.
-            let Some(now) = self.best_place(plan, state, runners, census, &model, remote) else {
+            let Some(now) = best_place(plan, state, runners, &census, &model, making_room) else {
                 continue;
             };
             if now.score < place.score {
@@ -276,100 +226,46 @@
             if !runner.orderable() {
                 continue;
             }
-            self.reservations
-                .insert(runner.id.clone(), model.clone(), plan.now);
-            census.add(runner, &model, false);
-            if !self.step(plan, state, (runner, &model), census, orders) {
-                self.reservations.remove(&runner.id);
-                census.remove(runner, &model);
+            let Some(action) = self.step(plan, state, (runner, &model), &now) else {
                 continue;
+            };
+            if let OrderAction::UnloadModel { model: victim } = &action {
+                census.remove(runner, victim);
+                making_room += usize::from(now.source == Source::Remote);
             }
-            remote += usize::from(now.source == Source::Remote);
-            if plan.lacks(census, &model)
-                && let Some(next) = self.best_place(plan, state, runners, census, &model, remote)
+            census.add(runner, &model, false);
+            runner.ordered = Some(action.clone());
+            runner.busy_until = None;
+            orders.push(PlannedOrder {
+                runner: runner.id.clone(),
+                source: now.source,
+                action,
+            });
+            if plan.lacks(&census, &model)
+                && let Some(next) = best_place(plan, state, runners, &census, &model, making_room)
             {
                 lacking.push((next, model));
             }
         }
     }
 
-    fn best_place(
-        &self,
-        plan: &ModelPlan<'_>,
-        state: &mut ServiceState,
-        runners: &[RunnerView],
-        census: &Census,
-        model: &Arc<str>,
-        planned_remote: usize,
-    ) -> Option<Place> {
-        let is_free = |runner: &RunnerView| self.reservations.get(&runner.id).is_none();
-        let rate = plan.engine.loads_per_second;
-        let shared = plan.switches.is_on(Mechanism::StoreShare);
-        let remote = (!shared || state.share.has_room(self.reserved_remote(runners)))
-            && state.pace.ready(plan.now, rate) - planned_remote as f64 >= 1.0;
-        plan.best_place(runners, census, model, is_free, remote)
-    }
-
-    /// Loads from the weight store for which room is being made.
-    fn reserved_remote(&self, runners: &[RunnerView]) -> usize {
-        runners
-            .iter()
-            .filter(|runner| {
-                self.reservations
-                    .get(&runner.id)
-                    .is_some_and(|model| runner.source(model) == Source::Remote)
-            })
-            .filter(|runner| !matches!(runner.ordered, Some(OrderAction::LoadModel { .. })))
-            .count()
-    }
-
-    /// Orders the next step towards `model` at the runner: to make room, or to
-    /// load. Whether there is one, or the time for it is to come.
+    /// The next order towards `model` at its place: to make room, or to load.
     fn step(
         &mut self,
         plan: &ModelPlan<'_>,
         state: &mut ServiceState,
-        (runner, model): (&mut RunnerView, &Arc<str>),
-        census: &mut Census,
-        orders: &mut Vec<PlannedOrder>,
-    ) -> bool {
-        let Some(spec) = plan.engine.models.get(model) else {
-            return false;
-        };
-        let Some((victims, _, _)) = plan.make_room(census, runner, spec.weights_mb) else {
-            return false;
-        };
-        let source = runner.source(model);
-        let action = match victims.into_iter().next() {
-            Some(victim) => {
-                census.remove(runner, &victim);
-                if !plan.switches.is_on(Mechanism::Reservations) {
-                    self.reservations.remove(&runner.id);
-                }
-                OrderAction::UnloadModel { model: victim }
-            }
-            None => {
-                if source == Source::Remote && !self.take_pace(plan, state, runner) {
-                    return true;
-                }
-                if source == Source::Remote {
-                    let (id, alone) = (runner.id.clone(), spec.remote_load);
-                    state.share.begin(id, model.clone(), alone, plan.now);
-                }
-                self.reservations.remove(&runner.id);
-                OrderAction::LoadModel {
-                    model: model.clone(),
-                }
-            }
-        };
-        runner.ordered = Some(action.clone());
-        runner.busy_until = None;
-        orders.push(PlannedOrder {
-            runner: runner.id.clone(),
-            action,
-            source,
-        });
-        true
+        (runner, model): (&RunnerView, &Arc<str>),
+        place: &Place,
+    ) -> Option<OrderAction> {
+        if let Some(victim) = place.victims.first() {
+            let model = victim.clone();
+            return Some(OrderAction::UnloadModel { model });
+        }
+        if place.source == Source::Remote && !self.take_pace(plan, state, runner) {
+            return None;
+        }
+        let model = model.clone();
+        Some(OrderAction::LoadModel { model })
     }
 
     /// Counts a load from the weight store, if one may begin.
@@ -410,6 +306,21 @@
     }
 }
 
+/// The best place for one more replica of `model`, if a load from the store may
+/// begin beside `making_room` that will.
+fn best_place(
+    plan: &ModelPlan<'_>,
+    state: &mut ServiceState,
+    runners: &[RunnerView],
+    census: &Census,
+    model: &Arc<str>,
+    making_room: usize,
+) -> Option<Place> {
+    let ready = state.pace.ready(plan.now, plan.engine.loads_per_second);
+    let remote = ready - making_room as f64 >= 1.0;
+    plan.best_place(runners, census, model, remote)
+}
+
 fn take_best(lacking: &mut Vec<(Place, Arc<str>)>) -> Option<(Place, Arc<str>)> {
     let best = (0..lacking.len()).max_by(|a, b| {
         let (a, b) = (&lacking[*a], &lacking[*b]);
--- a/crates/loading/src/switches.rs
+++ b/crates/loading/src/switches.rs
@@ -16,19 +16,13 @@
     Disturbance,
     /// A busy runner that has a copy of the weights is waited for.
     NearCopies,
-    /// A runner is set aside until its load is ordered.
-    Reservations,
-    /// Loads from the weight store at once are bounded by how slow they get.
-    StoreShare,
 }
 
-const NAMES: [(Mechanism, &str); 6] = [
+const NAMES: [(Mechanism, &str); 4] = [
     (Mechanism::Ranks, "ranks"),
     (Mechanism::Starvation, "starvation"),
     (Mechanism::Disturbance, "disturbance"),
     (Mechanism::NearCopies, "near-copies"),
-    (Mechanism::Reservations, "reservations"),
-    (Mechanism::StoreShare, "store-share"),
 ];
 
 /// A name that stands for no mechanism.
