Let ranks weigh 1.5 to 1, and a load disturb less

Their weight (a ninth) could not pay for the urgent streams beside their load, so they waited until they had starved for seconds. Change: ranks 1.5 to 1, a load disturbs 0.08 of the streams.

--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -28,7 +28,7 @@
 /// Cost in seconds of a load that keeps adapters from being loaded meanwhile.
 const ADAPTERS_BLOCKED_COST: f64 = 6.0;
 /// Part of the streams at a runner that a load there makes late.
-const DISTURBED_PART: f64 = 0.15;
+const DISTURBED_PART: f64 = 0.08;
 /// Shortest time by which a gain is divided.
 const SHORTEST_STEP: f64 = 0.2;
 
--- a/crates/loading/src/value.rs
+++ b/crates/loading/src/value.rs
@@ -6,7 +6,7 @@
 /// Seconds for which the present demand is thought to last.
 const HORIZON: f64 = 5.0;
 /// How much more a request counts than one of the next less urgent rank.
-const RANK_RATIO: f64 = 3.0;
+const RANK_RATIO: f64 = 1.5;
 /// Part that replicas beyond those needed are worth.
 const SPARE_PART: f64 = 0.1;
 
