Put the bound on loads from the weight store back

Ruled out: the ranks' weight and the disturbance, which stay as they are. Change: the module, its tests and its switch as they were, in the new planner.

--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -10,6 +10,7 @@
 mod models;
 mod pace;
 mod planner;
+mod store_share;
 mod switches;
 mod value;
 mod view;
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -13,6 +13,7 @@
 use crate::demand::{DemandBook, ModelDemand};
 use crate::models::{ModelPlan, Place};
 use crate::pace::{LoadPace, PaceLimits};
+use crate::store_share::StoreShare;
 use crate::switches::{Mechanism, Switches};
 use crate::view::{RunnerView, Source};
 
@@ -48,6 +49,7 @@
 #[derive(Debug)]
 struct ServiceState {
     pace: LoadPace,
+    share: StoreShare,
     /// Requests that came for models while they had no replica.
     starved: BTreeMap<Arc<str>, f64>,
 }
@@ -129,6 +131,7 @@
             };
             plan_adapters(&plan, runners, &mut orders);
             let mut state = self.service_state(&service.name);
+            follow_loads(&mut state.share, runners, now);
             self.count_starved(&service.name, &mut state, &models, runners, now);
             let question = Question {
                 service: &service.name,
@@ -161,6 +164,7 @@
             .remove(service)
             .unwrap_or_else(|| ServiceState {
                 pace: LoadPace::new(limits, started),
+                share: StoreShare::default(),
                 starved: BTreeMap::new(),
             })
     }
@@ -261,8 +265,13 @@
             let model = victim.clone();
             return Some(OrderAction::UnloadModel { model });
         }
-        if place.source == Source::Remote && !self.take_pace(plan, state, runner) {
-            return None;
+        if place.source == Source::Remote {
+            if !self.take_pace(plan, state, runner) {
+                return None;
+            }
+            let alone = plan.engine.models.get(model)?.remote_load;
+            let runner = runner.id.clone();
+            state.share.begin(runner, model.clone(), alone, plan.now);
         }
         let model = model.clone();
         Some(OrderAction::LoadModel { model })
@@ -287,6 +296,15 @@
     }
 }
 
+/// Takes in which loads from the weight store have ended.
+fn follow_loads(share: &mut StoreShare, runners: &[RunnerView], now: Instant) {
+    let is_held = |id: &str, model: &str| {
+        let runner = runners.iter().find(|runner| &*runner.id == id)?;
+        runner.open.then(|| runner.held(model).is_some())
+    };
+    share.update(is_held, now);
+}
+
 fn plan_adapters(
     plan: &AdapterPlan<'_>,
     runners: &mut [RunnerView],
@@ -317,7 +335,9 @@
     making_room: usize,
 ) -> Option<Place> {
     let ready = state.pace.ready(plan.now, plan.engine.loads_per_second);
-    let remote = ready - making_room as f64 >= 1.0;
+    let shared = plan.switches.is_on(Mechanism::StoreShare);
+    let remote =
+        ready - making_room as f64 >= 1.0 && (!shared || state.share.has_room(making_room));
     plan.best_place(runners, census, model, remote)
 }
 
--- /dev/null
+++ b/crates/loading/src/store_share.rs
@@ -0,0 +1,96 @@
+//! How many loads from the weight store run at full speed at once.
+//!
+//! The store does not say; loads that took longer than they take alone do.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What is thought of a store of which nothing has been seen.
+const FIRST_ESTIMATE: f64 = 4.0;
+/// Loads that may always run, so that something is seen.
+const FEWEST: f64 = 2.0;
+/// Factor from which on a load counts as slowed by others.
+const SLOWED: f64 = 1.25;
+/// Time until a load's end is known.
+const SEEN_AFTER: Duration = Duration::from_millis(350);
+/// Time after which a load that nobody saw end is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
+
+#[derive(Debug)]
+struct Load {
+    model: Arc<str>,
+    began: Instant,
+    alone: Duration,
+    beside: usize,
+}
+
+/// Loads from one service's weight store.
+#[derive(Debug)]
+pub struct StoreShare {
+    loads: BTreeMap<Arc<str>, Load>,
+    at_full_speed: f64,
+}
+
+impl Default for StoreShare {
+    fn default() -> Self {
+        Self {
+            loads: BTreeMap::new(),
+            at_full_speed: FIRST_ESTIMATE,
+        }
+    }
+}
+
+impl StoreShare {
+    /// Whether one more load, with `planned` that are about to begin, runs at
+    /// full speed as far as is known.
+    pub fn has_room(&self, planned: usize) -> bool {
+        ((self.loads.len() + planned) as f64) < self.at_full_speed
+    }
+
+    /// A load that takes `alone` by itself begins at `runner`.
+    pub fn begin(&mut self, runner: Arc<str>, model: Arc<str>, alone: Duration, now: Instant) {
+        let beside = self.loads.len() + 1;
+        let load = Load {
+            model,
+            began: now,
+            alone,
+            beside,
+        };
+        self.loads.insert(runner, load);
+    }
+
+    /// Takes in which loads have ended: `is_held` tells whether a runner holds a
+    /// model, or `None` if that runner is gone.
+    pub fn update(&mut self, is_held: impl Fn(&str, &str) -> Option<bool>, now: Instant) {
+        let mut ended = Vec::new();
+        self.loads.retain(|runner, load| {
+            let age = now.saturating_duration_since(load.began);
+            match is_held(runner, &load.model) {
+                Some(true) => {
+                    ended.push((age.saturating_sub(SEEN_AFTER), load.alone, load.beside));
+                    false
+                }
+                Some(false) => age < FORGOTTEN_AFTER,
+                None => false,
+            }
+        });
+        for (took, alone, beside) in ended {
+            self.learn(took, alone, beside);
+        }
+    }
+
+    fn learn(&mut self, took: Duration, alone: Duration, beside: usize) {
+        let slowness = took.as_secs_f64() / alone.as_secs_f64().max(f64::EPSILON);
+        let beside = beside as f64;
+        if slowness > SLOWED {
+            self.at_full_speed = (beside / slowness).max(FEWEST);
+        } else if beside + 1.0 >= self.at_full_speed {
+            self.at_full_speed += 1.0;
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "store_share_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/loading/src/store_share_tests.rs
@@ -0,0 +1,51 @@
+use std::time::{Duration, Instant};
+
+use super::StoreShare;
+
+const ALONE: Duration = Duration::from_secs(6);
+
+/// Begins as many loads as may, and ends them after `took`; how many there were.
+fn round(share: &mut StoreShare, now: &mut Instant, took: impl Fn(usize) -> Duration) -> usize {
+    let mut begun = 0;
+    while share.has_room(0) {
+        share.begin(format!("{begun}").into(), "model".into(), ALONE, *now);
+        begun += 1;
+    }
+    *now += took(begun);
+    share.update(|_, _| Some(true), *now);
+    begun
+}
+
+#[test]
+fn loads_at_full_speed_call_for_more_until_they_slow_each_other() {
+    const AT_ONCE: usize = 7;
+    let (mut share, mut now) = (StoreShare::default(), Instant::now());
+    let took = |loads: usize| ALONE.mul_f64((loads as f64 / AT_ONCE as f64).max(1.0));
+    let mut last = 0;
+    for _ in 0..20 {
+        last = round(&mut share, &mut now, took);
+    }
+    assert!((AT_ONCE - 2..=AT_ONCE + 3).contains(&last), "{last}");
+}
+
+#[test]
+fn loads_that_are_slowed_call_for_fewer() {
+    let (mut share, mut now) = (StoreShare::default(), Instant::now());
+    let first = round(&mut share, &mut now, |_| ALONE * 2);
+    let second = round(&mut share, &mut now, |_| ALONE * 2);
+    assert!(second < first, "{second} after {first}");
+    assert!(second > 0);
+}
+
+#[test]
+fn a_load_of_a_runner_that_is_gone_counts_no_more() {
+    let (mut share, now) = (StoreShare::default(), Instant::now());
+    while share.has_room(0) {
+        share.begin("gone".into(), "model".into(), ALONE, now);
+        share.update(|_, _| None, now);
+        if share.has_room(3) {
+            return;
+        }
+    }
+    panic!("loads of a runner that is gone still count");
+}
--- a/crates/loading/src/switches.rs
+++ b/crates/loading/src/switches.rs
@@ -16,13 +16,16 @@
     Disturbance,
     /// A busy runner that has a copy of the weights is waited for.
     NearCopies,
+    /// Loads from the weight store at once are bounded by how slow they get.
+    StoreShare,
 }
 
-const NAMES: [(Mechanism, &str); 4] = [
+const NAMES: [(Mechanism, &str); 5] = [
     (Mechanism::Ranks, "ranks"),
     (Mechanism::Starvation, "starvation"),
     (Mechanism::Disturbance, "disturbance"),
     (Mechanism::NearCopies, "near-copies"),
+    (Mechanism::StoreShare, "store-share"),
 ];
 
 /// A name that stands for no mechanism.
