Tell load and inventories over relays where there are more than forty nodes

Change: up to forty nodes tell everybody, as before. More choose relays, the square root of the nodes, in each zone its part, large machines first, known from the members' entries in the store (which now name link and zone). A node tells its relay every 250 ms; relays tell each other their sums, and their nodes the whole with the signs of all nodes, so that a silent node, a silent relay and a silent leader are noticed within a time that does not depend on the number of nodes (1 s, 0.75 s, 2 s; 8.9 s before). Inventories go from the leader to the relays, which pass them on once, at most 40 ms after a change (295 ms before). Demand goes to the leader on its own interval.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -169,10 +169,7 @@
         believed_for: Duration,
         now: Instant,
     ) {
-        for key in self
-            .peer_loads
-            .update(source, in_flight, believed_for, now)
-        {
+        for key in self.peer_loads.update(source, in_flight, believed_for, now) {
             let id = self.ids.get(&key);
             if let Some(entry) = id.and_then(|id| self.runners.get_mut(id)) {
                 entry.peer_in_flight = self.peer_loads.at(key);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -299,9 +299,10 @@
             Command::RemoveRunner(id) => self.dispatcher.remove_runner(&id),
             Command::RetainRunners(kept) => self.dispatcher.retain_runners(&kept),
             Command::UpdateModels(inventory) => self.dispatcher.update_models(inventory, now()),
-            Command::PeerLoad(source, load, believed_for) => self
-                .dispatcher
-                .set_peer_load(source, load, believed_for, now()),
+            Command::PeerLoad(source, load, believed_for) => {
+                self.dispatcher
+                    .set_peer_load(source, load, believed_for, now())
+            }
             Command::SetLimits(limits) => self.dispatcher.set_limits(limits),
             Command::SetNodes(nodes) => self.dispatcher.set_nodes(nodes),
             Command::Snapshot(reply) => {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -1,25 +1,38 @@
 //! Messages between nodes, in MessagePack.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use barleyspar_dispatch::{DemandItem, Inventory, RunnerKey};
 use serde::{Deserialize, Serialize};
 
+use crate::peers::{LoadSum, MemberRecord};
+
 /// A message between nodes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
-    /// Attempts in flight by runner.
+    /// Attempts of one node in flight: for all nodes, or for its relay.
     Load {
         /// The sender.
         node: Arc<str>,
-        /// Where the sender takes messages.
-        address: SocketAddr,
-        /// Megabits a second of the sender's link.
-        capacity: u32,
-        /// The counts.
+        /// What the sender tells of itself.
+        record: MemberRecord,
+        /// The counts, by runner.
         in_flight: Vec<(RunnerKey, u32)>,
     },
+    /// What a relay's nodes have in flight, for other relays.
+    RelaySum {
+        /// The relay.
+        relay: Arc<str>,
+        /// The sum over its nodes.
+        sum: LoadSum,
+    },
+    /// What all nodes have in flight, from a relay to its nodes.
+    Fleet {
+        /// The relay.
+        relay: Arc<str>,
+        /// The sum over all nodes.
+        sum: LoadSum,
+    },
     /// Demand, for the placement leader.
     Demand {
         /// The sender.
@@ -30,7 +43,12 @@
         unreachable: Vec<RunnerKey>,
     },
     /// What runners hold, from the placement leader.
-    Held(Vec<Inventory>),
+    Held {
+        /// The runners.
+        inventories: Vec<Inventory>,
+        /// Whether a relay has passed it on: it goes no further.
+        passed_on: bool,
+    },
 }
 
 impl Message {
--- /dev/null
+++ b/crates/gateway/src/peers/members_tests.rs
@@ -0,0 +1,88 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use super::{MESH_NODES, MemberRecord, Members};
+
+const NODES: u16 = 300;
+const ZONES: u16 = 5;
+
+fn name(number: u16) -> Arc<str> {
+    format!("node-{number}").into()
+}
+
+/// One node in twenty has a faster link.
+fn record(number: u16) -> MemberRecord {
+    let [high, low] = number.to_be_bytes();
+    MemberRecord {
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, high, low)), 1),
+        capacity: if number.is_multiple_of(20) { 200 } else { 20 },
+        zone: format!("zone-{}", number % ZONES).into(),
+    }
+}
+
+/// The members as node `own` knows them.
+fn members(own: u16, nodes: u16) -> Members {
+    let mut members = Members::default();
+    for number in (0..nodes).filter(|number| *number != own) {
+        members.saw(name(number), record(number), true);
+    }
+    members
+}
+
+fn relays(own: u16) -> Vec<Arc<str>> {
+    members(own, NODES).relays((&name(own), &record(own)))
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_agree_on_few_relays_in_every_zone() {
+    let expected: BTreeSet<Arc<str>> = relays(0).into_iter().collect();
+    assert!((17..=25).contains(&expected.len()), "{}", expected.len());
+    for own in 1..NODES {
+        let known: BTreeSet<Arc<str>> = relays(own).into_iter().collect();
+        assert_eq!(known, expected, "as node {own} knows them");
+    }
+    let zones: BTreeSet<Arc<str>> = (0..NODES)
+        .filter(|number| expected.contains(&name(*number)))
+        .map(|number| record(number).zone)
+        .collect();
+    assert_eq!(zones.len(), usize::from(ZONES));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_spread_evenly_over_the_relays_of_their_zone() {
+    let relays: BTreeSet<Arc<str>> = relays(0).into_iter().collect();
+    let mut nodes_of: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+    for own in (0..NODES).filter(|number| !relays.contains(&name(*number))) {
+        let own_record = record(own);
+        let members = members(own, NODES);
+        let chosen = members
+            .relay_of((&name(own), &own_record), |_| false)
+            .expect("there are relays");
+        assert_eq!(members.get(&chosen).unwrap().record.zone, own_record.zone);
+        *nodes_of.entry(chosen).or_default() += 1;
+    }
+    assert!(nodes_of.values().all(|nodes| *nodes <= 30), "{nodes_of:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_relays_are_all_silent_tells_one_of_another_zone() {
+    let own = 7;
+    let members = members(own, NODES);
+    let silent = |name: &str| {
+        members
+            .get(name)
+            .is_some_and(|member| member.record.zone == record(own).zone)
+    };
+    let chosen = members
+        .relay_of((&name(own), &record(own)), silent)
+        .unwrap();
+    assert_ne!(members.get(&chosen).unwrap().record.zone, record(own).zone);
+}
+
+#[tokio::test(start_paused = true)]
+async fn few_nodes_need_no_relay() {
+    let most = MESH_NODES as u16;
+    assert!(!members(0, most).is_relayed());
+    assert!(members(0, most + 1).is_relayed());
+}
--- a/crates/gateway/src/placement/inventories.rs
+++ b/crates/gateway/src/placement/inventories.rs
@@ -3,8 +3,6 @@
 use barleyspar_dispatch::Inventory;
 use barleyspar_loading::RunnerView;
 
-use crate::messages::Message;
-
 /// Bytes of the inventories in one message, so that it fits into one packet of
 /// an ordinary network (1,500 bytes) with its heads.
 const MESSAGE_BYTES: usize = 1200;
@@ -28,24 +26,24 @@
     }
 }
 
-/// Messages of bounded length that tell `inventories`.
-pub fn messages(inventories: Vec<Inventory>) -> Vec<Message> {
-    let mut messages = Vec::new();
-    let mut part = Vec::new();
+/// Parts of `inventories`, each for one message of bounded length.
+pub fn parts(inventories: Vec<Inventory>) -> Vec<Vec<Inventory>> {
+    let mut parts = Vec::new();
+    let mut part: Vec<Inventory> = Vec::new();
     let mut bytes = 0;
     for inventory in inventories {
         let size = size(&inventory);
         if bytes + size > MESSAGE_BYTES && !part.is_empty() {
-            messages.push(Message::Held(std::mem::take(&mut part)));
+            parts.push(std::mem::take(&mut part));
             bytes = 0;
         }
         bytes += size;
         part.push(inventory);
     }
     if !part.is_empty() {
-        messages.push(Message::Held(part));
+        parts.push(part);
     }
-    messages
+    parts
 }
 
 /// Bytes of an inventory in a message, about.
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -11,9 +11,9 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::Context;
-use crate::peers::{PeerHandle, believed_for};
+use crate::peers::{PeerHandle, demand_believed_for};
 use crate::placement::entry::{Entry, REPORT_AGAIN, accepted, take_report};
-use crate::placement::inventories::{inventory, messages};
+use crate::placement::inventories::{inventory, parts};
 use crate::placement::lease::holder;
 use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
@@ -28,8 +28,12 @@
 const FREEZE: Duration = Duration::from_millis(500);
 /// Time after a freeze without orders, to hear of a successor.
 const QUIET_AFTER_FREEZE: Duration = Duration::from_millis(700);
-/// Shortest time between two messages of what runners hold, for each node.
-const BROADCAST_PAUSE: Duration = Duration::from_millis(1);
+/// Shortest time between two messages of what runners hold, for each node that
+/// they go to: what changes within it goes together.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(1);
+/// The longest such time. Nodes learn of a replica this much later; where relays
+/// pass messages on, the leader sends to few, however many nodes there are.
+const LONGEST_PUBLISH_PAUSE: Duration = Duration::from_millis(40);
 /// Time until a runner that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -82,7 +86,7 @@
         let mut next = Instant::now() + TICK;
         let mut stepped_at = None;
         let mut quiet_until = Instant::now();
-        let mut next_broadcast = Instant::now();
+        let mut next_publication = Instant::now();
         // The keeper of the lease ends when the process is told to stop.
         let mut lease_over = false;
         loop {
@@ -94,9 +98,9 @@
                 },
                 changed = lease.changed(), if !lease_over => lease_over = changed.is_err(),
                 () = sleep_until(next), if self.leading.is_some() => {}
-                () = sleep_until(next_broadcast), if !self.unpublished.is_empty() => {
-                    self.broadcast();
-                    next_broadcast = Instant::now() + BROADCAST_PAUSE * self.context.dispatch.nodes();
+                () = sleep_until(next_publication), if !self.unpublished.is_empty() => {
+                    self.publish_all();
+                    next_publication = Instant::now() + self.publish_pause();
                     continue;
                 }
             }
@@ -119,6 +123,11 @@
         }
     }
 
+    fn publish_pause(&self) -> Duration {
+        let pause = PUBLISH_PAUSE * self.context.dispatch.nodes();
+        pause.min(LONGEST_PUBLISH_PAUSE)
+    }
+
     fn command(&mut self, command: Command) {
         match command {
             Command::Configure(configuration) => self.configuration = configuration,
@@ -128,7 +137,7 @@
             }
             Command::RetainRunners(kept) => self.entries.retain(|id, _| kept.contains(id)),
             Command::Demand(node, items, unreachable) => {
-                let believed_for = believed_for(self.context.dispatch.nodes());
+                let believed_for = demand_believed_for(self.context.dispatch.nodes());
                 self.book.update(node, items, believed_for, now());
                 self.doubt(&unreachable);
             }
@@ -256,14 +265,14 @@
     }
 
     /// Tells all nodes what runners hold.
-    fn broadcast(&mut self) {
+    fn publish_all(&mut self) {
         let unpublished = std::mem::take(&mut self.unpublished);
         let entries = unpublished
             .iter()
             .filter_map(|runner| self.entries.get(runner));
         let inventories = entries.map(|entry| inventory(&entry.view)).collect();
-        for message in messages(inventories) {
-            self.peers.broadcast(message);
+        for part in parts(inventories) {
+            self.peers.publish(part);
         }
     }
 
--- a/crates/gateway/src/register.rs
+++ b/crates/gateway/src/register.rs
@@ -1,12 +1,12 @@
 //! This node's entry among the members in the store.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError, Transaction, Write};
 use tokio::time::sleep;
 
 use crate::context::Context;
+use crate::peers::MemberRecord;
 use crate::store::Store;
 
 /// Prefix of the members' keys in the store.
@@ -21,8 +21,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
 /// The value of this node's key in the store.
-fn member_value(address: SocketAddr) -> Vec<u8> {
-    rmp_serde::to_vec(&address).expect("an address is plain data")
+fn member_value(record: &MemberRecord) -> Vec<u8> {
+    rmp_serde::to_vec(record).expect("a record is plain data")
 }
 
 /// Registers this node under a lease, and keeps it there.
@@ -47,7 +47,7 @@
     let put = StoreCall::Commit(Transaction {
         writes: vec![Write {
             key: format!("{MEMBER_PREFIX}{}", context.settings.name),
-            value: member_value(context.settings.peer_address).into(),
+            value: member_value(&MemberRecord::of(&context.settings)).into(),
             lease,
         }],
         ..Transaction::default()
--- a/crates/loading/src/demand.rs
+++ b/crates/loading/src/demand.rs
@@ -94,9 +94,10 @@
 
     fn numbered(&mut self, item: DemandItem, now: Instant) -> NumberedItem {
         let model = self.number((item.service.clone(), item.model.clone(), None));
-        let adapter = item.adapter.clone().map(|adapter| {
-            self.number((item.service.clone(), item.model.clone(), Some(adapter)))
-        });
+        let adapter = item
+            .adapter
+            .clone()
+            .map(|adapter| self.number((item.service.clone(), item.model.clone(), Some(adapter))));
         if item.waiting + item.in_flight > 0 {
             for number in [Some(model), adapter].into_iter().flatten() {
                 self.used_at[number] = Some(now);
@@ -153,10 +154,11 @@
         self.nodes.retain(|_, node| now < node.believed_until);
         let mut sums: Vec<Option<ModelDemand>> = vec![None; self.keys.len()];
         for numbered in self.nodes.values().flat_map(|node| &node.items) {
-            for number in [Some(numbered.model), numbered.adapter].into_iter().flatten() {
-                sums[number]
-                    .get_or_insert_default()
-                    .add(&numbered.item);
+            for number in [Some(numbered.model), numbered.adapter]
+                .into_iter()
+                .flatten()
+            {
+                sums[number].get_or_insert_default().add(&numbered.item);
             }
         }
         let named = sums.into_iter().zip(&self.keys);
--- a/crates/loading/src/demand_tests.rs
+++ b/crates/loading/src/demand_tests.rs
@@ -28,7 +28,12 @@
     for message in 0..295_u32 * 5 {
         let node = format!("node-{}", message % 295);
         let now = start + step * message;
-        book.update(node.as_str().into(), vec![item("a", 0, 1)], 3 * interval, now);
+        book.update(
+            node.as_str().into(),
+            vec![item("a", 0, 1)],
+            3 * interval,
+            now,
+        );
         if message < 295 {
             continue;
         }
@@ -60,5 +65,8 @@
     assert_eq!(totals.len(), 2);
     let model = ("engine".into(), "a".into(), None);
     assert_eq!(totals[&model].waiting, 2);
-    assert_eq!(book.idle_time(&"engine".into(), &"a".into(), None, now), Some(Duration::ZERO));
+    assert_eq!(
+        book.idle_time(&"engine".into(), &"a".into(), None, now),
+        Some(Duration::ZERO)
+    );
 }
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -161,7 +161,11 @@
             .filter_map(|held| self.victim(census, &held.model))
             .collect();
         let key = |victim: &Victim| victim.loss + victim.drain_seconds;
-        victims.sort_by(|a, b| key(a).total_cmp(&key(b)).then_with(|| a.model.cmp(&b.model)));
+        victims.sort_by(|a, b| {
+            key(a)
+                .total_cmp(&key(b))
+                .then_with(|| a.model.cmp(&b.model))
+        });
         victims
     }
 
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -256,7 +256,8 @@
         runners.iter_mut().for_each(end_load);
         case.now += Duration::from_millis(500);
         let wishes = names.iter().map(|name| wish(name, None, 1)).collect();
-        case.book.update("node".into(), wishes, BELIEVED_FOR, case.now);
+        case.book
+            .update("node".into(), wishes, BELIEVED_FOR, case.now);
     }
     assert!((8..=13).contains(&loads), "{loads} loads in five seconds");
 }
@@ -267,8 +268,10 @@
     let earlier = case.now - Duration::from_secs(1);
     let mut used = wish("a", Some("recent"), 0);
     used.in_flight = 1;
-    case.book.update("other".into(), vec![used], BELIEVED_FOR, earlier);
-    case.book.update("other".into(), Vec::new(), BELIEVED_FOR, case.now);
+    case.book
+        .update("other".into(), vec![used], BELIEVED_FOR, earlier);
+    case.book
+        .update("other".into(), Vec::new(), BELIEVED_FOR, case.now);
     let mut runners = [runner("1", &["a"])];
     runners[0].models[0].adapters = vec!["recent".into(), "old".into()];
     let orders = case.plan(&configuration(&["a"]), &mut runners);
@@ -464,7 +467,8 @@
     runners[place].ordered = None;
     // Meanwhile many more wait for another model.
     let wishes = vec![wish("c", None, 1), wish("d", None, 50)];
-    case.book.update("node".into(), wishes, BELIEVED_FOR, case.now);
+    case.book
+        .update("node".into(), wishes, BELIEVED_FOR, case.now);
     let orders = case.plan(&configuration, &mut runners);
     assert!(orders.contains(&(freed.clone(), load("d"))), "{orders:?}");
     assert_eq!(orders.len(), 2, "room for the other is made elsewhere");
@@ -509,7 +513,8 @@
     case.planner.restart(case.now);
     assert_eq!(case.plan(&configuration, &mut runners), []);
     case.now += Duration::from_secs(2);
-    case.book.update("node".into(), vec![asked()], BELIEVED_FOR, case.now);
+    case.book
+        .update("node".into(), vec![asked()], BELIEVED_FOR, case.now);
     let orders = case.plan(&configuration, &mut runners);
     assert_eq!(orders, [("1".to_owned(), load("c"))]);
 }
