Wait for no runner that stays busy, find the store's speed in few waves, let the step rest

Found by reading on the way: a runner busy past what was expected counted as free in 0.1 s for ever, so that a model with a copy there waited for it; loads from the store at once began at four after each change of leader and grew by one or two each 6 s (ten run at full speed); a step of the planner ran at each message of demand, hundreds a second; after each order a report was first read 0.21 s later.

Change: overdue as long again (test fails without it); the estimate doubles until a load is slowed (test); a step rests twice as long as it took; reports are read 0.08 s after an order's expected end and each 0.06 s (an old one has a lower number); a silent node is noticed after 1.6 s; orders name the model for which they are given; a whole reading is one log line.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -34,7 +34,7 @@
         while let Some(change) = changes.recv().await {
             match change {
                 Change::Everything(items) => self.everything(items),
-                Change::Event(Event::Written(item)) => self.written(&item),
+                Change::Event(Event::Written(item)) => self.written(&item, false),
                 Change::Event(Event::Removed { key, .. }) => self.removed(&key),
             }
         }
@@ -55,14 +55,20 @@
             self.leader.send_replace(None);
         }
         for item in &items {
-            self.written(item);
+            self.written(item, true);
         }
         self.told.retain(|id, _| keys.contains(id));
+        tracing::info!(
+            event = "store_known",
+            runners = keys.len(),
+            members = members.len(),
+            objects = items.len()
+        );
         self.context.dispatch.retain_runners(keys.clone());
         self.placement.retain_runners(keys);
     }
 
-    fn written(&mut self, item: &Item) {
+    fn written(&mut self, item: &Item, whole_reading: bool) {
         if item.key == LEADER_KEY {
             let record = LeaderRecord::decode(&item.value, item.revision);
             if let Some(record) = &record {
@@ -81,7 +87,7 @@
         }
         match self.context.dialect.read_object(&item.key, &item.value) {
             Ok(StoredObject::Configuration(configuration)) => self.configure(*configuration),
-            Ok(StoredObject::Runner(runner)) => self.runner(*runner, item.revision),
+            Ok(StoredObject::Runner(runner)) => self.runner(*runner, item.revision, whole_reading),
             Ok(StoredObject::Other) => {}
             Err(error) => tracing::warn!(event = "object_unreadable", key = item.key, %error),
         }
@@ -122,17 +128,20 @@
         tracing::info!(event = "configuration_in_force", version, routes);
     }
 
-    fn runner(&mut self, runner: Runner, revision: u64) {
-        self.tell(&runner, revision);
+    fn runner(&mut self, runner: Runner, revision: u64, whole_reading: bool) {
+        self.tell(&runner, revision, whole_reading);
         self.placement.update_runner(runner.clone());
         self.context.dispatch.update_runner(runner);
     }
     /// Says in the log that a runner is there, or takes no new work any more.
     /// An entry that only names other models is no line: at size these are most
     /// of all changes, and the leader tells of them by its orders and reports.
-    fn tell(&mut self, runner: &Runner, revision: u64) {
+    /// Nor is one of a `whole_reading` that shows what is usual: `store_known`
+    /// counts these.
+    fn tell(&mut self, runner: &Runner, revision: u64, whole_reading: bool) {
         let told = self.told.insert(runner.id.clone(), runner.state);
-        if told == Some(runner.state) {
+        let expected = told.unwrap_or(RunnerState::Available);
+        if expected == runner.state && (told.is_some() || whole_reading) {
             return;
         }
         tracing::info!(
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -42,7 +42,7 @@
 const MESH_SILENCE: Duration = Duration::from_millis(1300);
 /// The same where signs of peers come over relays: what is known of one is up to
 /// 0.75 s old, with two messages lost 1.5 s.
-const RELAYED_SILENCE: Duration = Duration::from_millis(2000);
+const RELAYED_SILENCE: Duration = Duration::from_millis(1600);
 /// Messages in whose time the next one must have come: one may be lost, and the
 /// next one late.
 const BELIEVED_MESSAGES: u32 = 3;
--- a/crates/gateway/src/placement/entry.rs
+++ b/crates/gateway/src/placement/entry.rs
@@ -6,8 +6,12 @@
 use barleyspar_loading::RunnerView;
 use tokio::time::Instant;
 
-/// Time until a report is read again.
-pub const REPORT_AGAIN: Duration = Duration::from_millis(100);
+/// Time until a report is read again. A look costs little (a report is 300 bytes),
+/// what it tells too late holds up a cold start.
+pub const REPORT_AGAIN: Duration = Duration::from_millis(60);
+/// Time for which a runner is thought busy of whose order nothing is known. A
+/// runner that stays busy longer is thought to stay so as long again.
+const UNKNOWN_BUSY: Duration = Duration::from_secs(1);
 
 /// A runner with its entry and what the leader does there.
 pub struct Entry {
@@ -53,6 +57,11 @@
     }
     if !entry.ordering && !view.busy {
         view.ordered = None;
+        view.busy_until = None;
+    }
+    if view.busy {
+        let unknown = Instant::now() + UNKNOWN_BUSY;
+        view.busy_until.get_or_insert(unknown.into_std());
     }
     let settled = !view.busy && view.pending_adapters.is_empty();
     entry.report_at = (!settled).then(|| Instant::now() + REPORT_AGAIN);
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -18,10 +18,14 @@
 use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
 
-/// Time between two looks at what is to be done.
+/// Longest time between two looks at what is to be done.
 const TICK: Duration = Duration::from_millis(100);
-/// Age of what a report says.
-const REPORT_LAG: Duration = Duration::from_millis(210);
+/// Shortest such time, in the times that the last look took: demand comes from
+/// hundreds of nodes, and a look at each message would leave no time for orders.
+const REST_PART: u32 = 2;
+/// Time after an order's expected end at which its runner's report is read first;
+/// one that is older than the order has a lower number, and is read again.
+const REPORT_LAG: Duration = Duration::from_millis(80);
 /// Time between two looks at a runner that some node cannot reach.
 const DOUBT_PAUSE: Duration = Duration::from_millis(400);
 /// Pause in the task's own steps after which it must have been frozen.
@@ -84,6 +88,7 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         let mut next = Instant::now() + TICK;
+        let mut rests_until = Instant::now();
         let mut stepped_at = None;
         let mut quiet_until = Instant::now();
         let mut next_publication = Instant::now();
@@ -113,13 +118,18 @@
                     quiet_until = Instant::now() + QUIET_AFTER_FREEZE;
                 }
                 self.read_reports();
-                if Instant::now() >= quiet_until {
+                let began = Instant::now();
+                if began >= quiet_until && began >= rests_until {
                     self.order();
+                    rests_until = Instant::now() + began.elapsed() * REST_PART;
                 }
             }
             // Only a leader takes a step every tick.
             stepped_at = self.leading.map(|_| Instant::now());
             next = Instant::now() + TICK;
+            if rests_until > Instant::now() {
+                next = rests_until;
+            }
         }
     }
 
@@ -321,6 +331,7 @@
             model = &**order.action.model(),
             adapter = order.action.adapter().map(|name| &**name),
             source = ?planned.source,
+            wanted_by = &*planned.wanted_by,
             token,
             sequence = order.expected_sequence
         );
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -14,9 +14,10 @@
 use crate::value::{ReplicaValue, rank_weight};
 use crate::view::{RunnerView, Source};
 
-/// Seconds for which a runner is thought busy if nothing is known of its order,
-/// and if that takes longer than expected.
+/// Seconds for which a runner is thought busy if nothing is known of its order.
 const UNKNOWN_BUSY_TIME: f64 = 1.0;
+/// Shortest time in seconds for which a runner is thought busy that is so: until
+/// the next step.
 const SHORTEST_BUSY_TIME: f64 = 0.1;
 /// Longest time that an unload is thought to wait for its model's requests.
 const LONGEST_DRAIN: f64 = 4.0;
@@ -141,14 +142,17 @@
         }
     }
 
-    /// Seconds until the runner is expected to take an order.
+    /// Seconds until the runner is expected to take an order. One that is busy
+    /// longer than expected is thought to stay so for as long again: otherwise a
+    /// model with a copy there would be kept waiting for it without end.
     pub fn busy_for(&self, runner: &RunnerView) -> f64 {
         if runner.orderable() {
             return 0.0;
         }
         runner.busy_until.map_or(UNKNOWN_BUSY_TIME, |until| {
-            let left = until.saturating_duration_since(self.now).as_secs_f64();
-            left.max(SHORTEST_BUSY_TIME)
+            let left = until.saturating_duration_since(self.now);
+            let overdue = self.now.saturating_duration_since(until);
+            left.max(overdue).as_secs_f64().max(SHORTEST_BUSY_TIME)
         })
     }
 
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -43,6 +43,8 @@
     pub action: OrderAction,
     /// Where a load takes the weights from.
     pub source: Source,
+    /// The model for which it is done.
+    pub wanted_by: Arc<str>,
 }
 
 /// What the planner remembers of one service.
@@ -244,6 +246,7 @@
             orders.push(PlannedOrder {
                 runner: runner.id.clone(),
                 source: now.source,
+                wanted_by: model.clone(),
                 action,
             });
             let remote = may_load(plan, state, making_room);
@@ -322,6 +325,7 @@
             runner: runner.id.clone(),
             action,
             source: Source::Memory,
+            wanted_by: model,
         });
     }
 }
--- a/crates/loading/src/store_share.rs
+++ b/crates/loading/src/store_share.rs
@@ -12,6 +12,8 @@
 const FEWEST: f64 = 2.0;
 /// Factor from which on a load counts as slowed by others.
 const SLOWED: f64 = 1.25;
+/// Growth of the estimate with each wave of loads while none was slowed.
+const FIRST_GROWTH: f64 = 2.0;
 /// Time until a load's end is known.
 const SEEN_AFTER: Duration = Duration::from_millis(350);
 /// Time after which a load that nobody saw end is forgotten.
@@ -30,6 +32,8 @@
 pub struct StoreShare {
     loads: BTreeMap<Arc<str>, Load>,
     at_full_speed: f64,
+    /// Whether a load was seen slowed by others: until then the estimate doubles.
+    bound_seen: bool,
 }
 
 impl Default for StoreShare {
@@ -37,6 +41,7 @@
         Self {
             loads: BTreeMap::new(),
             at_full_speed: FIRST_ESTIMATE,
+            bound_seen: false,
         }
     }
 }
@@ -84,7 +89,12 @@
         let slowness = took.as_secs_f64() / alone.as_secs_f64().max(f64::EPSILON);
         let beside = beside as f64;
         if slowness > SLOWED {
+            self.bound_seen = true;
             self.at_full_speed = (beside / slowness).max(FEWEST);
+        } else if !self.bound_seen {
+            // Nothing has been lost so far: as with a connection's first window,
+            // the bound is found in few steps, and costs one slowed wave.
+            self.at_full_speed = self.at_full_speed.max(beside * FIRST_GROWTH);
         } else if beside + 1.0 >= self.at_full_speed {
             self.at_full_speed += 1.0;
         }
--- a/crates/loading/src/store_share_tests.rs
+++ b/crates/loading/src/store_share_tests.rs
@@ -49,3 +49,13 @@
     }
     panic!("loads of a runner that is gone still count");
 }
+
+#[test]
+fn a_store_that_slows_nothing_is_used_whole_within_two_waves() {
+    let (mut share, mut now) = (StoreShare::default(), Instant::now());
+    let mut last = 0;
+    for _ in 0..3 {
+        last = round(&mut share, &mut now, |_| ALONE);
+    }
+    assert!(last >= 12, "{last} loads in the third wave");
+}
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -518,3 +518,27 @@
     let orders = case.plan(&configuration, &mut runners);
     assert_eq!(orders, [("1".to_owned(), load("c"))]);
 }
+
+#[test]
+fn a_runner_that_stays_busy_is_not_waited_for_without_end() {
+    // Found on a played day: the busiest model got no further replica for twelve
+    // seconds, since a runner with a copy was thought free in a moment all along.
+    let mut case = Case::new(ONE, vec![wish("a", None, 3)]);
+    let mut busy = runner("1", &[]);
+    busy.copies.disk = vec!["a".into()];
+    busy.busy = true;
+    busy.busy_until = Some(case.now + Duration::from_millis(300));
+    let mut runners = [busy, runner("2", &[])];
+    let configuration = configuration(&["a"]);
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders, [], "the copy's runner is free sooner");
+    case.now += Duration::from_secs(4);
+    case.book.update(
+        "node".into(),
+        vec![wish("a", None, 3)],
+        BELIEVED_FOR,
+        case.now,
+    );
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("a"))]);
+}
