Say once a second what the planner sees; learn nothing of the store beside a predecessor's loads

Cause: after a change of leader the busiest model (112 in flight and waiting, six replicas, 61 wanted) still got few replicas. Its log could not say why, so the leader now writes a line `placement_step` a second: what lacks, orders, loads from the store under way, their bound, the model most waited for with its replicas. It showed the cause: four loads at once for 11 s, then two, since the sixteen that the former leader had begun still ran and slowed them, which the new one took for the store's bound (ten run at full speed there).

The summary looks at the pace without taking note of the rate: a test of the stand-ins failed while it did, since the bucket was then full when its rate fell. Files split: peers into times, task and relaying, the planner's summary, no change in them.

--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::peers::COUNTED_FOR;
+use crate::peers::times::COUNTED_FOR;
 
 /// Nodes up to which everybody tells everybody. At this size a node sends 100
 /// datagrams a second at the shortest interval; beyond it, relays cost less.
--- /dev/null
+++ b/crates/gateway/src/peers/task.rs
@@ -0,0 +1,303 @@
+//! The task that owns the socket and the list of members.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_dispatch::RunnerKey;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::messages::Message;
+use crate::network::Datagrams;
+use crate::peers::members::Members;
+use crate::peers::relay::{RELAY_INTERVAL, RelayState};
+use crate::peers::times::{
+    BELIEVED_MESSAGES, COUNTED_FOR, SHORTEST_INTERVAL, URGENT_INTERVAL, demand_interval,
+};
+use crate::peers::{Command, Heard, MemberRecord, PeerInbox};
+use crate::placement::{LeaderRecord, PlacementHandle};
+
+/// Largest datagram that is read.
+const RECEIVE_BYTES: usize = 64 * 1024;
+
+/// The relay that this node tells its load.
+#[derive(Debug)]
+pub(super) struct ChosenRelay {
+    pub(super) name: Arc<str>,
+    /// When it was told first, or told us last.
+    pub(super) heard: Instant,
+}
+
+/// The task that owns the socket and the list of members.
+pub struct PeerTask {
+    pub(super) context: Context,
+    socket: Box<dyn Datagrams>,
+    pub(super) own: MemberRecord,
+    pub(super) members: Members,
+    pub(super) relay: RelayState,
+    pub(super) chosen: Option<ChosenRelay>,
+    pub(super) avoided: BTreeMap<Arc<str>, Instant>,
+    /// What this node told its relay last.
+    pub(super) told: Vec<(RunnerKey, u32)>,
+    /// Messages of this relay to its nodes so far.
+    pub(super) rounds: u32,
+    leader: watch::Receiver<Option<LeaderRecord>>,
+    placement: PlacementHandle,
+    urgent: Arc<Notify>,
+    commands: mpsc::UnboundedReceiver<Command>,
+    heard: watch::Sender<HashMap<Arc<str>, Heard>>,
+}
+
+impl PeerTask {
+    /// A task on `socket`.
+    pub fn new(
+        context: Context,
+        socket: Box<dyn Datagrams>,
+        inbox: PeerInbox,
+        leader: watch::Receiver<Option<LeaderRecord>>,
+        placement: PlacementHandle,
+        urgent: Arc<Notify>,
+    ) -> Self {
+        Self {
+            own: MemberRecord::of(&context.settings),
+            context,
+            socket,
+            members: Members::default(),
+            relay: RelayState::default(),
+            chosen: None,
+            avoided: BTreeMap::new(),
+            told: Vec::new(),
+            rounds: 0,
+            leader,
+            placement,
+            urgent,
+            commands: inbox.0,
+            heard: inbox.1,
+        }
+    }
+
+    /// Sends and receives until the process ends.
+    pub async fn run(mut self) {
+        let mut buffer = vec![0; RECEIVE_BYTES];
+        let mut next_load = Instant::now();
+        let mut next_demand = Instant::now();
+        let mut next_urgent = Instant::now();
+        let mut demand_wanted = false;
+        loop {
+            let urgent = self.urgent.clone();
+            let leader = &mut self.leader;
+            tokio::select! {
+                received = self.socket.receive(&mut buffer) => {
+                    if let Ok(length) = received {
+                        self.receive(&buffer[..length]).await;
+                    }
+                }
+                command = self.commands.recv() => match command {
+                    Some(command) => self.command(command).await,
+                    None => return,
+                },
+                () = urgent.notified() => demand_wanted = true,
+                // A new leader knows of no demand yet.
+                Ok(()) = leader.changed() => demand_wanted = true,
+                () = tokio::time::sleep_until(next_load) => {
+                    self.send_load().await;
+                    next_load = Instant::now() + self.load_interval();
+                }
+                () = tokio::time::sleep_until(next_demand) => {
+                    self.send_demand().await;
+                    next_demand = Instant::now() + demand_interval(self.nodes());
+                }
+                () = tokio::time::sleep_until(next_urgent), if demand_wanted => {
+                    demand_wanted = false;
+                    self.send_demand().await;
+                    next_urgent = Instant::now() + URGENT_INTERVAL;
+                }
+            }
+        }
+    }
+
+    fn nodes(&self) -> u32 {
+        self.members.len() as u32 + 1
+    }
+
+    fn load_interval(&self) -> Duration {
+        if self.members.is_relayed() {
+            RELAY_INTERVAL
+        } else {
+            SHORTEST_INTERVAL
+        }
+    }
+
+    async fn receive(&mut self, bytes: &[u8]) {
+        match Message::decode(bytes) {
+            Some(Message::Load {
+                node,
+                record,
+                in_flight,
+            }) => self.receive_load(node, record, in_flight),
+            Some(Message::RelaySum { relay, sum }) => self.receive_sum(relay, sum),
+            Some(Message::Fleet { relay, sum }) => self.receive_fleet(&relay, sum),
+            Some(Message::Demand {
+                node,
+                items,
+                unreachable,
+            }) => self.placement.demand(node, items, unreachable),
+            Some(Message::Held {
+                inventories,
+                passed_on,
+            }) => {
+                if !passed_on {
+                    self.pass_on(inventories.clone()).await;
+                }
+                for inventory in inventories {
+                    self.context.dispatch.update_models(inventory);
+                }
+            }
+            None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
+        }
+    }
+
+    fn receive_load(
+        &mut self,
+        node: Arc<str>,
+        record: MemberRecord,
+        in_flight: Vec<(RunnerKey, u32)>,
+    ) {
+        if node == self.context.settings.name {
+            return;
+        }
+        if self.members.saw(node.clone(), record, false) {
+            self.count();
+        }
+        let now = Instant::now();
+        self.hear([(node.clone(), now)]);
+        if self.members.is_relayed() {
+            self.relay.told(node, in_flight, now);
+        } else {
+            let believed_for = SHORTEST_INTERVAL * BELIEVED_MESSAGES;
+            self.context
+                .dispatch
+                .set_peer_load(node, in_flight, believed_for);
+        }
+    }
+
+    /// Notes when members were heard last.
+    pub(super) fn hear(&self, signs: impl IntoIterator<Item = (Arc<str>, Instant)>) {
+        let members = &self.members;
+        self.heard.send_modify(|heard| {
+            for (name, at) in signs {
+                let Some(member) = members.get(&name) else {
+                    continue;
+                };
+                let latest = heard.get(&name).map_or(at, |known| known.at.max(at));
+                let sign = Heard {
+                    at: latest,
+                    address: member.record.address,
+                    capacity: member.record.capacity,
+                    zone: member.record.zone.clone(),
+                };
+                heard.insert(name, sign);
+            }
+        });
+    }
+
+    async fn command(&mut self, command: Command) {
+        match command {
+            Command::Joined(name, record) => self.joined(name, record),
+            Command::Left(name) => self.members.left(&name),
+            Command::Retain(names) => self.members.retain_stored(&names),
+            Command::Publish(inventories) => self.publish(inventories).await,
+        }
+    }
+
+    /// Takes in a member's entry in the store. One that was unknown counts as
+    /// heard: at a start of all nodes, each then knows whom to follow and who is
+    /// to lead before the first messages have come.
+    fn joined(&mut self, name: Arc<str>, record: MemberRecord) {
+        if name == self.context.settings.name {
+            return;
+        }
+        if self.members.saw(name.clone(), record, true) {
+            self.hear([(name, Instant::now())]);
+            self.count();
+        }
+    }
+
+    /// Forgets members without a sign of life and counts the rest.
+    fn count(&mut self) {
+        self.members.forget_silent();
+        self.heard
+            .send_modify(|heard| heard.retain(|_, peer| peer.at.elapsed() < COUNTED_FOR));
+        let nodes = self.nodes() as usize;
+        self.context.metrics.nodes(nodes);
+        self.context.dispatch.set_nodes(nodes);
+    }
+
+    async fn send_load(&mut self) {
+        self.count();
+        let Some(snapshot) = self.context.dispatch.snapshot().await else {
+            return;
+        };
+        if !self.members.is_relayed() {
+            let everybody = self.members.iter().map(|(name, _)| name.clone()).collect();
+            return self.tell_load(snapshot.load, everybody).await;
+        }
+        let now = Instant::now();
+        self.relay.forget_silent(now);
+        let relays = self
+            .members
+            .relays((&self.context.settings.name, &self.own));
+        if relays.contains(&self.context.settings.name) {
+            let name = self.context.settings.name.clone();
+            self.relay.told(name, snapshot.load.clone(), now);
+            self.told = snapshot.load;
+        } else {
+            self.tell_relay(snapshot.load, now).await;
+        }
+        self.relay_loads(relays, now).await;
+    }
+
+    pub(super) async fn tell_load(&mut self, in_flight: Vec<(RunnerKey, u32)>, to: Vec<Arc<str>>) {
+        let message = Message::Load {
+            node: self.context.settings.name.clone(),
+            record: self.own.clone(),
+            in_flight,
+        };
+        self.send_to(&message, to.iter()).await;
+    }
+
+    /// Sends demand to the leader.
+    async fn send_demand(&mut self) {
+        let leader = self.leader.borrow().clone();
+        let Some(leader) = leader else {
+            return;
+        };
+        let Some(snapshot) = self.context.dispatch.snapshot().await else {
+            return;
+        };
+        let node = self.context.settings.name.clone();
+        if leader.node == node {
+            self.placement
+                .demand(node, snapshot.demand, snapshot.unreachable);
+            return;
+        }
+        let message = Message::Demand {
+            node,
+            items: snapshot.demand,
+            unreachable: snapshot.unreachable,
+        };
+        // A datagram that cannot be sent is one that is lost: the next one
+        // makes it needless.
+        let _ = self.socket.send(&message.encode(), leader.address).await;
+    }
+
+    pub(super) async fn send_to(&self, message: &Message, names: impl Iterator<Item = &Arc<str>>) {
+        let bytes = message.encode();
+        for member in names.filter_map(|name| self.members.get(name)) {
+            // As above: a lost datagram does no harm.
+            let _ = self.socket.send(&bytes, member.record.address).await;
+        }
+    }
+}
--- a/crates/gateway/src/placement/entry.rs
+++ b/crates/gateway/src/placement/entry.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use barleyspar_catalog::{Order, OrderAction, Report, Runner};
-use barleyspar_loading::RunnerView;
+use barleyspar_catalog::{Configuration, Order, OrderAction, Report, Runner};
+use barleyspar_loading::{RunnerView, Source};
 use tokio::time::Instant;
 
 /// Time until a report is read again. A look costs little (a report is 300 bytes),
@@ -85,3 +85,26 @@
         }
     }
 }
+
+/// Time that `runner` takes for a load, once it begins; nothing for other orders.
+pub fn load_time(
+    configuration: &Configuration,
+    runner: &RunnerView,
+    action: &OrderAction,
+) -> Duration {
+    let OrderAction::LoadModel { model } = action else {
+        return Duration::ZERO;
+    };
+    let engine = configuration
+        .services
+        .get(&runner.service)
+        .and_then(|service| service.engine.as_ref());
+    let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
+        return Duration::ZERO;
+    };
+    match runner.source(model) {
+        Source::Memory => spec.memory_load,
+        Source::Disk => spec.disk_load,
+        Source::Remote => spec.remote_load,
+    }
+}
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod inventories;
 mod lease;
 mod order;
+mod summary;
 mod task;
 
 use std::net::SocketAddr;
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -4,18 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Configuration, Order, OrderAction, OrderAnswer, Runner, RunnerState};
+use barleyspar_catalog::{Configuration, Order, OrderAnswer, Runner, RunnerState};
 use barleyspar_dispatch::{RunnerKey, runner_key};
-use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView, Source};
+use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::Context;
 use crate::peers::{PeerHandle, demand_believed_for};
-use crate::placement::entry::{Entry, REPORT_AGAIN, accepted, take_report};
+use crate::placement::entry::{Entry, REPORT_AGAIN, accepted, load_time, take_report};
 use crate::placement::inventories::{inventory, parts};
 use crate::placement::lease::holder;
 use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
+use crate::placement::summary::tell;
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
 
 /// Longest time between two looks at what is to be done.
@@ -38,6 +39,9 @@
 /// The longest such time. Nodes learn of a replica this much later; where relays
 /// pass messages on, the leader sends to few, however many nodes there are.
 const LONGEST_PUBLISH_PAUSE: Duration = Duration::from_millis(40);
+/// Time between two lines on what the planner's steps see: one a second is enough
+/// to explain a cold start, and nothing beside the orders' lines.
+const SUMMARY_PAUSE: Duration = Duration::from_secs(1);
 /// Time until a runner that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
 
@@ -54,6 +58,8 @@
     fenced_token: u64,
     /// Runners of which other nodes have yet to be told.
     unpublished: BTreeSet<Arc<str>>,
+    /// When the log told last what a step saw.
+    told_at: Option<Instant>,
     peers: PeerHandle,
     handle: PlacementHandle,
     inbox: mpsc::UnboundedReceiver<Command>,
@@ -79,6 +85,7 @@
             leading: None,
             fenced_token: 0,
             unpublished: BTreeSet::new(),
+            told_at: None,
             peers,
             handle,
             inbox: inbox.0,
@@ -303,6 +310,10 @@
         for order in orders {
             self.give(order, lease.token);
         }
+        if self.told_at.is_none_or(|at| at.elapsed() >= SUMMARY_PAUSE) {
+            self.told_at = Some(Instant::now());
+            self.planner.summaries().iter().for_each(tell);
+        }
     }
 
     fn give(&mut self, planned: PlannedOrder, token: u64) {
@@ -397,25 +408,6 @@
     }
 }
 
-/// Time that `runner` takes for a load, once it begins; nothing for other orders.
-fn load_time(configuration: &Configuration, runner: &RunnerView, action: &OrderAction) -> Duration {
-    let OrderAction::LoadModel { model } = action else {
-        return Duration::ZERO;
-    };
-    let engine = configuration
-        .services
-        .get(&runner.service)
-        .and_then(|service| service.engine.as_ref());
-    let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
-        return Duration::ZERO;
-    };
-    match runner.source(model) {
-        Source::Memory => spec.memory_load,
-        Source::Disk => spec.disk_load,
-        Source::Remote => spec.remote_load,
-    }
-}
-
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -97,7 +97,7 @@
 
     /// Replicas that a model should have now: what the policy decided, as long
     /// as somebody uses it.
-    fn needed(&self, model: &str) -> usize {
+    pub fn needed(&self, model: &str) -> usize {
         let used = self
             .demand
             .get(model)
--- a/crates/loading/src/pace.rs
+++ b/crates/loading/src/pace.rs
@@ -49,13 +49,18 @@
 
     /// Loads that may begin at `now`, at `rate` loads a second.
     pub fn ready(&mut self, now: Instant, rate: f64) -> f64 {
-        let age = now.saturating_duration_since(self.filled_at);
-        let filled = self.tokens + age.as_secs_f64() * rate * USED_PART;
-        self.tokens = filled.min(self.limits.burst(rate));
+        self.tokens = self.tokens_at(now, rate);
         self.filled_at = now;
         self.tokens
     }
 
+    /// The same, without taking note of the rate: for a look from outside.
+    pub fn tokens_at(&self, now: Instant, rate: f64) -> f64 {
+        let age = now.saturating_duration_since(self.filled_at);
+        let filled = self.tokens + age.as_secs_f64() * rate * USED_PART;
+        filled.min(self.limits.burst(rate))
+    }
+
     /// Counts a load.
     pub fn take(&mut self) {
         self.tokens -= 1.0;
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -14,6 +14,7 @@
 use crate::models::{ModelPlan, Place};
 use crate::pace::{LoadPace, PaceLimits};
 use crate::store_share::StoreShare;
+use crate::summary::{StepSummary, summarize};
 use crate::switches::{Mechanism, Switches};
 use crate::view::{RunnerView, Source};
 
@@ -67,6 +68,7 @@
     decisions: Decisions,
     started: Instant,
     planned_at: Instant,
+    summaries: Vec<StepSummary>,
 }
 
 impl Planner {
@@ -79,9 +81,15 @@
             decisions: Decisions::default(),
             started: now,
             planned_at: now,
+            summaries: Vec::new(),
         }
     }
 
+    /// What the last step saw of each service.
+    pub fn summaries(&self) -> &[StepSummary] {
+        &self.summaries
+    }
+
     /// Forgets its pace: another node may have ordered until `now`.
     pub fn restart(&mut self, now: Instant) {
         self.services.clear();
@@ -99,6 +107,7 @@
         now: Instant,
     ) -> Vec<PlannedOrder> {
         let totals = book.totals(now);
+        self.summaries.clear();
         let mut orders = Vec::new();
         for service in configuration.services.values() {
             let Some(engine) = &service.engine else {
@@ -153,7 +162,8 @@
                 switches: &self.settings.switches.clone(),
                 now,
             };
-            self.plan_models(&plan, &mut state, runners, &mut orders);
+            let summary = self.plan_models(&plan, &mut state, runners, &mut orders);
+            self.summaries.push(summary);
             self.services.insert(service.name.clone(), state);
         }
         self.planned_at = now;
@@ -166,7 +176,7 @@
             .remove(service)
             .unwrap_or_else(|| ServiceState {
                 pace: LoadPace::new(limits, started),
-                share: StoreShare::default(),
+                share: StoreShare::new(started),
                 starved: BTreeMap::new(),
             })
     }
@@ -208,8 +218,12 @@
         state: &mut ServiceState,
         runners: &mut [RunnerView],
         orders: &mut Vec<PlannedOrder>,
-    ) {
+    ) -> StepSummary {
         let mut board = Board::new(plan, runners);
+        let rate = plan.engine.loads_per_second;
+        let ready = state.pace.tokens_at(plan.now, rate);
+        let mut summary = summarize(plan, &state.share, ready, board.census());
+        let before = orders.len();
         // Loads from the store for which room is being made; they begin soon.
         let mut making_room = 0;
         let mut lacking: Vec<(Place, Arc<str>)> = plan
@@ -256,6 +270,8 @@
                 lacking.push((next, model));
             }
         }
+        summary.orders = orders.len() - before;
+        summary
     }
 
     /// The next order towards `model` at its place: to make room, or to load.
--- a/crates/loading/src/store_share.rs
+++ b/crates/loading/src/store_share.rs
@@ -12,8 +12,12 @@
 const FEWEST: f64 = 2.0;
 /// Factor from which on a load counts as slowed by others.
 const SLOWED: f64 = 1.25;
-/// Growth of the estimate with each wave of loads while none was slowed.
-const FIRST_GROWTH: f64 = 2.0;
+/// Growth of the estimate with each wave of loads while none was slowed: what it
+/// overshoots by makes a wave at most as much slower.
+const FIRST_GROWTH: f64 = 1.5;
+/// Time from the beginning, in times of a load, within which loads that nobody
+/// here began may slow others: a predecessor's, which also slowed each other.
+const STRANGERS_FOR: f64 = 2.0;
 /// Time until a load's end is known.
 const SEEN_AFTER: Duration = Duration::from_millis(350);
 /// Time after which a load that nobody saw end is forgotten.
@@ -31,28 +35,39 @@
 #[derive(Debug)]
 pub struct StoreShare {
     loads: BTreeMap<Arc<str>, Load>,
+    since: Instant,
     at_full_speed: f64,
     /// Whether a load was seen slowed by others: until then the estimate doubles.
     bound_seen: bool,
 }
 
-impl Default for StoreShare {
-    fn default() -> Self {
+impl StoreShare {
+    /// Nothing is known yet; this node orders loads from `since` on.
+    pub fn new(since: Instant) -> Self {
         Self {
             loads: BTreeMap::new(),
+            since,
             at_full_speed: FIRST_ESTIMATE,
             bound_seen: false,
         }
     }
-}
 
-impl StoreShare {
     /// Whether one more load, with `planned` that are about to begin, runs at
     /// full speed as far as is known.
     pub fn has_room(&self, planned: usize) -> bool {
         ((self.loads.len() + planned) as f64) < self.at_full_speed
     }
 
+    /// Loads that are thought to be under way.
+    pub fn under_way(&self) -> usize {
+        self.loads.len()
+    }
+
+    /// Loads that are thought to run at full speed at once.
+    pub fn bound(&self) -> f64 {
+        self.at_full_speed
+    }
+
     /// A load that takes `alone` by itself begins at `runner`.
     pub fn begin(&mut self, runner: Arc<str>, model: Arc<str>, alone: Duration, now: Instant) {
         let beside = self.loads.len() + 1;
@@ -73,21 +88,25 @@
             let age = now.saturating_duration_since(load.began);
             match is_held(runner, &load.model) {
                 Some(true) => {
-                    ended.push((age.saturating_sub(SEEN_AFTER), load.alone, load.beside));
+                    let beside_strangers =
+                        load.began < self.since + load.alone.mul_f64(STRANGERS_FOR);
+                    let took = age.saturating_sub(SEEN_AFTER);
+                    ended.push((took, load.alone, load.beside, beside_strangers));
                     false
                 }
                 Some(false) => age < FORGOTTEN_AFTER,
                 None => false,
             }
         });
-        for (took, alone, beside) in ended {
-            self.learn(took, alone, beside);
+        for (took, alone, beside, beside_strangers) in ended {
+            let slowness = took.as_secs_f64() / alone.as_secs_f64().max(f64::EPSILON);
+            if slowness <= SLOWED || !beside_strangers {
+                self.learn(slowness, beside as f64);
+            }
         }
     }
 
-    fn learn(&mut self, took: Duration, alone: Duration, beside: usize) {
-        let slowness = took.as_secs_f64() / alone.as_secs_f64().max(f64::EPSILON);
-        let beside = beside as f64;
+    fn learn(&mut self, slowness: f64, beside: f64) {
         if slowness > SLOWED {
             self.bound_seen = true;
             self.at_full_speed = (beside / slowness).max(FEWEST);
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -542,3 +542,56 @@
     let orders = case.plan(&configuration, &mut runners);
     assert_eq!(orders, [("2".to_owned(), load("a"))]);
 }
+
+/// The policy that is deployed.
+const DEPLOYED: &str = include_str!("../../../deploy/policy.rhai");
+
+#[test]
+fn a_full_model_gets_a_further_replica_also_from_the_store() {
+    let crowded = DemandItem {
+        in_flight: 36,
+        rate: 28.0,
+        ..wish("hot", None, 20)
+    };
+    let mut wishes = vec![crowded];
+    let other = |number: usize| format!("other-{number}");
+    for number in 0..17 {
+        let idle = number > 9;
+        wishes.push(DemandItem {
+            in_flight: if idle { 0 } else { 3 },
+            rate: if idle { 0.02 } else { 3.0 },
+            ..wish(&other(number), None, 0)
+        });
+    }
+    let names: Vec<String> = (0..17).map(other).chain(["hot".to_owned()]).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut configuration = configuration(&names);
+    let service = configuration
+        .services
+        .get_mut(SERVICE)
+        .expect("it is there");
+    let engine = Arc::make_mut(service).engine.as_mut().expect("it has one");
+    engine.slots = 12;
+    let mut runners: Vec<RunnerView> = (0..10)
+        .map(|number| {
+            let second = other(number);
+            let first = if number < 3 {
+                "hot".to_owned()
+            } else {
+                other(number + 7)
+            };
+            runner(&number.to_string(), &[&first, &second])
+        })
+        .collect();
+    let mut case = Case::new(DEPLOYED, wishes);
+    let orders = case.plan(&configuration, &mut runners);
+    let for_room = |(_, action): &(String, OrderAction)| !action.is_load();
+    assert!(
+        orders.len() >= 3 && orders.iter().all(for_room),
+        "{orders:?}"
+    );
+    let summary = &case.planner.summaries()[0];
+    let most = summary.most_wanted.as_ref().expect("some model is");
+    assert_eq!((&*most.model, most.replicas), ("hot", 3));
+    assert_eq!(most.needed, 10, "one on each runner: {most:?}");
+}
