Count a member whose signs come over relays though its entry lapsed

Cause, found by reading the change: where relays carry the signs of nodes, only the store and direct messages kept a member on the list. Entries that lapse while the store is away would have taken most nodes off it, and each node's share of the retry budget and of connections is divided by their number.

Change: a sign over a relay is a sign of the member. A test fails without it.

--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -92,6 +92,14 @@
         true
     }
 
+    /// There was a sign of `name` at `at`, over a relay; its record, if it is a
+    /// member.
+    pub fn heard(&mut self, name: &str, at: Instant) -> Option<&MemberRecord> {
+        let member = self.members.get_mut(name)?;
+        member.seen = member.seen.max(at);
+        Some(&member.record)
+    }
+
     /// The member no longer stands in the store.
     pub fn left(&mut self, name: &str) {
         if let Some(member) = self.members.get_mut(name) {
--- a/crates/gateway/src/peers/members_tests.rs
+++ b/crates/gateway/src/peers/members_tests.rs
@@ -2,7 +2,10 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
+use tokio::time::Instant;
+
 use super::{MESH_NODES, MemberRecord, Members};
+use crate::peers::times::COUNTED_FOR;
 
 const NODES: u16 = 300;
 const ZONES: u16 = 5;
@@ -86,3 +89,17 @@
     assert!(!members(0, most).is_relayed());
     assert!(members(0, most + 1).is_relayed());
 }
+
+/// What all nodes may spend together is shared by their number: entries that lapse
+/// while the store is away must not make each node's share larger.
+#[tokio::test(start_paused = true)]
+async fn a_member_whose_entry_lapsed_is_counted_while_signs_of_it_come() {
+    let mut members = members(0, 50);
+    tokio::time::advance(COUNTED_FOR * 2).await;
+    members.retain_stored(&[]);
+    for number in 1..45 {
+        members.heard(&name(number), Instant::now());
+    }
+    members.forget_silent();
+    assert_eq!(members.len(), 44);
+}
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -184,19 +184,19 @@
     }
 
     /// Notes when members were heard last.
-    pub(super) fn hear(&self, signs: impl IntoIterator<Item = (Arc<str>, Instant)>) {
-        let members = &self.members;
+    pub(super) fn hear(&mut self, signs: impl IntoIterator<Item = (Arc<str>, Instant)>) {
+        let members = &mut self.members;
         self.heard.send_modify(|heard| {
             for (name, at) in signs {
-                let Some(member) = members.get(&name) else {
+                let Some(record) = members.heard(&name, at) else {
                     continue;
                 };
                 let latest = heard.get(&name).map_or(at, |known| known.at.max(at));
                 let sign = Heard {
                     at: latest,
-                    address: member.record.address,
-                    capacity: member.record.capacity,
-                    zone: member.record.zone.clone(),
+                    address: record.address,
+                    capacity: record.capacity,
+                    zone: record.zone.clone(),
                 };
                 heard.insert(name, sign);
             }
