--- a/crates/gateway/src/placement/inventories.rs
+++ b/crates/gateway/src/placement/inventories.rs
@@ -56,3 +56,7 @@
     let unloading = inventory.unloading.iter().map(|model| name(model));
     FIXED_BYTES + name(&inventory.runner) + models.sum::<usize>() + unloading.sum::<usize>()
 }
+
+#[cfg(test)]
+#[path = "inventories_tests.rs"]
+mod tests;
