--- /dev/null
+++ b/crates/callers/src/home.rs
@@ -0,0 +1,163 @@
+//! A tenant's home: the one node that counts what all nodes take from it.
+//!
+//! All nodes pick the same home from the nodes that they hear. Those that hear
+//! different ones, across a partition, pick several; each then grants only the
+//! part of the limit that the nodes it hears are of all, so that the parts of
+//! disjoint groups never exceed the whole, whoever is cut off from whom.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::bucket::{QuotaLimit, TokenBucket};
+use crate::messages::{QuotaAnswer, QuotaRequest};
+
+/// Time in which what a node asked for counts half as much.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+/// Part of all asking below which a node is forgotten.
+const FORGOTTEN_PART: f64 = 1e-4;
+
+const MINORITY_PART: f64 = 0.1;
+
+/// How many of all nodes a home hears, itself included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Nodes that it hears.
+    pub heard: usize,
+    /// All nodes that there are.
+    pub nodes: usize,
+}
+
+impl Share {
+    /// The part, 0 to 1.
+    pub fn part(self) -> f64 {
+        if self.heard * 2 > self.nodes {
+            return 1.0;
+        }
+        MINORITY_PART * self.heard as f64 / self.nodes.max(1) as f64
+    }
+}
+
+/// Units asked for lately, fading.
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    units: f64,
+    at: Instant,
+}
+
+impl Asked {
+    fn at(self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at);
+        self.units * 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+    }
+
+    fn add(&mut self, units: f64, now: Instant) {
+        self.units = self.at(now) + units;
+        self.at = now;
+    }
+}
+
+#[derive(Debug)]
+struct Account {
+    bucket: TokenBucket,
+    /// Since when no other home is known to have been asked.
+    alone_since: Instant,
+    asked: Asked,
+    nodes: HashMap<Arc<str>, Asked>,
+}
+
+impl Account {
+    fn new(started: Instant) -> Self {
+        Self {
+            bucket: TokenBucket::empty(started),
+            alone_since: started,
+            asked: Asked {
+                units: 0.0,
+                at: started,
+            },
+            nodes: HashMap::new(),
+        }
+    }
+
+    /// A node asked another home at `at`. If that is news, what that home granted
+    /// is not known here, and this one starts with nothing.
+    fn heard_of_other_home(&mut self, at: Instant, now: Instant) {
+        if at > self.alone_since {
+            self.bucket = TokenBucket::empty(now);
+            self.alone_since = now;
+        }
+    }
+
+    /// Counts that `node` asks for `units`; the part of all asking that is its.
+    fn count(&mut self, node: &Arc<str>, units: f64, now: Instant) -> f64 {
+        self.asked.add(units, now);
+        let all = self.asked.at(now).max(f64::EPSILON);
+        let of_node = self.nodes.entry(node.clone()).or_insert(Asked {
+            units: 0.0,
+            at: now,
+        });
+        of_node.add(units, now);
+        let part = of_node.at(now) / all;
+        self.nodes
+            .retain(|_, asked| asked.at(now) / all > FORGOTTEN_PART);
+        part.min(1.0)
+    }
+}
+
+/// The accounts of the tenants whose home this node is.
+#[derive(Debug)]
+pub struct QuotaHome {
+    started: Instant,
+    /// Time for which nodes go on by their reserves when this node falls silent.
+    reserved_for: Duration,
+    accounts: HashMap<Arc<str>, Account>,
+}
+
+impl QuotaHome {
+    /// A home that started at `started` and whose silence is noticed within
+    /// `reserved_for`. What was granted before it started is not known to it, so
+    /// its accounts start empty.
+    pub fn new(started: Instant, reserved_for: Duration) -> Self {
+        Self {
+            started,
+            reserved_for,
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Forgets the tenants that `known` does not name.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.accounts.retain(|tenant, _| known(tenant));
+    }
+
+    /// Answers `request` of a tenant with this limit over all nodes, for the
+    /// `share` of them that this node hears.
+    pub fn answer(
+        &mut self,
+        request: &QuotaRequest,
+        limit: QuotaLimit,
+        share: Share,
+        now: Instant,
+    ) -> QuotaAnswer {
+        let started = self.started;
+        let account = self
+            .accounts
+            .entry(request.tenant.clone())
+            .or_insert_with(|| Account::new(started));
+        let limit = limit.scaled(share.part());
+        if let Some(elsewhere_ms) = request.elsewhere_ms {
+            let ago = Duration::from_millis(elsewhere_ms.into());
+            account.heard_of_other_home(now.checked_sub(ago).unwrap_or(started), now);
+        }
+        let cost = request.cost as f64;
+        let part = account.count(&request.node, cost, now);
+        let reserve = (part * limit.per_second * self.reserved_for.as_secs_f64()) as u64;
+        match account.bucket.take(cost, limit, now) {
+            Ok(()) => QuotaAnswer::Granted { reserve },
+            Err(wait) => QuotaAnswer::Denied {
+                wait_ms: u32::try_from(wait.as_millis() + 1).unwrap_or(u32::MAX),
+                reserve,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/callers/src/ledger.rs
@@ -0,0 +1,116 @@
+//! What a node keeps of the tenants whose requests come to it: whom it asks, what
+//! it may take while nobody answers, and what it was granted and did not use.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time for which units that a request was granted and did not use, since it was
+/// not run, may serve another one.
+const KEPT_FOR: Duration = Duration::from_secs(1);
+
+/// Time for which a reserve holds: that in which the home counts what a node asked
+/// for, so that the parts of the nodes that have one add up to the whole.
+const RESERVED_FOR: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Default)]
+struct Entry {
+    home: Option<Arc<str>>,
+    /// When that home was asked last.
+    asked: Option<Instant>,
+    /// When another home was asked last.
+    elsewhere: Option<Instant>,
+    reserve: u64,
+    reserve_until: Option<Instant>,
+    unused: u64,
+    unused_until: Option<Instant>,
+}
+
+/// Accounts of the tenants of one node's requests.
+#[derive(Debug)]
+pub struct QuotaLedger {
+    window: Duration,
+    entries: HashMap<Arc<str>, Entry>,
+}
+
+impl QuotaLedger {
+    /// An empty ledger, where tenants' requests are counted in this `window`.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Forgets the tenants that `known` does not name.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.entries.retain(|tenant, _| known(tenant));
+    }
+
+    fn entry(&mut self, tenant: &Arc<str>) -> &mut Entry {
+        self.entries.entry(tenant.clone()).or_default()
+    }
+
+    /// Notes that `home` is asked about `tenant`. The milliseconds since another
+    /// one was asked last, if that is not longer ago than a window.
+    pub fn asks(&mut self, tenant: &Arc<str>, home: &Arc<str>, now: Instant) -> Option<u32> {
+        let window = self.window;
+        let entry = self.entry(tenant);
+        let moved = entry.home.as_ref().is_some_and(|former| former != home);
+        if moved {
+            entry.elsewhere = entry.asked;
+        }
+        entry.home = Some(home.clone());
+        entry.asked = Some(now);
+        let ago = now.saturating_duration_since(entry.elsewhere?);
+        (ago < window).then_some(ago.as_millis() as u32)
+    }
+
+    /// Takes in what may be taken without asking.
+    pub fn set_reserve(&mut self, tenant: &Arc<str>, reserve: u64, now: Instant) {
+        let entry = self.entry(tenant);
+        entry.reserve = reserve;
+        entry.reserve_until = Some(now + RESERVED_FOR);
+    }
+
+    /// Takes `cost` from what may be taken without asking. Of less than `cost` it
+    /// becomes a request by chance, so that the reserves of many nodes, of which
+    /// none is worth a request, still are what they are together. `draw` is a
+    /// random number from 0 to 1.
+    pub fn take_reserve(&mut self, tenant: &Arc<str>, cost: u64, draw: f64, now: Instant) -> bool {
+        let entry = self.entry(tenant);
+        if entry.reserve_until.is_none_or(|until| until <= now) {
+            return false;
+        }
+        let reserve = &mut entry.reserve;
+        if take(reserve, cost) {
+            return true;
+        }
+        let left = std::mem::take(reserve);
+        draw * (cost as f64) < left as f64
+    }
+
+    /// Takes back `cost` that was granted and not used.
+    pub fn give_back(&mut self, tenant: &Arc<str>, cost: u64, now: Instant) {
+        let entry = self.entry(tenant);
+        if entry.unused_until.is_none_or(|until| until <= now) {
+            entry.unused = 0;
+        }
+        entry.unused += cost;
+        entry.unused_until = Some(now + KEPT_FOR);
+    }
+
+    /// Takes `cost` from what was granted lately and not used.
+    pub fn take_unused(&mut self, tenant: &Arc<str>, cost: u64, now: Instant) -> bool {
+        let entry = self.entry(tenant);
+        entry.unused_until.is_some_and(|until| now < until) && take(&mut entry.unused, cost)
+    }
+}
+
+fn take(units: &mut u64, cost: u64) -> bool {
+    let enough = *units >= cost;
+    if enough {
+        *units -= cost;
+    }
+    enough
+}
--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,18 @@
+//! Who may call, and how much: credentials that a node honours only while it
+//! can show that its knowledge of them is young enough ([`authorize`]), and
+//! tenants' limits that hold over all nodes together ([`QuotaHome`],
+//! [`QuotaLedger`]).
+//!
+//! Pure functions of what they are given: no I/O, no clock of their own.
+
+mod access;
+mod bucket;
+mod home;
+mod ledger;
+mod messages;
+
+pub use access::{AccessBounds, Denial, Knowledge, authorize};
+pub use bucket::{QuotaLimit, TokenBucket, cost};
+pub use home::{QuotaHome, Share};
+pub use ledger::QuotaLedger;
+pub use messages::{QuotaAnswer, QuotaRequest};
--- /dev/null
+++ b/crates/callers/tests/access.rs
@@ -0,0 +1,111 @@
+//! Who is served under which credential, by the age of a node's knowledge.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_callers::{AccessBounds, Denial, Knowledge, authorize};
+use barleyspar_catalog::{
+    Backend, Configuration, Credential, RequestKind, Route, RouteTable, Tenant,
+};
+
+const REVOCATION: Duration = Duration::from_secs(5);
+const CHANGE: Duration = Duration::from_secs(3);
+const BOUNDS: AccessBounds = AccessBounds {
+    serve: Some(REVOCATION),
+    deny: CHANGE,
+};
+const LENIENT: AccessBounds = AccessBounds {
+    serve: None,
+    deny: CHANGE,
+};
+
+fn route(public: bool) -> Route {
+    Route {
+        name: "route".into(),
+        host: "host".into(),
+        path_prefix: "/".into(),
+        kind: RequestKind::Idempotent,
+        timeout: None,
+        target_latency: None,
+        target_gap: None,
+        stream_patience: None,
+        priority: 1,
+        backends: vec![Backend {
+            service: "service".into(),
+            weight: 1,
+        }],
+        maximum_attempts: 1,
+        resumable: false,
+        public,
+    }
+}
+
+fn table(tenants: usize) -> RouteTable {
+    let tenant = |number: usize| {
+        Arc::new(Tenant {
+            name: format!("tenant-{number}").into(),
+            credentials: vec![Credential::of(format!("secret-{number}").as_bytes())],
+            priority: None,
+            quota: None,
+        })
+    };
+    RouteTable::new(Arc::new(Configuration {
+        tenants: (0..tenants).map(tenant).collect(),
+        ..Configuration::default()
+    }))
+}
+
+/// The tenant's name, or why not.
+fn decide(
+    secret: Option<&str>,
+    age: Option<Duration>,
+    bounds: &AccessBounds,
+) -> Result<Option<Arc<str>>, Denial> {
+    let table = table(2);
+    let knowledge = Knowledge { table: &table, age };
+    let credential = secret.map(|secret| Credential::of(secret.as_bytes()));
+    let tenant = authorize(knowledge, &route(false), credential.as_ref(), bounds)?;
+    Ok(tenant.map(|tenant| tenant.name.clone()))
+}
+
+#[test]
+fn a_known_credential_serves_until_knowledge_is_as_old_as_the_bound() {
+    let young = REVOCATION - Duration::from_millis(1);
+    let name = Some("tenant-1".into());
+    assert_eq!(decide(Some("secret-1"), Some(young), &BOUNDS), Ok(name));
+    for old in [Some(REVOCATION), Some(2 * REVOCATION), None] {
+        let decision = decide(Some("secret-1"), old, &BOUNDS);
+        assert_eq!(decision, Err(Denial::OldKnowledge));
+    }
+    let name = Some("tenant-1".into());
+    assert_eq!(decide(Some("secret-1"), None, &LENIENT), Ok(name));
+}
+
+#[test]
+fn an_unknown_credential_is_denied_only_by_knowledge_in_force() {
+    let young = CHANGE - Duration::from_millis(1);
+    for bounds in [&BOUNDS, &LENIENT] {
+        let denied = |age| decide(Some("secret-9"), age, bounds);
+        assert_eq!(denied(Some(young)), Err(Denial::Unknown));
+        assert_eq!(denied(Some(CHANGE)), Err(Denial::OldKnowledge));
+        assert_eq!(denied(None), Err(Denial::OldKnowledge));
+    }
+    let none = decide(None, Some(young), &BOUNDS);
+    assert_eq!(none, Err(Denial::Unknown));
+}
+
+#[test]
+fn public_routes_and_sites_without_tenants_ask_for_no_credential() {
+    let table = table(2);
+    let knowledge = Knowledge {
+        table: &table,
+        age: None,
+    };
+    assert_eq!(authorize(knowledge, &route(true), None, &BOUNDS), Ok(None));
+    let empty = RouteTable::default();
+    let knowledge = Knowledge {
+        table: &empty,
+        age: None,
+    };
+    assert_eq!(authorize(knowledge, &route(false), None, &BOUNDS), Ok(None));
+}
--- a/crates/catalog/src/configuration.rs
+++ b/crates/catalog/src/configuration.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Tenant;
+
 /// One version of the configuration, whole.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Configuration {
@@ -16,6 +18,9 @@
     pub services: BTreeMap<Arc<str>, Arc<Service>>,
     /// What a client may send and how long it may take.
     pub limits: ClientLimits,
+    /// Who may call; if there are none, everybody may.
+    #[serde(default)]
+    pub tenants: Vec<Arc<Tenant>>,
 }
 
 /// How often a request of a route may run.
@@ -65,6 +70,8 @@
     pub maximum_attempts: u32,
     /// Whether a broken stream may be continued at another runner.
     pub resumable: bool,
+    /// Whether callers without a credential may use it.
+    pub public: bool,
 }
 
 impl Route {
--- a/crates/catalog/src/dialect.rs
+++ b/crates/catalog/src/dialect.rs
@@ -1,7 +1,7 @@
 //! The port behind which a platform's names, formats and calls stand.
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode, request, response};
+use http::{HeaderMap, HeaderName, Request, StatusCode, request, response};
 use thiserror::Error;
 
 use crate::{
@@ -30,17 +30,30 @@
     Other,
 }
 
+/// Who may set a header of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeaderOwner {
+    /// The caller: it goes on to the runner as it came.
+    Caller,
+    /// This system: what a caller sends under its name has no effect.
+    System,
+    /// One connection: it goes no further.
+    Hop,
+    /// The runner, in its answers.
+    Runner,
+}
+
 /// Translates between the product's types and a platform's wire. Pure: no I/O,
 /// no state, no decision.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads the head of a client's request.
     fn read_request(&self, head: &request::Parts) -> RequestFacts;
-    /// The headers with which a client's request goes to a runner.
-    fn forwarded_headers(&self, client: &HeaderMap, forward: &Forward) -> HeaderMap;
+    /// Who may set the header `name` of a request.
+    fn header_owner(&self, name: &HeaderName) -> HeaderOwner;
+    /// The headers that this system adds to what the caller sent.
+    fn added_headers(&self, forward: &Forward) -> HeaderMap;
     /// Reads the head of a runner's answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerFacts;
-    /// The headers with which a runner's answer goes to the client.
-    fn returned_headers(&self, runner: &HeaderMap) -> HeaderMap;
     /// Headers of an answer of the system's own to the request `request_id`.
     fn own_headers(&self, request_id: Option<&str>) -> HeaderMap;
     /// Asks a runner for its report.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -13,15 +13,17 @@
 mod runner;
 mod settings;
 mod store;
+mod tenants;
 
 pub use answer::AnswerFacts;
 pub use configuration::{
     Backend, ClientLimits, Configuration, EngineSpec, ModelSpec, RequestKind, Route, Service,
 };
-pub use dialect::{Dialect, DialectError, StoredObject};
+pub use dialect::{Dialect, DialectError, HeaderOwner, StoredObject};
 pub use order::{Order, OrderAction, OrderAnswer, Report};
 pub use request::{Forward, ModelReference, RequestFacts};
 pub use routes::RouteTable;
 pub use runner::{HeldModel, Runner, RunnerState, WeightCopies};
-pub use settings::{Bounds, MachineLimits, NodeSettings};
+pub use settings::{Bounds, MachineLimits, NodeSettings, QuotaBounds};
 pub use store::{Event, Item, StoreAnswer, StoreCall, StoreError, Transaction, Write};
+pub use tenants::{Credential, Quota, QuotaUnit, Tenant};
--- a/crates/catalog/src/request.rs
+++ b/crates/catalog/src/request.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Credential;
+
 /// A model and, where wanted, one of its adapters.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ModelReference {
@@ -29,6 +31,10 @@
     pub shared_prefix: Vec<u64>,
     /// The event after which the client wants to go on.
     pub last_event_id: Option<String>,
+    /// The caller's credential, if it sent one.
+    pub credential: Option<Credential>,
+    /// All tokens that the request names, of prompt and answer.
+    pub named_tokens: Option<u64>,
 }
 
 /// What the system tells a runner along with a request.
@@ -42,4 +48,6 @@
     pub priority: Option<u8>,
     /// The event after which to go on, in place of the client's own.
     pub last_event_id: Option<String>,
+    /// The tenant that asks, where callers have tenants.
+    pub tenant: Option<Arc<str>>,
 }
--- a/crates/catalog/src/routes.rs
+++ b/crates/catalog/src/routes.rs
@@ -1,15 +1,17 @@
-//! The immutable table that finds a request's route.
+//! The immutable table that finds a request's route and its caller's tenant.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::{Configuration, Route};
+use crate::tenants::{TenantTable, asks_for_tenant};
+use crate::{Configuration, Credential, Route, Tenant};
 
 /// Routes of one configuration by host and path prefix.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     configuration: Arc<Configuration>,
     hosts: HashMap<String, HashMap<Arc<str>, Arc<Route>>>,
+    tenants: TenantTable,
 }
 
 impl RouteTable {
@@ -22,9 +24,11 @@
                 .or_default()
                 .insert(route.path_prefix.clone(), route.clone());
         }
+        let tenants = TenantTable::new(&configuration);
         Self {
             configuration,
             hosts,
+            tenants,
         }
     }
 
@@ -33,6 +37,21 @@
         &self.configuration
     }
 
+    /// The tenant that `credential` belongs to.
+    pub fn tenant_of(&self, credential: &Credential) -> Option<&Arc<Tenant>> {
+        self.tenants.find(credential)
+    }
+
+    /// The tenant of this name.
+    pub fn tenant_named(&self, name: &str) -> Option<&Arc<Tenant>> {
+        self.tenants.named(name)
+    }
+
+    /// Whether requests on `route` must name their tenant.
+    pub fn asks_for_tenant(&self, route: &Route) -> bool {
+        asks_for_tenant(&self.configuration, route)
+    }
+
     /// The route of `host` with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.to_ascii_lowercase();
--- a/crates/catalog/src/settings.rs
+++ b/crates/catalog/src/settings.rs
@@ -40,6 +40,17 @@
     pub link_megabits: u32,
 }
 
+/// How exactly tenants' limits hold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Window in which what a tenant takes is counted.
+    pub window: Duration,
+    /// Part by which a window may exceed the limit.
+    pub overage: f64,
+    /// Units by which a window may exceed the limit besides.
+    pub tolerance: f64,
+}
+
 /// Bounds that the site promises or expects.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -63,4 +74,9 @@
     pub load_window: Duration,
     /// Factor by which loads in a window may exceed the store's rate.
     pub load_overage: f64,
+    /// Time after which no node serves under a credential that was taken away,
+    /// whatever it can reach; `None` where only nodes in touch are bound.
+    pub revocation: Option<Duration>,
+    /// What tenants may take beyond their limits.
+    pub quota: QuotaBounds,
 }
--- a/crates/dispatch/tests/split.rs
+++ b/crates/dispatch/tests/split.rs
@@ -25,6 +25,7 @@
             .collect(),
         maximum_attempts: 1,
         resumable: false,
+        public: false,
     }
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,8 +1,10 @@
-//! Takes a request in: finds its route, reserves memory, reads its body.
+//! Takes a request in: finds its route and tenant, reserves memory, reads its body.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{RequestFacts, RequestKind, Route};
+use barleyspar_callers::cost;
+use barleyspar_catalog::{RequestFacts, RequestKind, Route, Tenant};
 use bytes::Bytes;
 use http::header::HOST;
 use http::{StatusCode, request};
@@ -15,10 +17,12 @@
 use crate::answers::OwnAnswer;
 use crate::attempt::Outgoing;
 use crate::context::{BODY_UNIT, Context};
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, Ordered};
 use crate::journal;
 use crate::lifecycle::Stage;
+use crate::quota::{Charge, QuotaDecision};
 use crate::request::{REJECTED_RETRY_AFTER, STOPPING_RETRY_AFTER};
+use crate::trust;
 
 /// Time a request is held where neither client nor route says.
 const USUAL_DEADLINE: Duration = Duration::from_secs(60);
@@ -62,6 +66,12 @@
     if !ends_in_time(context, &route) {
         return Err(OwnAnswer::refused("stopping", STOPPING_RETRY_AFTER));
     }
+    let credential = facts.credential.as_ref();
+    let tenant = context.authorize(&route, credential).map_err(|denial| {
+        journal::denied(context, &facts, &route, denial);
+        OwnAnswer::denied(denial)
+    })?;
+    let charge = charge(context, &facts, tenant.as_ref()).await?;
     let memory = reserve_memory(context, &body, configuration.limits.body_bytes)?;
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let service = context.dispatch.split(&route).await;
@@ -69,23 +79,43 @@
     let version = configuration.version;
     let exchange = Exchange::new(
         context.clone(),
-        route,
-        service,
+        Ordered {
+            route,
+            service,
+            tenant,
+            charge,
+        },
         facts.clone(),
-        outgoing(head, body, facts.request_id, memory),
+        outgoing(context, head, body, facts.request_id, memory),
         received,
         deadline,
     );
-    journal::accepted(
-        exchange.id(),
-        &exchange.route,
-        version,
-        &exchange.service,
-        exchange.left(),
-    );
+    journal::accepted(&exchange, version);
     Ok(exchange)
 }
 
+/// Asks for leave to take the request from its tenant, if that has a limit.
+async fn charge(
+    context: &Context,
+    facts: &RequestFacts,
+    tenant: Option<&Arc<Tenant>>,
+) -> Result<Option<Charge>, OwnAnswer> {
+    let limited = tenant.and_then(|tenant| Some((tenant, tenant.quota?)));
+    let Some((tenant, quota)) = limited else {
+        return Ok(None);
+    };
+    let cost = cost(quota.unit, facts);
+    let name = tenant.name.clone();
+    match context.quota.admit(name.clone(), cost).await {
+        QuotaDecision::Granted => Ok(Some(Charge::new(context.quota.clone(), name, cost))),
+        QuotaDecision::Denied(wait) => {
+            journal::limited(facts, tenant, cost, wait);
+            Err(OwnAnswer::limited(wait))
+        }
+        QuotaDecision::Unknown => Err(OwnAnswer::refused("quota_unknown", REJECTED_RETRY_AFTER)),
+    }
+}
+
 /// When a process of this age is expected to know a configuration.
 fn configured_after(age: Duration) -> Duration {
     if age < USUALLY_CONFIGURED_AFTER {
@@ -115,6 +145,7 @@
 }
 
 fn outgoing(
+    context: &Context,
     head: request::Parts,
     body: Bytes,
     request_id: Option<String>,
@@ -128,7 +159,7 @@
     Outgoing {
         method: head.method,
         target,
-        headers: head.headers,
+        headers: trust::to_runner(|name| context.dialect.header_owner(name), &head.headers),
         body,
         request_id,
         _memory: memory,
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use barleyspar_callers::Denial;
 use barleyspar_domain::Verdict;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
@@ -10,6 +11,10 @@
 use crate::context::Context;
 use crate::lifecycle::Stage;
 
+/// When to come back to a node whose knowledge of credentials is too old. It asks
+/// the store and its peers twice a second; another node may know already.
+const KNOWN_AGAIN_AFTER: Duration = Duration::from_millis(500);
+
 /// An answer of the system's own.
 #[derive(Debug, Clone, Copy)]
 pub struct OwnAnswer {
@@ -34,6 +39,24 @@
         }
     }
 
+    /// The caller's tenant is over its limit; it is within it after this time.
+    pub fn limited(retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            verdict: Verdict::NotRun,
+            reason: "quota",
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// The caller's credential does not allow the request.
+    pub fn denied(denial: Denial) -> Self {
+        match denial {
+            Denial::Unknown => Self::rejected(StatusCode::UNAUTHORIZED, "credential_unknown"),
+            Denial::OldKnowledge => Self::refused("old_knowledge", KNOWN_AGAIN_AFTER),
+        }
+    }
+
     /// The request did not run and cannot.
     pub fn rejected(status: StatusCode, reason: &'static str) -> Self {
         Self {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,7 +22,7 @@
     pub method: Method,
     /// The client's path and query.
     pub target: Uri,
-    /// The client's headers.
+    /// The client's headers, those only that are its own to set.
     pub headers: HeaderMap,
     /// The client's body.
     pub body: Bytes,
@@ -206,8 +206,10 @@
     let mut request = Request::new(outgoing.body.clone());
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.target.clone();
-    *request.headers_mut() = context
-        .dialect
-        .forwarded_headers(&outgoing.headers, &forward);
+    let headers = request.headers_mut();
+    *headers = outgoing.headers.clone();
+    for (name, value) in &context.dialect.added_headers(&forward) {
+        headers.insert(name, value.clone());
+    }
     request
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Dialect, NodeSettings, RouteTable, Runner};
+use barleyspar_callers::{AccessBounds, Denial, Knowledge, authorize};
+use barleyspar_catalog::{Credential, Dialect, NodeSettings, Route, RouteTable, Runner, Tenant};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
@@ -12,6 +13,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::network::Network;
+use crate::quota::QuotaHandle;
 use crate::upstream::{Checkout, ConnectError, Connection, Pool};
 
 /// Time for a connection to a runner to come up.
@@ -42,6 +44,13 @@
     pub started: Instant,
     /// The routes in force; `None` until a configuration is known.
     pub routes: watch::Receiver<Option<Arc<RouteTable>>>,
+    /// When the routes in force were known to be the operators' latest; `None`
+    /// until that was so once.
+    pub confirmed: watch::Receiver<Option<Instant>>,
+    /// How old that knowledge may be.
+    pub access: AccessBounds,
+    /// Leave to take requests from tenants.
+    pub quota: QuotaHandle,
     /// The dispatcher.
     pub dispatch: DispatchHandle,
     /// Connections to runners.
@@ -57,6 +66,39 @@
 }
 
 impl Context {
+    /// The tenant under which a request on `route` with `credential` is served
+    /// now, by the routes in force.
+    pub fn authorize(
+        &self,
+        route: &Route,
+        credential: Option<&Credential>,
+    ) -> Result<Option<Arc<Tenant>>, Denial> {
+        let table = self.routes.borrow().clone().unwrap_or_default();
+        let knowledge = Knowledge {
+            table: &table,
+            age: self.knowledge_age(),
+        };
+        authorize(knowledge, route, credential, &self.access)
+    }
+
+    /// Whether this node knows routes, and knows them well enough to serve
+    /// callers by their credentials, if they have any.
+    pub fn may_serve(&self) -> bool {
+        let Some(table) = self.routes.borrow().clone() else {
+            return false;
+        };
+        let knowledge = Knowledge {
+            table: &table,
+            age: self.knowledge_age(),
+        };
+        table.configuration().tenants.is_empty() || knowledge.may_serve(&self.access)
+    }
+
+    /// Time for which this node may have missed changes of the configuration.
+    pub fn knowledge_age(&self) -> Option<Duration> {
+        self.confirmed.borrow().map(|at| at.elapsed())
+    }
+
     /// A connection to `runner`: one that rested, or a new one within `timeout`.
     pub async fn connect(
         &self,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,6 +5,7 @@
 
 use barleyspar_catalog::{Event, Item, RouteTable, Runner, RunnerState, StoredObject};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::feed::Change;
@@ -24,6 +25,10 @@
     pub peers: PeerHandle,
     /// Who leads the placement.
     pub leader: watch::Sender<Option<LeaderRecord>>,
+    /// When the routes in force were known to be the operators' latest.
+    pub confirmed: watch::Sender<Option<Instant>>,
+    /// Whether the latest configuration could not be read.
+    pub unreadable: bool,
     /// Runners whose entries the log has told of, and in which state.
     pub told: HashMap<Arc<str>, RunnerState>,
 }
@@ -36,10 +41,19 @@
                 Change::Everything(items) => self.everything(items),
                 Change::Event(Event::Written(item)) => self.written(&item, false),
                 Change::Event(Event::Removed { key, .. }) => self.removed(&key),
+                Change::CompleteAt(at) => self.complete_at(at),
             }
         }
     }
 
+    /// Takes in that no change before `at` is missing. That says nothing of a
+    /// configuration that this node cannot read.
+    fn complete_at(&self, at: Instant) {
+        if !self.unreadable {
+            self.confirmed.send_replace(Some(at));
+        }
+    }
+
     fn everything(&mut self, items: Vec<Item>) {
         let keys: Vec<Arc<str>> = items
             .iter()
@@ -86,10 +100,17 @@
             return;
         }
         match self.context.dialect.read_object(&item.key, &item.value) {
-            Ok(StoredObject::Configuration(configuration)) => self.configure(*configuration),
+            Ok(StoredObject::Configuration(configuration)) => {
+                self.unreadable = false;
+                self.configure(*configuration);
+            }
             Ok(StoredObject::Runner(runner)) => self.runner(*runner, item.revision, whole_reading),
             Ok(StoredObject::Other) => {}
-            Err(error) => tracing::warn!(event = "object_unreadable", key = item.key, %error),
+            Err(error) => {
+                tracing::warn!(event = "object_unreadable", key = item.key, %error);
+                let is_runner = self.context.dialect.runner_of_key(&item.key).is_some();
+                self.unreadable |= !is_runner;
+            }
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Forward, ModelReference, RequestFacts, RequestKind, Route, Runner};
+use barleyspar_callers::Denial;
+use barleyspar_catalog::{
+    Forward, ModelReference, RequestFacts, RequestKind, Route, Runner, Tenant,
+};
 use barleyspar_dispatch::{AttemptKind, Query};
 use barleyspar_domain::Verdict;
 use tokio::time::Instant;
@@ -13,6 +16,7 @@
 use crate::context::Context;
 use crate::inflight::InFlightGuard;
 use crate::journal;
+use crate::quota::Charge;
 
 /// Rejections by runners that one request may collect.
 const MOST_REJECTIONS: u32 = 2;
@@ -32,6 +36,18 @@
 /// Events that tell a stream's usual pace.
 const ENOUGH_GAPS: u32 = 10;
 
+/// What the configuration says of a request.
+pub struct Ordered {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service that its traffic split chose.
+    pub service: Arc<str>,
+    /// The tenant that asks, where callers have tenants.
+    pub tenant: Option<Arc<Tenant>>,
+    /// What it was granted of its tenant's limit.
+    pub charge: Option<Charge>,
+}
+
 /// A request on its way.
 pub struct Exchange {
     /// What all parts share.
@@ -40,6 +56,9 @@
     pub route: Arc<Route>,
     /// The service that its traffic split chose.
     pub service: Arc<str>,
+    /// The tenant that asks, where callers have tenants.
+    pub tenant: Option<Arc<Tenant>>,
+    charge: Option<Charge>,
     /// Whether the service's runners hold models.
     pub has_engine: bool,
     /// What the request's head says.
@@ -72,13 +91,18 @@
     /// A request that has been read whole.
     pub fn new(
         context: Context,
-        route: Arc<Route>,
-        service: Arc<str>,
+        ordered: Ordered,
         facts: RequestFacts,
         outgoing: Outgoing,
         received: Instant,
         deadline: Instant,
     ) -> Self {
+        let Ordered {
+            route,
+            service,
+            tenant,
+            charge,
+        } = ordered;
         let in_flight = context.requests.enter();
         let has_engine = context.routes.borrow().as_ref().is_some_and(|table| {
             let services = &table.configuration().services;
@@ -90,6 +114,8 @@
             context,
             route,
             service,
+            tenant,
+            charge,
             has_engine,
             facts,
             outgoing,
@@ -115,6 +141,28 @@
         self.outgoing.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Its rank: that of its tenant, or else of its route; 0 is the most urgent.
+    pub fn priority(&self) -> u8 {
+        let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        of_tenant.unwrap_or(self.route.priority)
+    }
+
+    /// Units of its tenant's limit that it was granted.
+    pub fn cost(&self) -> Option<u64> {
+        self.charge.as_ref().map(Charge::cost)
+    }
+
+    /// Whether it may still be sent under its credential, by what is known now:
+    /// it may have waited, or is to run a second time.
+    pub fn authorize_again(&self) -> Result<(), Denial> {
+        let credential = self.facts.credential.as_ref();
+        let denied = self.context.authorize(&self.route, credential).err();
+        denied.map_or(Ok(()), |denial| {
+            journal::denied(&self.context, &self.facts, &self.route, denial);
+            Err(denial)
+        })
+    }
+
     /// Time until the deadline.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -147,7 +195,7 @@
         Query {
             service: self.service.clone(),
             wanted: self.wanted(),
-            priority: self.route.priority,
+            priority: self.priority(),
             prompt_tokens: self.facts.prompt_tokens,
             tokens: self.facts.prompt_tokens + self.facts.answer_tokens,
             affinity: self.affinity(),
@@ -198,8 +246,9 @@
         Forward {
             runner: runner.id.clone(),
             remaining: Some(self.left()),
-            priority: self.has_engine.then_some(self.route.priority),
+            priority: self.has_engine.then_some(self.priority()),
             last_event_id,
+            tenant: self.tenant.as_ref().map(|tenant| tenant.name.clone()),
         }
     }
 
@@ -247,6 +296,9 @@
     /// Takes in that the request may have run at `runner`.
     pub fn ran_at(&mut self, runner: &Arc<str>, verdict: Verdict) {
         self.verdict = self.verdict.and(verdict);
+        if let Some(charge) = &mut self.charge {
+            charge.used();
+        }
         self.runs += 1;
         if !self.excluded.contains(runner) {
             self.excluded.push(runner.clone());
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -15,14 +15,8 @@
 /// A stream of frames from a parent.
 pub struct Following {
     stream: Box<dyn ByteStream>,
-    clock: Option<Offset>,
-}
-
-/// The parent's clock against ours, at the quickest frame so far.
-#[derive(Debug, Clone, Copy)]
-struct Offset {
-    began: Instant,
-    sent_ms: u64,
+    /// When this node said hello: the parent took it no earlier.
+    hello_at: Instant,
 }
 
 /// A frame with the moment at which what it says was complete.
@@ -38,40 +32,32 @@
     pub async fn begin(network: &dyn Network, parent: &Parent, revision: u64) -> io::Result<Self> {
         let connect = network.connect(parent.address);
         let mut stream = timeout(CONNECT_TIMEOUT, connect).await??;
+        let hello_at = Instant::now();
         write(&mut stream, &Hello { revision }).await?;
-        Ok(Self {
-            stream,
-            clock: None,
-        })
+        Ok(Self { stream, hello_at })
     }
 
     /// The next frame. Dropping the future loses the connection's place in the
     /// stream: the connection is of no more use then.
     pub async fn next(&mut self) -> io::Result<Arrived> {
         let frame: Frame = read(&mut self.stream).await?;
-        let now = Instant::now();
-        let age = Duration::from_millis(u64::from(frame.age_ms)) + self.delay(&frame, now);
-        Ok(Arrived {
-            complete_at: now.checked_sub(age).unwrap_or(now),
-            frame,
-        })
+        let complete_at = complete_at(self.hello_at, &frame);
+        Ok(Arrived { frame, complete_at })
     }
+}
 
-    /// How much longer than the quickest frame this one was on its way.
-    fn delay(&mut self, frame: &Frame, now: Instant) -> Duration {
-        let quickest = *self.clock.get_or_insert(Offset {
-            began: now,
-            sent_ms: frame.sent_ms,
-        });
-        let ours = now.saturating_duration_since(quickest.began);
-        let theirs = Duration::from_millis(frame.sent_ms.saturating_sub(quickest.sent_ms));
-        let delay = ours.saturating_sub(theirs);
-        if delay.is_zero() {
-            self.clock = Some(Offset {
-                began: now,
-                sent_ms: frame.sent_ms,
-            });
-        }
-        delay
-    }
+/// A moment at which what `frame` says was complete for certain, by the clock of
+/// the node that said hello at `hello_at`.
+///
+/// The frame left its sender that much after the hello as it says, and the hello
+/// came no earlier than it was sent. So neither a slow link nor a freeze of this
+/// node, between the hello and its reading, makes knowledge look younger.
+fn complete_at(hello_at: Instant, frame: &Frame) -> Instant {
+    let sent = hello_at + Duration::from_millis(frame.since_hello_ms);
+    let age = Duration::from_millis(u64::from(frame.age_ms));
+    sent.checked_sub(age).unwrap_or(hello_at)
 }
+
+#[cfg(test)]
+#[path = "follow_tests.rs"]
+mod tests;
--- a/crates/gateway/src/feed/frame.rs
+++ b/crates/gateway/src/feed/frame.rs
@@ -45,8 +45,9 @@
 /// What a node tells its followers.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Frame {
-    /// Milliseconds on the sender's monotonic clock, from any beginning.
-    pub sent_ms: u64,
+    /// Milliseconds since the sender took this follower's [`Hello`], on its
+    /// monotonic clock, rounded down.
+    pub since_hello_ms: u64,
     /// Milliseconds for which the sender may have missed changes.
     pub age_ms: u32,
     /// Steps between the sender and the store's watcher.
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -22,7 +22,6 @@
 /// Takes followers until the process ends.
 pub async fn serve(listener: Box<dyn Listener>, state: watch::Receiver<FeedState>) {
     let places = std::sync::Arc::new(tokio::sync::Semaphore::new(MOST_FOLLOWERS));
-    let started = Instant::now();
     loop {
         let Ok(stream) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -34,7 +33,7 @@
         let state = state.clone();
         crate::tasks::spawn(async move {
             // A follower may leave at any time.
-            let _ = feed(stream, state, started).await;
+            let _ = feed(stream, state).await;
             drop(place);
         });
     }
@@ -43,12 +42,12 @@
 async fn feed(
     mut stream: Box<dyn ByteStream>,
     mut state: watch::Receiver<FeedState>,
-    started: Instant,
 ) -> io::Result<()> {
     let hello: Hello = timeout(HELLO_TIMEOUT, read(&mut stream)).await??;
+    let asked = Instant::now();
     let mut revision = hello.revision;
     loop {
-        let frame = next_frame(&state.borrow_and_update(), revision, started);
+        let frame = next_frame(&state.borrow_and_update(), revision, asked);
         if let Some(frame) = frame {
             revision = frame.revision;
             timeout(WRITE_TIMEOUT, write(&mut stream, &frame)).await??;
@@ -69,8 +68,8 @@
     u32::try_from(age.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
 }
 
-/// What a follower with `revision` is told; nothing while nothing is known.
-fn next_frame(state: &FeedState, revision: u64, started: Instant) -> Option<Frame> {
+/// What a follower with `revision`, whose hello came at `asked`, is told; nothing while nothing is known.
+fn next_frame(state: &FeedState, revision: u64, asked: Instant) -> Option<Frame> {
     let now = Instant::now();
     let age = state.age(now)?;
     let content = match state.missing(revision) {
@@ -80,7 +79,7 @@
         }
     };
     Some(Frame {
-        sent_ms: (now - started).as_millis() as u64,
+        since_hello_ms: (now - asked).as_millis() as u64,
         age_ms: whole_milliseconds(age),
         depth: state.depth(),
         revision: state.revision().max(revision),
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -25,6 +25,8 @@
     Everything(Vec<Item>),
     /// One change.
     Event(Event),
+    /// All changes before this moment have been told.
+    CompleteAt(Instant),
 }
 
 /// Changes in the store's order, as they go to followers.
--- a/crates/gateway/src/feed/state_tests.rs
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use barleyspar_catalog::{Bounds, Event, Item};
+use barleyspar_catalog::{Bounds, Event, Item, QuotaBounds};
 use tokio::time::Instant;
 
 use super::state::{FeedState, Missing};
@@ -27,6 +27,12 @@
         fencing_enforced: true,
         load_window: 5 * second,
         load_overage: 1.1,
+        revocation: None,
+        quota: QuotaBounds {
+            window: 8 * second,
+            overage: 0.1,
+            tolerance: 0.0,
+        },
     }
 }
 
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -306,15 +306,25 @@
         complete_at: Instant,
         depth: u32,
     ) {
-        let mut newer = false;
+        let (mut newer, mut confirmed) = (false, false);
         self.state.send_if_modified(|state| {
             newer = state.take_everything(&items, revision);
-            state.confirm(revision, complete_at, depth) || newer
+            confirmed = state.confirm(revision, complete_at, depth);
+            confirmed || newer
         });
         if newer {
             // Without a listener the task ends at its next step.
             let _ = self.changes.send(Change::Everything(items)).await;
         }
+        self.tell_complete(confirmed, complete_at).await;
+    }
+
+    /// Says, behind the changes themselves, that there were no others.
+    async fn tell_complete(&self, confirmed: bool, at: Instant) {
+        if confirmed {
+            // As above.
+            let _ = self.changes.send(Change::CompleteAt(at)).await;
+        }
     }
 
     async fn take_events(
@@ -325,14 +335,17 @@
         depth: u32,
     ) {
         let mut news = Vec::new();
+        let mut confirmed = false;
         // Only what is new goes on: two nodes that follow each other while the
         // store serves neither would tell each other the same without end.
         self.state.send_if_modified(|state| {
             news = state.take_events(events, revision);
-            state.confirm(revision, complete_at, depth) || !news.is_empty()
+            confirmed = state.confirm(revision, complete_at, depth);
+            confirmed || !news.is_empty()
         });
         for event in news {
             let _ = self.changes.send(Change::Event(event)).await;
         }
+        self.tell_complete(confirmed, complete_at).await;
     }
 }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -5,11 +5,13 @@
 
 use std::time::Duration;
 
-use barleyspar_catalog::Route;
+use barleyspar_callers::Denial;
+use barleyspar_catalog::{RequestFacts, Route, Tenant};
 use barleyspar_dispatch::Refusal;
 use barleyspar_domain::Verdict;
 
 use crate::attempt::AttemptError;
+use crate::context::Context;
 use crate::dispatch::Permit;
 use crate::exchange::Exchange;
 
@@ -21,15 +23,49 @@
     (duration.as_secs_f64() * 1e6).round() / 1e3
 }
 
-/// A request was taken from a client.
-pub fn accepted(request: &str, route: &Route, version: u64, service: &str, left: Duration) {
+/// A request was taken from a client, by the configuration `version`.
+pub fn accepted(exchange: &Exchange, version: u64) {
+    let wanted = exchange.facts.model.as_ref();
     tracing::info!(
         event = "accepted",
-        request,
-        route = &*route.name,
+        request = exchange.id(),
+        route = &*exchange.route.name,
+        kind = ?exchange.route.kind,
         version,
-        service,
-        left_ms = milliseconds(left)
+        service = &*exchange.service,
+        tenant = exchange.tenant.as_ref().map(|tenant| &*tenant.name),
+        model = wanted.map(|wanted| &*wanted.model),
+        adapter = wanted.and_then(|wanted| wanted.adapter.as_deref()),
+        priority = exchange.priority(),
+        cost = exchange.cost(),
+        left_ms = milliseconds(exchange.left())
+    );
+}
+
+/// A request is not served under the credential that it carries.
+pub fn denied(context: &Context, facts: &RequestFacts, route: &Route, denial: Denial) {
+    let table = context.routes.borrow();
+    tracing::warn!(
+        event = "denied",
+        request = facts.request_id.as_deref(),
+        route = &*route.name,
+        reason = ?denial,
+        has_credential = facts.credential.is_some(),
+        version = table.as_ref().map(|table| table.configuration().version),
+        knowledge_age_ms = context.knowledge_age().map(milliseconds)
+    );
+}
+
+/// A request's tenant is over its limit.
+pub fn limited(facts: &RequestFacts, tenant: &Tenant, cost: u64, wait: Duration) {
+    tracing::warn!(
+        event = "limited",
+        request = facts.request_id.as_deref(),
+        tenant = &*tenant.name,
+        cost,
+        per_second = tenant.quota.map(|quota| quota.per_second),
+        burst = tenant.quota.map(|quota| quota.burst),
+        wait_ms = milliseconds(wait)
     );
 }
 
@@ -55,7 +91,7 @@
         service = &*exchange.service,
         model = wanted.map(|wanted| &*wanted.model),
         adapter = wanted.and_then(|wanted| wanted.adapter.as_deref()),
-        priority = exchange.route.priority
+        priority = exchange.priority()
     );
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod node;
 mod peers;
 mod placement;
+mod quota;
 mod readiness;
 mod register;
 mod relay;
@@ -29,6 +30,7 @@
 mod store;
 mod stream;
 mod tasks;
+mod trust;
 mod upstream;
 
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use barleyspar_callers::{QuotaAnswer, QuotaRequest};
 use barleyspar_dispatch::{DemandItem, Inventory, RunnerKey};
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +50,15 @@
         /// Whether a relay has passed it on: it goes no further.
         passed_on: bool,
     },
+    /// A node asks a tenant's home for leave to take a request.
+    QuotaRequest(QuotaRequest),
+    /// The home's answer.
+    QuotaAnswer {
+        /// The asking node's number for it.
+        number: u64,
+        /// What it says.
+        answer: QuotaAnswer,
+    },
 }
 
 impl Message {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use barleyspar_callers::AccessBounds;
 use barleyspar_catalog::{Dialect, NodeSettings};
 use barleyspar_dispatch::{BudgetLimits, Dispatcher};
 use barleyspar_loading::{PaceLimits, Planner, PlannerSettings, Switches};
@@ -23,8 +24,9 @@
 use crate::listener::{self, ListenerLimits};
 use crate::network::{Listener, Network, Sockets};
 use crate::placement::{self, LeaseKeeper, PlacementTask};
+use crate::quota::QuotaTask;
 use crate::store::Store;
-use crate::{dispatch, feed, peers, readiness, register, request};
+use crate::{dispatch, feed, peers, quota, readiness, register, request};
 
 /// Changes of the store that may wait to be taken in.
 const CHANGES: usize = 64;
@@ -171,6 +173,8 @@
     let settings = Arc::new(settings);
     let urgent = Arc::new(Notify::new());
     let (routes_sender, routes) = watch::channel(None);
+    let (confirmed_sender, confirmed) = watch::channel(None);
+    let (quota, quota_inbox) = quota::channel();
     let now = Instant::now().into_std();
     let dispatcher = Dispatcher::new(
         settings.name.clone(),
@@ -184,6 +188,9 @@
         settings: settings.clone(),
         started: Instant::now(),
         routes,
+        confirmed,
+        quota,
+        access: AccessBounds::new(&settings.bounds),
         dispatch: dispatch::start(dispatcher, urgent.clone()),
         pool: Arc::default(),
         lifecycle,
@@ -226,6 +233,8 @@
         placement: placement_handle.clone(),
         peers: peer_handle.clone(),
         leader: leader_sender,
+        confirmed: confirmed_sender,
+        unreadable: false,
         told: HashMap::new(),
     };
     let heard = peer_handle.heard();
@@ -235,6 +244,7 @@
         overage: settings.bounds.load_overage,
     };
     let planner = Planner::new(placing.with_pace(pace), now);
+    let quota_task = QuotaTask::new(context.clone(), peer_handle.clone(), quota_inbox);
     let placement_task = PlacementTask::new(
         context.clone(),
         planner,
@@ -272,6 +282,7 @@
     crate::tasks::spawn(register::register(store, context.clone()));
     crate::tasks::spawn(peer_task.run());
     crate::tasks::spawn(placement_task.run());
+    crate::tasks::spawn(quota_task.run());
     crate::tasks::spawn(lease_keeper.run());
     crate::tasks::spawn(sweep(context.clone()));
     if let Some(address) = settings.metrics_address {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -18,6 +18,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::messages::Message;
+
 pub use members::MemberRecord;
 pub use relay::LoadSum;
 pub use task::PeerTask;
@@ -28,6 +30,7 @@
     Left(Arc<str>),
     Retain(Vec<Arc<str>>),
     Publish(Vec<Inventory>),
+    Tell(Arc<str>, Box<Message>),
 }
 
 /// A handle to the peers task.
@@ -69,6 +72,11 @@
         self.send(Command::Publish(inventories));
     }
 
+    /// Sends `message` to the node `name`, once.
+    pub fn tell(&self, name: Arc<str>, message: Message) {
+        self.send(Command::Tell(name, Box::new(message)));
+    }
+
     fn send(&self, command: Command) {
         // The task ends only with the process.
         let _ = self.commands.send(command);
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -155,6 +155,10 @@
                     self.context.dispatch.update_models(inventory);
                 }
             }
+            Some(Message::QuotaRequest(request)) => self.context.quota.asked(request),
+            Some(Message::QuotaAnswer { number, answer }) => {
+                self.context.quota.answered(number, answer);
+            }
             None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
         }
     }
@@ -209,6 +213,7 @@
             Command::Left(name) => self.members.left(&name),
             Command::Retain(names) => self.members.retain_stored(&names),
             Command::Publish(inventories) => self.publish(inventories).await,
+            Command::Tell(name, message) => self.send_to(&message, [name].iter()).await,
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/quota/homes.rs
@@ -0,0 +1,105 @@
+//! Which node is a tenant's home: a pure function of the nodes that are heard.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_callers::Share;
+use barleyspar_catalog::NodeSettings;
+use barleyspar_domain::rank;
+use tokio::time::Instant;
+
+use crate::peers::Heard;
+
+/// Time for which one look at the nodes that are heard is used: a home is asked
+/// for each request, and who is heard changes with messages 0.25 s apart.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// The nodes that are heard, this one included, and the homes among them.
+#[derive(Debug)]
+pub struct Homes {
+    own: (Arc<str>, u32),
+    nodes: Vec<(Arc<str>, u32)>,
+    all: usize,
+    looked_at: Option<Instant>,
+    homes: HashMap<Arc<str>, Arc<str>>,
+}
+
+impl Homes {
+    /// Homes as the node with these settings sees them.
+    pub fn new(settings: &NodeSettings) -> Self {
+        Self::of_node(settings.name.clone(), settings.limits.link_megabits)
+    }
+
+    /// Homes as the node `name` sees them, whose link has `capacity` megabits a
+    /// second.
+    fn of_node(name: Arc<str>, capacity: u32) -> Self {
+        Self {
+            own: (name, capacity),
+            nodes: Vec::new(),
+            all: 1,
+            looked_at: None,
+            homes: HashMap::new(),
+        }
+    }
+
+    /// Whether a look at the nodes is due.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.looked_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= LOOK_AGAIN)
+    }
+
+    /// Looks who of `all` nodes is heard, that is not silent for `silence`.
+    pub fn look(
+        &mut self,
+        heard: &HashMap<Arc<str>, Heard>,
+        all: usize,
+        silence: Duration,
+        now: Instant,
+    ) {
+        self.looked_at = Some(now);
+        self.all = all;
+        let loud = |peer: &Heard| now.saturating_duration_since(peer.at) < silence;
+        let mut nodes: Vec<(Arc<str>, u32)> = heard
+            .iter()
+            .filter(|(_, peer)| loud(peer))
+            .map(|(name, peer)| (name.clone(), peer.capacity))
+            .chain([self.own.clone()])
+            .collect();
+        nodes.sort();
+        if nodes != self.nodes {
+            self.nodes = nodes;
+            self.homes.clear();
+        }
+    }
+
+    /// The part of all nodes that is heard.
+    pub fn share(&self) -> Share {
+        Share {
+            heard: self.nodes.len(),
+            nodes: self.all,
+        }
+    }
+
+    /// The home of `tenant`: of the machines with the fastest link, which have
+    /// more of everything as a rule, the one that the tenant's name picks.
+    pub fn of(&mut self, tenant: &Arc<str>) -> Arc<str> {
+        if let Some(home) = self.homes.get(tenant) {
+            return home.clone();
+        }
+        let weight = |(name, capacity): &&(Arc<str>, u32)| (*capacity, rank(&**tenant, &**name));
+        let best = self.nodes.iter().max_by_key(weight);
+        let home = best.map_or(&self.own.0, |(name, _)| name).clone();
+        self.homes.insert(tenant.clone(), home.clone());
+        home
+    }
+
+    /// Whether this node is the home of `tenant`.
+    pub fn is_own(&mut self, tenant: &Arc<str>) -> bool {
+        self.of(tenant) == self.own.0
+    }
+}
+
+#[cfg(test)]
+#[path = "homes_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/quota/homes_tests.rs
@@ -0,0 +1,69 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Homes;
+use crate::peers::Heard;
+
+const SILENCE: Duration = Duration::from_millis(1600);
+const CAPACITY: u32 = 10;
+const NODES: usize = 60;
+
+fn name(number: usize) -> Arc<str> {
+    format!("node-{number}").into()
+}
+
+/// Who `node` hears: the nodes of `group`, `age` ago.
+fn heard(node: usize, group: &[usize], age: Duration) -> HashMap<Arc<str>, Heard> {
+    let others = group.iter().filter(|other| **other != node);
+    let sign = |other: &usize| {
+        let heard = Heard {
+            at: Instant::now() - age,
+            address: "10.0.0.1:1".parse().expect("it is an address"),
+            capacity: if other.is_multiple_of(10) {
+                10 * CAPACITY
+            } else {
+                CAPACITY
+            },
+            zone: "zone".into(),
+        };
+        (name(*other), heard)
+    };
+    others.map(sign).collect()
+}
+
+fn homes(node: usize, group: &[usize], age: Duration) -> Homes {
+    let capacity = if node.is_multiple_of(10) {
+        10 * CAPACITY
+    } else {
+        CAPACITY
+    };
+    let mut homes = Homes::of_node(name(node), capacity);
+    homes.look(&heard(node, group, age), NODES, SILENCE, Instant::now());
+    homes
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_pick_the_same_home_among_the_fast_machines() {
+    let all: Vec<usize> = (0..NODES).collect();
+    for tenant in 0..40 {
+        let tenant: Arc<str> = format!("tenant-{tenant}").into();
+        let picked = homes(0, &all, Duration::ZERO).of(&tenant);
+        for node in 1..NODES {
+            assert_eq!(homes(node, &all, Duration::ZERO).of(&tenant), picked);
+        }
+        let number: usize = picked["node-".len()..].parse().expect("it is a node");
+        assert!(number.is_multiple_of(10), "{picked} is a slow machine");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_node_is_no_home() {
+    tokio::time::advance(2 * SILENCE).await;
+    let tenant: Arc<str> = "tenant".into();
+    let mut alone = homes(1, &[0, 1, 10, 20], SILENCE);
+    assert!(alone.is_own(&tenant));
+    assert_eq!(alone.share().heard, 1);
+}
--- /dev/null
+++ b/crates/gateway/src/quota/mod.rs
@@ -0,0 +1,130 @@
+//! Leave to take tenants' requests, from one count over all nodes.
+//!
+//! Each tenant has a home among the nodes that hear each other; the others ask
+//! it before they take a request, which costs one exchange of datagrams. Who gets
+//! no answer goes by the reserve that the home granted before.
+
+mod homes;
+mod task;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_callers::{QuotaAnswer, QuotaRequest};
+use tokio::sync::{mpsc, oneshot};
+
+pub use task::QuotaTask;
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaDecision {
+    /// It may be taken.
+    Granted,
+    /// Its tenant is over its limit; it would be granted after this time.
+    Denied(Duration),
+    /// Nobody who knows has answered.
+    Unknown,
+}
+
+/// Messages to the task.
+enum Command {
+    Admit {
+        tenant: Arc<str>,
+        cost: u64,
+        reply: oneshot::Sender<QuotaDecision>,
+    },
+    GiveBack {
+        tenant: Arc<str>,
+        cost: u64,
+    },
+    Asked(QuotaRequest),
+    Answered {
+        number: u64,
+        answer: QuotaAnswer,
+    },
+}
+
+/// A handle to the task.
+#[derive(Debug, Clone)]
+pub struct QuotaHandle {
+    // Bounded by the requests in flight and by what peers send: each command is
+    // carried out at once.
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+/// The receiving end of a [`QuotaHandle`].
+pub struct QuotaInbox(mpsc::UnboundedReceiver<Command>);
+
+/// Creates the handle; [`QuotaTask::new`] takes the other end.
+pub fn channel() -> (QuotaHandle, QuotaInbox) {
+    let (commands, inbox) = mpsc::unbounded_channel();
+    (QuotaHandle { commands }, QuotaInbox(inbox))
+}
+
+/// What a request was granted; given back when it is dropped unless it was used.
+#[derive(Debug)]
+pub struct Charge {
+    quota: QuotaHandle,
+    tenant: Arc<str>,
+    cost: u64,
+    used: bool,
+}
+
+impl Charge {
+    /// What a request of `tenant` was granted.
+    pub fn new(quota: QuotaHandle, tenant: Arc<str>, cost: u64) -> Self {
+        Self {
+            quota,
+            tenant,
+            cost,
+            used: false,
+        }
+    }
+
+    /// Units that were granted.
+    pub fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    /// Notes that the request may have run.
+    pub fn used(&mut self) {
+        self.used = true;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.used {
+            let (tenant, cost) = (self.tenant.clone(), self.cost);
+            self.quota.send(Command::GiveBack { tenant, cost });
+        }
+    }
+}
+
+impl QuotaHandle {
+    fn send(&self, command: Command) {
+        // The task ends only with the process.
+        let _ = self.commands.send(command);
+    }
+
+    /// Asks for leave to take a request of `tenant` that counts `cost` units.
+    pub async fn admit(&self, tenant: Arc<str>, cost: u64) -> QuotaDecision {
+        let (reply, decision) = oneshot::channel();
+        self.send(Command::Admit {
+            tenant,
+            cost,
+            reply,
+        });
+        decision.await.unwrap_or(QuotaDecision::Unknown)
+    }
+
+    /// Another node asks this one.
+    pub fn asked(&self, request: QuotaRequest) {
+        self.send(Command::Asked(request));
+    }
+
+    /// The home of a tenant has answered request `number`.
+    pub fn answered(&self, number: u64, answer: QuotaAnswer) {
+        self.send(Command::Answered { number, answer });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quota/task.rs
@@ -0,0 +1,244 @@
+//! The task that asks tenants' homes, and answers as one.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_callers::{QuotaAnswer, QuotaHome, QuotaLedger, QuotaLimit, QuotaRequest};
+use barleyspar_catalog::RouteTable;
+use barleyspar_domain::rank;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::context::Context;
+use crate::messages::Message;
+use crate::peers::{PeerHandle, longest_silence};
+use crate::quota::homes::Homes;
+use crate::quota::{Command, QuotaDecision, QuotaInbox};
+
+/// Time for an answer before the request is sent once more: ten times what an
+/// exchange takes between zones.
+const ASKED_AGAIN_AFTER: Duration = Duration::from_millis(40);
+/// Tries until the reserve decides.
+const TRIES: u32 = 3;
+
+/// A request that waits for its home's answer.
+struct Pending {
+    tenant: Arc<str>,
+    cost: u64,
+    tries: u32,
+    reply: oneshot::Sender<QuotaDecision>,
+}
+
+/// The task.
+pub struct QuotaTask {
+    context: Context,
+    peers: PeerHandle,
+    routes: watch::Receiver<Option<Arc<RouteTable>>>,
+    homes: Homes,
+    home: QuotaHome,
+    ledger: QuotaLedger,
+    pending: BTreeMap<u64, Pending>,
+    /// Requests in the order of their next tries; answered ones are passed over.
+    retries: VecDeque<(Instant, u64)>,
+    numbers: u64,
+    inbox: mpsc::UnboundedReceiver<Command>,
+}
+
+impl QuotaTask {
+    /// A task of the node with this context.
+    pub fn new(context: Context, peers: PeerHandle, inbox: QuotaInbox) -> Self {
+        let nodes = context.dispatch.nodes();
+        let started = context.started.into_std();
+        Self {
+            homes: Homes::new(&context.settings),
+            home: QuotaHome::new(started, longest_silence(nodes)),
+            ledger: QuotaLedger::new(context.settings.bounds.quota.window),
+            routes: context.routes.clone(),
+            pending: BTreeMap::new(),
+            retries: VecDeque::new(),
+            numbers: 0,
+            peers,
+            context,
+            inbox: inbox.0,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            let next_retry = self.retries.front().map(|(at, _)| *at);
+            tokio::select! {
+                command = self.inbox.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+                changed = self.routes.changed() => match changed {
+                    Ok(()) => self.forget_dropped_tenants(),
+                    Err(_) => return,
+                },
+                () = sleep_until(next_retry.unwrap_or_else(Instant::now)), if next_retry.is_some() => {
+                    self.try_again();
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Admit {
+                tenant,
+                cost,
+                reply,
+            } => self.admit(tenant, cost, reply),
+            Command::GiveBack { tenant, cost } => self.ledger.give_back(&tenant, cost, now()),
+            Command::Asked(request) => self.asked(request),
+            Command::Answered { number, answer } => self.answered(number, answer),
+        }
+    }
+
+    fn forget_dropped_tenants(&mut self) {
+        let Some(table) = self.routes.borrow().clone() else {
+            return;
+        };
+        let known = |name: &str| table.tenant_named(name).is_some();
+        self.home.retain(known);
+        self.ledger.retain(known);
+    }
+
+    /// The tenant's limit over all nodes; `None` if it has none or is unknown.
+    fn limit(&self, tenant: &str) -> Option<QuotaLimit> {
+        let table = self.routes.borrow();
+        let quota = table.as_ref()?.tenant_named(tenant)?.quota?;
+        let bounds = &self.context.settings.bounds.quota;
+        Some(QuotaLimit::new(&quota, bounds))
+    }
+
+    fn look_at_nodes(&mut self) {
+        let now = Instant::now();
+        if self.homes.is_due(now) {
+            let nodes = self.context.dispatch.nodes();
+            let heard = self.peers.heard();
+            let silence = longest_silence(nodes);
+            self.homes
+                .look(&heard.borrow(), nodes as usize, silence, now);
+        }
+    }
+
+    fn admit(&mut self, tenant: Arc<str>, cost: u64, reply: oneshot::Sender<QuotaDecision>) {
+        if self.ledger.take_unused(&tenant, cost, now()) {
+            // A caller that left needs no answer, here and below.
+            let _ = reply.send(QuotaDecision::Granted);
+            return;
+        }
+        self.numbers += 1;
+        let number = self.numbers;
+        let pending = Pending {
+            tenant,
+            cost,
+            tries: 0,
+            reply,
+        };
+        self.ask(number, pending);
+    }
+
+    /// Asks the home of a pending request's tenant, which may be this node.
+    fn ask(&mut self, number: u64, mut pending: Pending) {
+        self.look_at_nodes();
+        let home = self.homes.of(&pending.tenant);
+        let request = QuotaRequest {
+            number,
+            node: self.context.settings.name.clone(),
+            tenant: pending.tenant.clone(),
+            cost: pending.cost,
+            elsewhere_ms: self.ledger.asks(&pending.tenant, &home, now()),
+        };
+        pending.tries += 1;
+        self.pending.insert(number, pending);
+        if home == self.context.settings.name {
+            let answer = self.answer(&request);
+            return self.answered(number, answer);
+        }
+        self.retries
+            .push_back((Instant::now() + ASKED_AGAIN_AFTER, number));
+        self.peers.tell(home, Message::QuotaRequest(request));
+    }
+
+    fn try_again(&mut self) {
+        let now = Instant::now();
+        while let Some((at, number)) = self.retries.front().copied()
+            && at <= now
+        {
+            self.retries.pop_front();
+            let Some(pending) = self.pending.remove(&number) else {
+                continue;
+            };
+            if pending.tries < TRIES {
+                self.ask(number, pending);
+            } else {
+                self.decide_alone(pending);
+            }
+        }
+    }
+
+    /// Goes by the reserve, since no home answers.
+    fn decide_alone(&mut self, pending: Pending) {
+        let draw = rank(&self.numbers, &*self.context.settings.name) as f64 / u64::MAX as f64;
+        let granted = self
+            .ledger
+            .take_reserve(&pending.tenant, pending.cost, draw, now());
+        tracing::info!(
+            event = "quota_unanswered",
+            tenant = &*pending.tenant,
+            home = &*self.homes.of(&pending.tenant),
+            cost = pending.cost,
+            granted
+        );
+        let decision = if granted {
+            QuotaDecision::Granted
+        } else {
+            QuotaDecision::Unknown
+        };
+        let _ = pending.reply.send(decision);
+    }
+
+    /// Another node asks this one.
+    fn asked(&mut self, request: QuotaRequest) {
+        self.look_at_nodes();
+        let answer = if self.homes.is_own(&request.tenant) {
+            self.answer(&request)
+        } else {
+            QuotaAnswer::NotHome
+        };
+        let number = request.number;
+        let message = Message::QuotaAnswer { number, answer };
+        self.peers.tell(request.node, message);
+    }
+
+    fn answer(&mut self, request: &QuotaRequest) -> QuotaAnswer {
+        let Some(limit) = self.limit(&request.tenant) else {
+            return QuotaAnswer::NotHome;
+        };
+        self.home.answer(request, limit, self.homes.share(), now())
+    }
+
+    fn answered(&mut self, number: u64, answer: QuotaAnswer) {
+        let Some(pending) = self.pending.remove(&number) else {
+            return;
+        };
+        let (decision, reserve) = match answer {
+            QuotaAnswer::Granted { reserve } => (QuotaDecision::Granted, reserve),
+            QuotaAnswer::Denied { wait_ms, reserve } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                (QuotaDecision::Denied(wait), reserve)
+            }
+            QuotaAnswer::NotHome => return self.decide_alone(pending),
+        };
+        self.ledger.set_reserve(&pending.tenant, reserve, now());
+        let _ = pending.reply.send(decision);
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -21,7 +21,8 @@
     response
 }
 
-/// Ready is who knows a configuration and is not being stopped.
+/// Ready is who may serve callers and is not being stopped. One that cannot show
+/// that its knowledge of credentials is young sends callers to other nodes.
 fn is_ready(context: &Context) -> bool {
-    context.routes.borrow().is_some() && context.lifecycle.stage() == Stage::Running
+    context.may_serve() && context.lifecycle.stage() == Stage::Running
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::journal;
 use crate::request::WHOLE_ANSWER_BYTES;
 use crate::stream::StreamRelay;
+use crate::trust;
 
 /// What became of an answer that is not a stream.
 pub enum Relayed {
@@ -74,7 +75,9 @@
 fn head(exchange: &Exchange, answered: &Answered, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = answered.status;
-    *response.headers_mut() = exchange.context.dialect.returned_headers(&answered.headers);
+    let dialect = &*exchange.context.dialect;
+    *response.headers_mut() =
+        trust::to_caller(|name| dialect.header_owner(name), &answered.headers);
     response
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use barleyspar_callers::Denial;
 use barleyspar_catalog::{AnswerFacts, RequestKind};
 use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal};
 use barleyspar_domain::Verdict;
@@ -147,6 +148,9 @@
             return Err(Next::Answer(answer));
         }
     };
+    if let Err(denial) = exchange.authorize_again() {
+        return Err(Next::Answer(deny(exchange, denial)));
+    }
     journal::chosen(exchange.id(), &permit, asked.elapsed());
     let runner = permit.runner().clone();
     let forward = exchange.forward(&runner, None);
@@ -202,6 +206,17 @@
     own(exchange, answer)
 }
 
+/// The answer to a request whose credential no longer allows it.
+fn deny(exchange: &mut Exchange, denial: Denial) -> Response<AnswerBody> {
+    let answer = OwnAnswer::denied(denial);
+    let answer = if exchange.verdict == Verdict::NotRun {
+        answer
+    } else {
+        OwnAnswer::failed(StatusCode::BAD_GATEWAY, exchange.verdict, answer.reason)
+    };
+    own(exchange, answer)
+}
+
 /// Sorts out rejections; what runs goes on.
 async fn after_head(
     exchange: &mut Exchange,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -221,6 +221,9 @@
                 Some(permit) => permit,
                 None => self.next_permit(kind).await?,
             };
+            if self.exchange.authorize_again().is_err() {
+                return None;
+            }
             let runner = chosen.runner().clone();
             journal::resumed(
                 self.exchange.id(),
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -55,6 +55,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
         limits: ClientLimits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -47,6 +47,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
         limits: ClientLimits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -60,6 +60,8 @@
     pub path: &'a str,
     /// Id of the attempt.
     pub id: &'a str,
+    /// Headers beside those that this stand-in knows of, as name and value.
+    pub extra: &'a [(&'a str, &'a str)],
     /// The model asked for.
     pub model: Option<&'a str>,
     /// How long the caller waits.
@@ -86,6 +88,9 @@
     if let Some(model) = asked.model {
         request = request.header(names::MODEL, model);
     }
+    for (name, value) in asked.extra {
+        request = request.header(*name, *value);
+    }
     let request = request
         .body(Full::new(Bytes::from(asked.id.to_owned())))
         .expect("the request is well formed");
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -1,8 +1,9 @@
 //! The product's own wire: typed values in MessagePack, plain header names.
 
 use barleyspar_catalog::{
-    AnswerFacts, Configuration, Dialect, DialectError, Forward, ModelReference, Order, OrderAnswer,
-    Report, RequestFacts, Runner, StoreAnswer, StoreCall, StoreError, StoredObject,
+    AnswerFacts, Configuration, Credential, Dialect, DialectError, Forward, HeaderOwner,
+    ModelReference, Order, OrderAnswer, Report, RequestFacts, Runner, StoreAnswer, StoreCall,
+    StoreError, StoredObject,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, request, response};
@@ -23,6 +24,10 @@
     pub const RUNNER: &str = "runner";
     /// The event after which to go on.
     pub const AFTER_EVENT: &str = "after-event";
+    /// The caller's secret.
+    pub const CREDENTIAL: &str = "credential";
+    /// The caller's tenant.
+    pub const TENANT: &str = "tenant";
     /// Says that a request did not run.
     pub const NOT_RUN: &str = "not-run";
     /// The runner's signature.
@@ -98,25 +103,34 @@
             answer_tokens: 100,
             shared_prefix: Vec::new(),
             last_event_id: text(headers, names::AFTER_EVENT),
+            credential: text(headers, names::CREDENTIAL)
+                .map(|secret| Credential::of(secret.as_bytes())),
+            named_tokens: Some(200),
         }
     }
 
-    fn forwarded_headers(&self, client: &HeaderMap, forward: &Forward) -> HeaderMap {
-        let mut headers = client.clone();
-        headers.remove(http::header::CONTENT_LENGTH);
-        headers.remove(http::header::TRANSFER_ENCODING);
-        headers.remove(http::header::CONNECTION);
+    fn header_owner(&self, name: &HeaderName) -> HeaderOwner {
+        match name.as_str() {
+            names::RUNNER | names::TENANT | names::CREDENTIAL => HeaderOwner::System,
+            names::NOT_RUN | names::SIGNATURE => HeaderOwner::Runner,
+            "content-length" | "transfer-encoding" | "connection" => HeaderOwner::Hop,
+            _ => HeaderOwner::Caller,
+        }
+    }
+
+    fn added_headers(&self, forward: &Forward) -> HeaderMap {
+        let mut headers = HeaderMap::new();
         set(&mut headers, names::RUNNER, &forward.runner);
         if let Some(remaining) = forward.remaining {
-            set(
-                &mut headers,
-                names::DEADLINE,
-                &remaining.as_millis().to_string(),
-            );
+            let remaining = remaining.as_millis().to_string();
+            set(&mut headers, names::DEADLINE, &remaining);
         }
         if let Some(after) = &forward.last_event_id {
             set(&mut headers, names::AFTER_EVENT, after);
         }
+        if let Some(tenant) = &forward.tenant {
+            set(&mut headers, names::TENANT, tenant);
+        }
         headers
     }
 
@@ -133,14 +147,6 @@
         }
     }
 
-    fn returned_headers(&self, runner: &HeaderMap) -> HeaderMap {
-        let mut headers = runner.clone();
-        headers.remove(http::header::CONTENT_LENGTH);
-        headers.remove(http::header::TRANSFER_ENCODING);
-        headers.remove(http::header::CONNECTION);
-        headers
-    }
-
     fn own_headers(&self, request_id: Option<&str>) -> HeaderMap {
         let mut headers = HeaderMap::new();
         if let Some(request_id) = request_id {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,8 +11,8 @@
 mod world;
 
 pub use client::Answer;
-pub use dialect::{NativeDialect, names};
+pub use dialect::{NativeDialect, encode, names};
 pub use network::MemoryNetwork;
 pub use runner::{Fault, Run, RunnerStandIn};
 pub use store::StoreStandIn;
-pub use world::{World, engine_service, model, plain_service, route};
+pub use world::{World, engine_service, model, plain_service, route, tenant};
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -48,6 +48,8 @@
 pub struct Run {
     /// Id of the client's attempt.
     pub request_id: String,
+    /// Headers that came with it.
+    pub headers: HeaderMap,
     /// Whether it ended by itself, and was not cancelled.
     pub whole: bool,
 }
@@ -246,7 +248,7 @@
         if self.engine.is_some() && lacks_model {
             return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &request_id));
         }
-        let run = RunGuard::begin(&self, &request_id);
+        let run = RunGuard::begin(&self, &request_id, headers);
         match fault {
             Some(Fault::ResetAfterRun) => {
                 sleep(PLAIN_WORK).await;
@@ -399,10 +401,11 @@
 }
 
 impl RunGuard {
-    fn begin(runner: &RunnerStandIn, request_id: &str) -> Self {
+    fn begin(runner: &RunnerStandIn, request_id: &str, headers: &HeaderMap) -> Self {
         let mut state = runner.lock();
         state.runs.push(Run {
             request_id: request_id.to_owned(),
+            headers: headers.clone(),
             whole: false,
         });
         let index = state.runs.len() - 1;
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{
-    Backend, Bounds, ClientLimits, Configuration, EngineSpec, MachineLimits, ModelSpec,
-    NodeSettings, RequestKind, Route, Service,
+    Backend, Bounds, ClientLimits, Configuration, Credential, EngineSpec, MachineLimits, ModelSpec,
+    NodeSettings, QuotaBounds, RequestKind, Route, Service, Tenant,
 };
 use barleyspar_gateway::{Gateway, Placing, TaskGroup};
 use barleyspar_loading::Switches;
@@ -61,6 +61,7 @@
             routes: routes.into_iter().map(Arc::new).collect(),
             services,
             limits: ClientLimits::default(),
+            tenants: Vec::new(),
         };
         let world = Self {
             network,
@@ -101,6 +102,11 @@
         runner
     }
 
+    /// Address of the store's host.
+    pub fn store_host() -> IpAddr {
+        STORE.ip()
+    }
+
     /// Address of gateway `number`'s host.
     pub fn host(number: u8) -> IpAddr {
         IpAddr::V4(Ipv4Addr::new(10, 1, 0, number))
@@ -166,12 +172,34 @@
             to: SocketAddr::new(Self::host(number), CALLER_PORT),
             path,
             id,
+            extra: &[],
             model,
             deadline,
         };
         ask(&self.network, asked).await
     }
 
+    /// Asks gateway `number` with headers of the caller's own.
+    pub async fn ask_with(
+        &self,
+        number: u8,
+        path: &str,
+        id: &str,
+        model: Option<&str>,
+        extra: &[(&str, &str)],
+    ) -> Answer {
+        let asked = Asked {
+            from: CLIENT,
+            to: SocketAddr::new(Self::host(number), CALLER_PORT),
+            path,
+            id,
+            extra,
+            model,
+            deadline: USUAL_DEADLINE,
+        };
+        ask(&self.network, asked).await
+    }
+
     /// The status of gateway `number`'s readiness.
     pub async fn readiness(&self, number: u8) -> u16 {
         let asked = Asked {
@@ -179,6 +207,7 @@
             to: SocketAddr::new(Self::host(number), READINESS_PORT),
             path: names::READINESS_PATH,
             id: "readiness",
+            extra: &[],
             model: None,
             deadline: USUAL_DEADLINE,
         };
@@ -238,6 +267,12 @@
             fencing_enforced: true,
             load_window: Duration::from_secs(5),
             load_overage: 1.1,
+            revocation: None,
+            quota: QuotaBounds {
+                window: Duration::from_secs(8),
+                overage: 0.1,
+                tolerance: 1000.0,
+            },
         },
     }
 }
@@ -281,6 +316,16 @@
     }
 }
 
+/// A tenant whose callers know `secret`.
+pub fn tenant(name: &str, secret: &str) -> Tenant {
+    Tenant {
+        name: name.into(),
+        credentials: vec![Credential::of(secret.as_bytes())],
+        priority: None,
+        quota: None,
+    }
+}
+
 /// A route from a path to a service.
 pub fn route(path: &str, service: &str, kind: RequestKind) -> Route {
     let streams = kind == RequestKind::Streaming;
@@ -300,5 +345,6 @@
         }],
         maximum_attempts: 2,
         resumable: streams,
+        public: false,
     }
 }
