Quota: requests wait for a silent home's successor; store entries count half a second

A home that is removed stands in the store for 12 s, and who only knew it from there counted it as heard for 1.6 s: a replacement said for 1.9 s that it was no home, and after all processes had been killed nobody had one for 1.6 s.

Change: a node that only stands in the store counts as heard for 0.5 s where homes are picked; a request whose home is silent waits for half of its target latency, using the reserve first.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -37,6 +37,10 @@
 /// Time that a request without a stream usually takes at most.
 const LONGEST_PLAIN_REQUEST: Duration = Duration::from_millis(1500);
 
+/// Part of its target latency for which a request waits to hear whether its
+/// tenant is within its limit: half is left to serve it in time.
+const QUOTA_PATIENCE_PART: u32 = 2;
+
 /// Finds the request's route and reads its body.
 pub async fn admit(
     context: &Context,
@@ -71,7 +75,7 @@
         journal::denied(context, &facts, &route, denial);
         OwnAnswer::denied(denial)
     })?;
-    let charge = charge(context, &facts, tenant.as_ref()).await?;
+    let charge = charge(context, &facts, &route, tenant.as_ref()).await?;
     let memory = reserve_memory(context, &body, configuration.limits.body_bytes)?;
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let service = context.dispatch.split(&route).await;
@@ -98,6 +102,7 @@
 async fn charge(
     context: &Context,
     facts: &RequestFacts,
+    route: &Route,
     tenant: Option<&Arc<Tenant>>,
 ) -> Result<Option<Charge>, OwnAnswer> {
     let limited = tenant.and_then(|tenant| Some((tenant, tenant.quota?)));
@@ -106,7 +111,9 @@
     };
     let cost = cost(quota.unit, facts);
     let name = tenant.name.clone();
-    match context.quota.admit(name.clone(), cost).await {
+    let patience = route.target_latency.unwrap_or_default() / QUOTA_PATIENCE_PART;
+    let decision = context.quota.admit(name.clone(), cost, patience).await;
+    match decision {
         QuotaDecision::Granted => Ok(Some(Charge::new(context.quota.clone(), name, cost))),
         QuotaDecision::Denied(wait) => {
             journal::limited(facts, tenant, cost, wait);
--- a/crates/gateway/src/feed/tree_tests.rs
+++ b/crates/gateway/src/feed/tree_tests.rs
@@ -30,6 +30,7 @@
         .filter(|number| *number != except)
         .map(|number| {
             let peer = Heard {
+                told: true,
                 at: Instant::now(),
                 address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, number)), 1),
                 capacity: capacity(number),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -88,6 +88,9 @@
 pub struct Heard {
     /// When it came.
     pub at: Instant,
+    /// Whether there was a message; else the peer only stands in the store, where
+    /// it stays for seconds after its end.
+    pub told: bool,
     /// Where the peer takes messages and followers.
     pub address: SocketAddr,
     /// Megabits a second of the peer's link.
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -189,15 +189,21 @@
 
     /// Notes when members were heard last.
     pub(super) fn hear(&mut self, signs: impl IntoIterator<Item = (Arc<str>, Instant)>) {
+        self.note(signs, true);
+    }
+
+    /// Notes signs of members: messages (`told`), or entries in the store.
+    fn note(&mut self, signs: impl IntoIterator<Item = (Arc<str>, Instant)>, told: bool) {
         let members = &mut self.members;
         self.heard.send_modify(|heard| {
             for (name, at) in signs {
                 let Some(record) = members.heard(&name, at) else {
                     continue;
                 };
-                let latest = heard.get(&name).map_or(at, |known| known.at.max(at));
+                let known = heard.get(&name);
                 let sign = Heard {
-                    at: latest,
+                    at: known.map_or(at, |known| known.at.max(at)),
+                    told: told || known.is_some_and(|known| known.told),
                     address: record.address,
                     capacity: record.capacity,
                     zone: record.zone.clone(),
@@ -225,7 +231,7 @@
             return;
         }
         if self.members.saw(name.clone(), record, true) {
-            self.hear([(name, Instant::now())]);
+            self.note([(name, Instant::now())], false);
             self.count();
         }
     }
--- a/crates/gateway/src/quota/homes.rs
+++ b/crates/gateway/src/quota/homes.rs
@@ -15,6 +15,12 @@
 /// for each request, and who is heard changes with messages 0.25 s apart.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
+/// Time for which a node counts as heard that only stands in the store: two
+/// messages' time. Entries outlast their nodes by seconds: a node that took one for
+/// a home for longer said of itself that it was none (seen for 1.9 s after a machine
+/// was replaced, and for 1.6 s after all processes had been killed).
+const NEWCOMER_SILENCE: Duration = Duration::from_millis(500);
+
 /// The nodes that are heard, this one included, and the homes among them.
 #[derive(Debug)]
 pub struct Homes {
@@ -59,7 +65,10 @@
     ) {
         self.looked_at = Some(now);
         self.all = all;
-        let loud = |peer: &Heard| now.saturating_duration_since(peer.at) < silence;
+        let loud = |peer: &Heard| {
+            let believed_for = if peer.told { silence } else { NEWCOMER_SILENCE };
+            now.saturating_duration_since(peer.at) < believed_for
+        };
         let mut nodes: Vec<(Arc<str>, u32)> = heard
             .iter()
             .filter(|(_, peer)| loud(peer))
--- a/crates/gateway/src/quota/homes_tests.rs
+++ b/crates/gateway/src/quota/homes_tests.rs
@@ -21,6 +21,7 @@
     let sign = |other: &usize| {
         let heard = Heard {
             at: Instant::now() - age,
+            told: true,
             address: "10.0.0.1:1".parse().expect("it is an address"),
             capacity: if other.is_multiple_of(10) {
                 10 * CAPACITY
@@ -67,3 +68,18 @@
     assert!(alone.is_own(&tenant));
     assert_eq!(alone.share().heard, 1);
 }
+
+/// Found on a day on which a machine was replaced: its entry outlived it in the
+/// store, and its successor took it for a home.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_only_stands_in_the_store_is_soon_no_home() {
+    tokio::time::advance(SILENCE).await;
+    let tenant: Arc<str> = "tenant".into();
+    let mut peers = heard(1, &[0], SILENCE / 2);
+    for peer in peers.values_mut() {
+        peer.told = false;
+    }
+    let mut homes = Homes::of_node(name(1), CAPACITY);
+    homes.look(&peers, NODES, SILENCE, Instant::now());
+    assert!(homes.is_own(&tenant));
+}
--- a/crates/gateway/src/quota/mod.rs
+++ b/crates/gateway/src/quota/mod.rs
@@ -31,6 +31,7 @@
     Admit {
         tenant: Arc<str>,
         cost: u64,
+        patience: Duration,
         reply: oneshot::Sender<QuotaDecision>,
     },
     GiveBack {
@@ -107,12 +108,14 @@
         let _ = self.commands.send(command);
     }
 
-    /// Asks for leave to take a request of `tenant` that counts `cost` units.
-    pub async fn admit(&self, tenant: Arc<str>, cost: u64) -> QuotaDecision {
+    /// Asks for leave to take a request of `tenant` that counts `cost` units and
+    /// can wait for `patience` until somebody who knows answers.
+    pub async fn admit(&self, tenant: Arc<str>, cost: u64, patience: Duration) -> QuotaDecision {
         let (reply, decision) = oneshot::channel();
         self.send(Command::Admit {
             tenant,
             cost,
+            patience,
             reply,
         });
         decision.await.unwrap_or(QuotaDecision::Unknown)
--- a/crates/gateway/src/quota/task.rs
+++ b/crates/gateway/src/quota/task.rs
@@ -19,14 +19,18 @@
 /// Time for an answer before the request is sent once more: ten times what an
 /// exchange takes between zones.
 const ASKED_AGAIN_AFTER: Duration = Duration::from_millis(40);
-/// Tries until the reserve decides.
+/// Tries from which on the reserve is used.
 const TRIES: u32 = 3;
+/// The same between later tries: a silent home is replaced after a while.
+const LATER_TRIES_AFTER: Duration = Duration::from_millis(150);
 
 /// A request that waits for its home's answer.
 struct Pending {
     tenant: Arc<str>,
     cost: u64,
     tries: u32,
+    /// Until when it can wait.
+    until: Instant,
     reply: oneshot::Sender<QuotaDecision>,
 }
 
@@ -89,8 +93,12 @@
             Command::Admit {
                 tenant,
                 cost,
+                patience,
                 reply,
-            } => self.admit(tenant, cost, reply),
+            } => {
+                let until = Instant::now() + patience;
+                self.admit(tenant, cost, until, reply);
+            }
             Command::GiveBack { tenant, cost } => self.ledger.give_back(&tenant, cost, now()),
             Command::Asked(request) => self.asked(request),
             Command::Answered { number, answer } => self.answered(number, answer),
@@ -125,7 +133,13 @@
         }
     }
 
-    fn admit(&mut self, tenant: Arc<str>, cost: u64, reply: oneshot::Sender<QuotaDecision>) {
+    fn admit(
+        &mut self,
+        tenant: Arc<str>,
+        cost: u64,
+        until: Instant,
+        reply: oneshot::Sender<QuotaDecision>,
+    ) {
         if self.ledger.take_unused(&tenant, cost, now()) {
             // A caller that left needs no answer, here and below.
             let _ = reply.send(QuotaDecision::Granted);
@@ -137,6 +151,7 @@
             tenant,
             cost,
             tries: 0,
+            until,
             reply,
         };
         self.ask(number, pending);
@@ -159,11 +174,16 @@
             let answer = self.answer(&request);
             return self.answered(number, answer);
         }
-        self.retries
-            .push_back((Instant::now() + ASKED_AGAIN_AFTER, number));
+        self.retry_later(number, ASKED_AGAIN_AFTER);
         self.peers.tell(home, Message::QuotaRequest(request));
     }
 
+    fn retry_later(&mut self, number: u64, after: Duration) {
+        let at = Instant::now() + after;
+        let place = self.retries.partition_point(|(other, _)| *other <= at);
+        self.retries.insert(place, (at, number));
+    }
+
     fn try_again(&mut self) {
         let now = Instant::now();
         while let Some((at, number)) = self.retries.front().copied()
@@ -173,20 +193,30 @@
             let Some(pending) = self.pending.remove(&number) else {
                 continue;
             };
+            if pending.reply.is_closed() {
+                continue;
+            }
             if pending.tries < TRIES {
                 self.ask(number, pending);
             } else {
-                self.decide_alone(pending);
+                self.decide_alone(number, pending);
             }
         }
     }
 
-    /// Goes by the reserve, since no home answers.
-    fn decide_alone(&mut self, pending: Pending) {
+    /// Goes by the reserve, since no home answers; a request that can wait and
+    /// finds none there is tried again.
+    fn decide_alone(&mut self, number: u64, mut pending: Pending) {
         let draw = rank(&self.numbers, &*self.context.settings.name) as f64 / u64::MAX as f64;
         let granted = self
             .ledger
             .take_reserve(&pending.tenant, pending.cost, draw, now());
+        let waits = Instant::now() + LATER_TRIES_AFTER < pending.until;
+        if !granted && waits {
+            pending.tries = TRIES - 1;
+            self.pending.insert(number, pending);
+            return self.retry_later(number, LATER_TRIES_AFTER);
+        }
         tracing::info!(
             event = "quota_unanswered",
             tenant = &*pending.tenant,
@@ -232,7 +262,7 @@
                 let wait = Duration::from_millis(wait_ms.into());
                 (QuotaDecision::Denied(wait), reserve)
             }
-            QuotaAnswer::NotHome => return self.decide_alone(pending),
+            QuotaAnswer::NotHome => return self.decide_alone(number, pending),
         };
         self.ledger.set_reserve(&pending.tenant, reserve, now());
         let _ = pending.reply.send(decision);
