Loading: one load at a time from a weight store whose loads are long

Cause: four loads at once of a store that runs one at full speed took a minute each.

Change: until a load was seen to end, as many may run as would end within 25 s one after the other, four at most; the fewest ever is one.

--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{Configuration, OrderAction};
+use barleyspar_catalog::{Configuration, EngineSpec, OrderAction};
 use barleyspar_policy::Program;
 
 use crate::adapters::AdapterPlan;
@@ -142,6 +142,7 @@
             };
             plan_adapters(&plan, runners, &mut orders);
             let mut state = self.service_state(&service.name);
+            state.share.set_longest_load(longest_load(engine));
             follow_loads(&mut state.share, runners, now);
             self.count_starved(&service.name, &mut state, &models, runners, now);
             let question = Question {
@@ -317,6 +318,12 @@
     }
 }
 
+/// What a load from the weight store takes by itself at most.
+fn longest_load(engine: &EngineSpec) -> Duration {
+    let loads = engine.models.values().map(|model| model.remote_load);
+    loads.max().unwrap_or_default()
+}
+
 /// Takes in which loads from the weight store have ended.
 fn follow_loads(share: &mut StoreShare, runners: &[RunnerView], now: Instant) {
     let is_held = |id: &str, model: &str| {
--- a/crates/loading/src/store_share.rs
+++ b/crates/loading/src/store_share.rs
@@ -6,10 +6,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// What is thought of a store of which nothing has been seen.
-const FIRST_ESTIMATE: f64 = 4.0;
+/// Most loads at once from a store of which nothing has been seen.
+const MOST_AT_FIRST: f64 = 4.0;
+/// Time in seconds within which loads from a store of which nothing has been seen
+/// should end even if it runs one at a time at full speed: about as long as callers
+/// of batch work wait. Where a load takes 13 to 20 s and only one runs at full speed,
+/// four at once kept four runners from all other orders for a minute each, and not
+/// one of them ended in a day.
+const WORST_WAVE: f64 = 25.0;
 /// Loads that may always run, so that something is seen.
-const FEWEST: f64 = 2.0;
+const FEWEST: f64 = 1.0;
 /// Factor from which on a load counts as slowed by others.
 const SLOWED: f64 = 1.25;
 /// Growth of the estimate with each wave of loads while none was slowed: what it
@@ -36,7 +42,10 @@
 pub struct StoreShare {
     loads: BTreeMap<Arc<str>, Load>,
     since: Instant,
-    at_full_speed: f64,
+    /// What a load takes by itself at most.
+    longest_load: Duration,
+    /// Loads that run at full speed at once, once any was seen to end.
+    at_full_speed: Option<f64>,
     /// Whether a load was seen slowed by others: until then the estimate doubles.
     bound_seen: bool,
 }
@@ -47,7 +56,8 @@
         Self {
             loads: BTreeMap::new(),
             since,
-            at_full_speed: FIRST_ESTIMATE,
+            longest_load: Duration::ZERO,
+            at_full_speed: None,
             bound_seen: false,
         }
     }
@@ -55,7 +65,7 @@
     /// Whether one more load, with `planned` that are about to begin, runs at
     /// full speed as far as is known.
     pub fn has_room(&self, planned: usize) -> bool {
-        ((self.loads.len() + planned) as f64) < self.at_full_speed
+        ((self.loads.len() + planned) as f64) < self.bound()
     }
 
     /// Loads that are thought to be under way.
@@ -65,7 +75,15 @@
 
     /// Loads that are thought to run at full speed at once.
     pub fn bound(&self) -> f64 {
-        self.at_full_speed
+        self.at_full_speed.unwrap_or_else(|| {
+            let seconds = self.longest_load.as_secs_f64().max(f64::EPSILON);
+            (WORST_WAVE / seconds).floor().clamp(FEWEST, MOST_AT_FIRST)
+        })
+    }
+
+    /// Takes in what a load takes by itself at most.
+    pub fn set_longest_load(&mut self, longest_load: Duration) {
+        self.longest_load = longest_load;
     }
 
     /// A load that takes `alone` by itself begins at `runner`.
@@ -109,13 +127,13 @@
     fn learn(&mut self, slowness: f64, beside: f64) {
         if slowness > SLOWED {
             self.bound_seen = true;
-            self.at_full_speed = (beside / slowness).max(FEWEST);
+            self.at_full_speed = Some((beside / slowness).max(FEWEST));
         } else if !self.bound_seen {
             // Nothing has been lost so far: as with a connection's first window,
             // the bound is found in few steps, and costs one slowed wave.
-            self.at_full_speed = self.at_full_speed.max(beside * FIRST_GROWTH);
-        } else if beside + 1.0 >= self.at_full_speed {
-            self.at_full_speed += 1.0;
+            self.at_full_speed = Some(self.bound().max(beside * FIRST_GROWTH));
+        } else if beside + 1.0 >= self.bound() {
+            self.at_full_speed = Some(self.bound() + 1.0);
         }
     }
 }
--- a/crates/loading/src/store_share_tests.rs
+++ b/crates/loading/src/store_share_tests.rs
@@ -4,10 +4,16 @@
 
 const ALONE: Duration = Duration::from_secs(6);
 
+fn share_since(since: Instant, longest_load: Duration) -> StoreShare {
+    let mut share = StoreShare::new(since);
+    share.set_longest_load(longest_load);
+    share
+}
+
 /// What is known a minute after this node began to lead, and that moment.
 fn share_and_now() -> (StoreShare, Instant) {
     let since = Instant::now();
-    (StoreShare::new(since), since + Duration::from_secs(60))
+    (share_since(since, ALONE), since + Duration::from_secs(60))
 }
 
 /// Begins as many loads as may, and ends them after `took`; how many there were.
@@ -71,8 +77,23 @@
 #[test]
 fn loads_slowed_by_those_of_a_predecessor_tell_nothing() {
     let mut now = Instant::now();
-    let mut share = StoreShare::new(now);
+    let mut share = share_since(now, ALONE);
     let first = round(&mut share, &mut now, |_| ALONE * 2);
     let second = round(&mut share, &mut now, |_| ALONE);
     assert!(second >= first, "{second} after {first}");
 }
+
+/// Found on played days: four loads at once of a store that runs one of them at
+/// full speed took a minute each, and kept their runners from all other orders.
+#[test]
+fn long_loads_begin_one_at_a_time_until_something_is_seen() {
+    let long = Duration::from_secs(20);
+    let since = Instant::now();
+    let mut share = share_since(since, long);
+    let mut now = since + Duration::from_secs(60);
+    assert_eq!(round(&mut share, &mut now, |_| long), 1);
+    let mut alone = share_since(since, long);
+    alone.begin("slow".into(), "model".into(), long, now);
+    alone.update(|_, _| Some(true), now + long * 4);
+    assert!(alone.has_room(0) && !alone.has_room(1));
+}
