Probe connections that rest; test what goes silent for good without a reset

Open connections may go silent while new ones work (store, peers, runners). What waits on them had time-outs already, as four tests in virtual time show: changes come in force, models are loaded, each runner costs one request. What only the operating system can show, a connection on which an answer is awaited without a time-out, is now probed: given up after 3 s in place of the caller's deadline. Ruled out: closing the other connections that rest at a runner or at the store after one was silent (both tests pass without, as these rest for 0.9 s at most).

--- a/crates/gateway/src/network.rs
+++ b/crates/gateway/src/network.rs
@@ -6,12 +6,18 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Time after which a peer that acknowledges nothing is given up.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a byte after which a peer is probed, and between two probes. With
+/// two probes a connection that went silent without a reset is given up after 3 s,
+/// before the sites' bound for a machine out of contact (3 to 4 s).
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a peer is given up.
+const KEEP_ALIVE_PROBES: u32 = 2;
 
 /// A stream of bytes in both directions.
 pub trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {}
@@ -50,12 +56,33 @@
 pub struct Sockets;
 
 fn prepared(stream: TcpStream) -> Box<dyn ByteStream> {
-    // Both only make things quicker; a stream without them still works.
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    prepare(&stream);
     Box::new(stream)
 }
 
+/// Has `stream` send at once, and notice a peer that is gone or silent.
+fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_TIME)
+        .with_interval(KEEP_ALIVE_TIME)
+        .with_retries(KEEP_ALIVE_PROBES);
+    let set = [
+        ("nodelay", stream.set_nodelay(true)),
+        (
+            "user_timeout",
+            socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+        ),
+        ("keep_alive", socket.set_tcp_keepalive(&keep_alive)),
+    ];
+    // These only make things quicker; a stream without them still works.
+    for (option, result) in set {
+        if let Err(error) = result {
+            tracing::debug!(event = "socket_option_refused", option, %error);
+        }
+    }
+}
+
 #[async_trait]
 impl Network for Sockets {
     async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn ByteStream>> {
@@ -90,3 +117,7 @@
         self.recv_from(buffer).await.map(|(length, _)| length)
     }
 }
+
+#[cfg(test)]
+#[path = "network_tests.rs"]
+mod tests;
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -30,6 +30,10 @@
     listeners: BTreeMap<SocketAddr, mpsc::Sender<Accepted>>,
     inboxes: BTreeMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
     cuts: BTreeSet<(IpAddr, IpAddr)>,
+    /// Streams opened so far.
+    streams: u64,
+    /// By pair of hosts, the streams opened up to which are silent for good.
+    silent: BTreeMap<(IpAddr, IpAddr), u64>,
     wakers: Vec<Waker>,
     refused: u64,
 }
@@ -58,6 +62,14 @@
         self.lock().cuts.insert(pair(one, other));
     }
 
+    /// Streams that are open between two hosts go silent for good, without a
+    /// reset; new ones work.
+    pub fn silence(&self, one: IpAddr, other: IpAddr) {
+        let mut state = self.lock();
+        let opened = state.streams;
+        state.silent.insert(pair(one, other), opened);
+    }
+
     /// Connections that nobody took so far.
     pub fn refused_connections(&self) -> u64 {
         self.lock().refused
@@ -115,8 +127,14 @@
             return Err(refused());
         };
         let (near, far) = tokio::io::duplex(STREAM_BYTES);
+        let number = {
+            let mut state = self.network.lock();
+            state.streams += 1;
+            state.streams
+        };
         let wrap = |stream| MemoryStream {
             network: self.network.clone(),
+            number,
             ends: pair(self.ip, address.ip()),
             stream,
         };
@@ -185,9 +203,11 @@
     }
 }
 
-/// A stream that stands still while its ends are cut off from each other.
+/// A stream that stands still while its ends are cut off from each other, or for
+/// good.
 struct MemoryStream {
     network: MemoryNetwork,
+    number: u64,
     ends: (IpAddr, IpAddr),
     stream: DuplexStream,
 }
@@ -199,7 +219,8 @@
         if cut {
             state.wakers.push(context.waker().clone());
         }
-        cut
+        let last_silent = state.silent.get(&self.ends).copied();
+        cut || last_silent.is_some_and(|last| self.number <= last)
     }
 }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -194,6 +194,11 @@
         self.lock().runs.clone()
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.lock().record.address
+    }
+
     /// Requests that arrived.
     pub fn arrivals(&self) -> u64 {
         self.lock().arrivals
--- /dev/null
+++ b/crates/standin/tests/silence.rs
@@ -0,0 +1,104 @@
+//! Connections that go silent for good, without a reset, while new ones work.
+
+use std::time::Duration;
+
+use barleyspar_catalog::RequestKind;
+use barleyspar_standin::{World, engine_service, plain_service, route};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time within which a change must be in force.
+const BOUND: Duration = Duration::from_secs(2);
+const GATEWAYS: u8 = 4;
+
+async fn world() -> World {
+    let mut world = World::new(
+        vec![
+            plain_service("plain"),
+            engine_service("engine", &["held", "rare"]),
+        ],
+        vec![
+            route("/plain/", "plain", RequestKind::Idempotent),
+            route("/stream/", "engine", RequestKind::Streaming),
+        ],
+    );
+    world.start_runner("plain-1", "plain", &[]);
+    world.start_runner("plain-2", "plain", &[]);
+    world.start_runner("engine-1", "engine", &["held"]);
+    for number in 1..=GATEWAYS {
+        world.start_gateway(number).await;
+    }
+    world.pass(12 * SECOND).await;
+    world
+}
+
+async fn assert_change_in_force(world: &mut World) {
+    let added = route("/added/", "plain", RequestKind::Idempotent);
+    world.configure(|configuration| configuration.routes.push(added.into()));
+    world.pass(BOUND).await;
+    for number in 1..=GATEWAYS {
+        let answer = world.ask(number, "/added/x", "a", None).await;
+        assert_eq!(answer.code(), 200, "gateway {number}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_though_connections_to_the_store_went_silent() {
+    let mut world = world().await;
+    for number in 1..=GATEWAYS {
+        world
+            .network
+            .silence(World::host(number), World::store_host());
+    }
+    assert_change_in_force(&mut world).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_though_connections_between_gateways_went_silent() {
+    let mut world = world().await;
+    for one in 1..=GATEWAYS {
+        for other in one + 1..=GATEWAYS {
+            world.network.silence(World::host(one), World::host(other));
+        }
+    }
+    assert_change_in_force(&mut world).await;
+}
+
+/// The leader goes on to order after its connections to the store and to runners
+/// went silent.
+#[tokio::test(start_paused = true)]
+async fn a_model_is_loaded_though_connections_went_silent() {
+    let world = world().await;
+    let engine = world.runners["engine-1"].address().ip();
+    for number in 1..=GATEWAYS {
+        world
+            .network
+            .silence(World::host(number), World::store_host());
+        world.network.silence(World::host(number), engine);
+    }
+    let answer = world.ask(1, "/stream/x", "a", Some("rare")).await;
+    assert_eq!((answer.code(), answer.whole), (200, true));
+}
+
+/// Where several connections rest at each runner, each runner costs one request its
+/// time, not each connection.
+#[tokio::test(start_paused = true)]
+async fn silent_connections_to_runners_are_left() {
+    let world = world().await;
+    let ask = async |id: String| {
+        let begun = tokio::time::Instant::now();
+        let answer = world.ask(1, "/plain/x", &id, None).await;
+        (answer.code() == 200, begun.elapsed())
+    };
+    let warm = (0..12).map(|number| ask(format!("warm-{number}")));
+    futures_util::future::join_all(warm).await;
+    world.pass(SECOND / 10).await;
+    for runner in world.runners.values() {
+        world.network.silence(World::host(1), runner.address().ip());
+    }
+    let mut slow = 0;
+    for number in 0..8 {
+        let (served, took) = ask(format!("after-{number}")).await;
+        slow += usize::from(!served || took > SECOND / 10);
+    }
+    assert!(slow <= 2, "{slow} requests met silent connections");
+}
