--- a/crates/catalog/src/routes.rs
+++ b/crates/catalog/src/routes.rs
@@ -42,6 +42,12 @@
         self.tenants.find(credential)
     }
 
+    /// Pairs of tenants that hold the same credential, which is a fault of the
+    /// configuration; the latter is served under it.
+    pub fn tenants_sharing_credentials(&self) -> &[(Arc<str>, Arc<str>)] {
+        self.tenants.shared_by()
+    }
+
     /// The tenant of this name.
     pub fn tenant_named(&self, name: &str) -> Option<&Arc<Tenant>> {
         self.tenants.named(name)
--- a/crates/catalog/src/tenants.rs
+++ b/crates/catalog/src/tenants.rs
@@ -71,6 +71,7 @@
 pub(crate) struct TenantTable {
     by_credential: HashMap<Credential, Arc<Tenant>>,
     by_name: HashMap<Arc<str>, Arc<Tenant>>,
+    shared_by: Vec<(Arc<str>, Arc<str>)>,
 }
 
 impl TenantTable {
@@ -80,7 +81,12 @@
         for tenant in &configuration.tenants {
             table.by_name.insert(tenant.name.clone(), tenant.clone());
             for credential in &tenant.credentials {
-                table.by_credential.insert(*credential, tenant.clone());
+                let former = table.by_credential.insert(*credential, tenant.clone());
+                if let Some(former) = former.filter(|former| former.name != tenant.name) {
+                    table
+                        .shared_by
+                        .push((former.name.clone(), tenant.name.clone()));
+                }
             }
         }
         table
@@ -91,6 +97,11 @@
         self.by_credential.get(credential)
     }
 
+    /// Pairs of tenants that hold the same credential; the latter has it.
+    pub(crate) fn shared_by(&self) -> &[(Arc<str>, Arc<str>)] {
+        &self.shared_by
+    }
+
     /// The tenant of this name.
     pub(crate) fn named(&self, name: &str) -> Option<&Arc<Tenant>> {
         self.by_name.get(name)
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -144,8 +144,17 @@
         self.placement.configure(configuration.clone());
         self.context.metrics.configuration(version);
         let routes = configuration.routes.len();
-        self.routes
-            .send_replace(Some(Arc::new(RouteTable::new(configuration))));
+        let table = RouteTable::new(configuration);
+        for (former, latter) in table.tenants_sharing_credentials() {
+            tracing::warn!(
+                event = "configuration_faulty",
+                version,
+                cause = "two tenants hold the same credential; the latter is served under it",
+                former = &**former,
+                latter = &**latter
+            );
+        }
+        self.routes.send_replace(Some(Arc::new(table)));
         tracing::info!(event = "configuration_in_force", version, routes);
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,12 @@
     reason: String,
 }
 
+/// Labels of a request that was turned away before a runner was looked for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabels {
+    reason: &'static str,
+}
+
 /// Labels of a request's time.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct KindLabels {
@@ -43,6 +49,8 @@
 pub struct Metrics {
     registry: Registry,
     requests: Family<EndLabels, Counter>,
+    turned_away: Family<ReasonLabels, Counter>,
+    quota_decisions: Family<CallLabels, Counter>,
     request_seconds: Family<KindLabels, Histogram>,
     attempts: Family<CallLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
@@ -62,6 +70,8 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("barleyspar"),
             requests: Family::default(),
+            turned_away: Family::default(),
+            quota_decisions: Family::default(),
             request_seconds: Family::new_with_constructor(times),
             attempts: Family::default(),
             store_calls: Family::default(),
@@ -80,6 +90,16 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests ended", self.requests.clone());
+        registry.register(
+            "turned_away",
+            "Requests that no runner was looked for",
+            self.turned_away.clone(),
+        );
+        registry.register(
+            "quota_decisions",
+            "Decisions on tenants' limits, by homes or by the reserve",
+            self.quota_decisions.clone(),
+        );
         registry.register_with_unit(
             "request",
             "Time from a request to its end",
@@ -112,6 +132,20 @@
         registry.register("nodes", "Nodes that share limits", self.nodes.clone());
     }
 
+    /// A request was turned away before a runner was looked for.
+    pub fn turned_away(&self, reason: &'static str) {
+        self.turned_away
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
+    /// A request of a limited tenant was decided on: `call` says by whom.
+    pub fn quota_decided(&self, call: &'static str, outcome: &'static str) {
+        self.quota_decisions
+            .get_or_create(&CallLabels { call, outcome })
+            .inc();
+    }
+
     /// A request ended.
     pub fn request_ended(
         &self,
--- a/crates/gateway/src/quota/task.rs
+++ b/crates/gateway/src/quota/task.rs
@@ -229,6 +229,8 @@
         } else {
             QuotaDecision::Unknown
         };
+        let outcome = if granted { "granted" } else { "unknown" };
+        self.context.metrics.quota_decided("reserve", outcome);
         let _ = pending.reply.send(decision);
     }
 
@@ -256,14 +258,15 @@
         let Some(pending) = self.pending.remove(&number) else {
             return;
         };
-        let (decision, reserve) = match answer {
-            QuotaAnswer::Granted { reserve } => (QuotaDecision::Granted, reserve),
+        let (decision, reserve, outcome) = match answer {
+            QuotaAnswer::Granted { reserve } => (QuotaDecision::Granted, reserve, "granted"),
             QuotaAnswer::Denied { wait_ms, reserve } => {
                 let wait = Duration::from_millis(wait_ms.into());
-                (QuotaDecision::Denied(wait), reserve)
+                (QuotaDecision::Denied(wait), reserve, "denied")
             }
             QuotaAnswer::NotHome => return self.decide_alone(number, pending),
         };
+        self.context.metrics.quota_decided("home", outcome);
         self.ledger.set_reserve(&pending.tenant, reserve, now());
         let _ = pending.reply.send(decision);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -55,6 +55,7 @@
             response
         }
         Err(answer) => {
+            context.metrics.turned_away(answer.reason);
             let id = request_id.as_deref().unwrap_or("-");
             let status = answer.status.as_u16();
             journal::turned_away(
