--- a/crates/callers/src/home.rs
+++ b/crates/callers/src/home.rs
@@ -1,9 +1,10 @@
 //! A tenant's home: the one node that counts what all nodes take from it.
 //!
 //! All nodes pick the same home from the nodes that they hear. Those that hear
-//! different ones, across a partition, pick several; each then grants only the
-//! part of the limit that the nodes it hears are of all, so that the parts of
-//! disjoint groups never exceed the whole, whoever is cut off from whom.
+//! different ones, across a partition, pick several. One group at most is more
+//! than half of all and has the whole limit; each other one has so little that
+//! all of them together stay within the promised overage, whoever is cut off
+//! from whom.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,6 +18,8 @@
 /// Part of all asking below which a node is forgotten.
 const FORGOTTEN_PART: f64 = 1e-4;
 
+/// What a group of half of all nodes or less may grant, as a part of its part of
+/// the limit: together at most a tenth of it, beside a group that grants it whole.
 const MINORITY_PART: f64 = 0.1;
 
 /// How many of all nodes a home hears, itself included.
@@ -29,7 +32,7 @@
 }
 
 impl Share {
-    /// The part, 0 to 1.
+    /// The part of the limit that such a home grants, 0 to 1.
     pub fn part(self) -> f64 {
         if self.heard * 2 > self.nodes {
             return 1.0;
