--- a/crates/gateway/src/quota/homes.rs
+++ b/crates/gateway/src/quota/homes.rs
@@ -65,13 +65,13 @@
     ) {
         self.looked_at = Some(now);
         self.all = all;
-        let loud = |peer: &Heard| {
+        let is_heard = |peer: &Heard| {
             let believed_for = if peer.told { silence } else { NEWCOMER_SILENCE };
             now.saturating_duration_since(peer.at) < believed_for
         };
         let mut nodes: Vec<(Arc<str>, u32)> = heard
             .iter()
-            .filter(|(_, peer)| loud(peer))
+            .filter(|(_, peer)| is_heard(peer))
             .map(|(name, peer)| (name.clone(), peer.capacity))
             .chain([self.own.clone()])
             .collect();
