--- a/crates/gateway/src/trust.rs
+++ b/crates/gateway/src/trust.rs
@@ -1,4 +1,4 @@
-//! The border between callers and runners: which headers cross it.
+//! The trust boundary between callers and runners: which headers cross it.
 //!
 //! Decided by who owns a header, not by a list of what callers were seen to
 //! forge: a runner obeys what comes with a request, so a caller that set one of
--- a/crates/gateway/src/trust_tests.rs
+++ b/crates/gateway/src/trust_tests.rs
@@ -58,7 +58,7 @@
 /// Whatever a head looks like, nothing of the system's, the runner's or the
 /// connection's passes, and each of the caller's own that the head does not name
 /// as its connection's does.
-fn border_holds(picks: Vec<(u8, u8)>, named: Vec<u8>) -> bool {
+fn boundary_holds(picks: Vec<(u8, u8)>, named: Vec<u8>) -> bool {
     let names = ["own", "other", "hold", "tenant", "close", "signature"];
     let name = |number: u8| names[usize::from(number) % names.len()];
     let mut sent = HeaderMap::new();
@@ -81,9 +81,9 @@
 }
 
 #[test]
-fn the_border_holds_for_arbitrary_heads() {
+fn the_trust_boundary_holds_for_arbitrary_heads() {
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(64, 1))
         .tests(500)
-        .quickcheck(border_holds as fn(Vec<(u8, u8)>, Vec<u8>) -> bool);
+        .quickcheck(boundary_holds as fn(Vec<(u8, u8)>, Vec<u8>) -> bool);
 }
