Sight: how long calls to the store wait, and spells without current knowledge

Change: store_call_failed tells the time allowed and waited; knowledge_old and knowledge_current tell when a node cannot show any more that it missed no change, for how long, and how many steps from the store its knowledge is then; a histogram counts these spells. One line at each change of belief, none per call that works. Test: times_without_current_knowledge_are_counted (figures read over a port of the stand-in world).

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -8,6 +8,7 @@
 //! change; before that grows too long it asks the store itself. A wrong or
 //! missing parent thus costs calls to the store, never a bound.
 
+mod age;
 mod follow;
 mod frame;
 mod patience;
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::context::Context;
+use crate::feed::age::tell_of_age;
 use crate::feed::follow::{Arrived, Following};
 use crate::feed::frame::Content;
 use crate::feed::patience::Patience;
@@ -92,6 +93,11 @@
 
     /// Runs until nobody listens any more.
     pub async fn run(mut self) {
+        crate::tasks::spawn(tell_of_age(
+            self.state.subscribe(),
+            self.times,
+            self.context.metrics.clone(),
+        ));
         self.learn_members().await;
         while !self.changes.is_closed() {
             match self.next_source() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,7 @@
     store_seconds: Histogram,
     orders: Family<CallLabels, Counter>,
     configuration_version: Gauge<u64, AtomicU64>,
+    knowledge_old_seconds: Histogram,
     leading: Gauge,
     nodes: Gauge,
 }
@@ -78,6 +79,7 @@
             store_seconds: times(),
             orders: Family::default(),
             configuration_version: Gauge::default(),
+            knowledge_old_seconds: times(),
             leading: Gauge::default(),
             nodes: Gauge::default(),
         };
@@ -124,6 +126,12 @@
             "Version in force",
             self.configuration_version.clone(),
         );
+        registry.register_with_unit(
+            "knowledge_old",
+            "Times for which this node could not show that it missed no change",
+            Unit::Seconds,
+            self.knowledge_old_seconds.clone(),
+        );
         registry.register(
             "leading",
             "Whether this node orders runners",
@@ -191,6 +199,11 @@
         self.configuration_version.set(version);
     }
 
+    /// What this node knows of the store is current again after `lasted`.
+    pub fn knowledge_current(&self, lasted: Duration) {
+        self.knowledge_old_seconds.observe(lasted.as_secs_f64());
+    }
+
     /// This node began to order runners, or no longer does.
     pub fn leads(&self, leads: bool) {
         self.leading.set(i64::from(leads));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
+use crate::journal::milliseconds;
 use crate::metrics::Metrics;
 use crate::network::Network;
 use crate::upstream::Connection;
@@ -65,10 +66,16 @@
             .await
             .unwrap_or_else(|_| Err(time_is_up()));
         let outcome = if result.is_ok() { "answered" } else { "failed" };
-        self.metrics
-            .store_call(call.name(), outcome, started.elapsed());
+        let took = started.elapsed();
+        self.metrics.store_call(call.name(), outcome, took);
         if let Err(error) = &result {
-            tracing::info!(event = "store_call_failed", call = call.name(), %error);
+            tracing::info!(
+                event = "store_call_failed",
+                call = call.name(),
+                patience_ms = milliseconds(patience),
+                waited_ms = milliseconds(took),
+                %error
+            );
         }
         result
     }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -23,6 +23,7 @@
 const CALLER_PORT: u16 = 80;
 const READINESS_PORT: u16 = 81;
 const PEER_PORT: u16 = 82;
+const FIGURES_PORT: u16 = 83;
 const STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)), 1);
 const CLIENT: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 9, 9, 9));
 
@@ -199,6 +200,16 @@
         ask(&self.network, asked).await.code()
     }
 
+    /// Gateway `number`'s figure with this name; `None` if it tells none.
+    pub async fn figure(&self, number: u8, name: &str) -> Option<f64> {
+        let to = SocketAddr::new(Self::host(number), FIGURES_PORT);
+        let asked = Asked::plain(CLIENT, to, "/metrics", "figures");
+        let answer = ask(&self.network, asked).await;
+        let text = String::from_utf8(answer.body.to_vec()).ok()?;
+        text.lines()
+            .find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
     /// Lets `time` pass.
     pub async fn pass(&self, time: Duration) {
         sleep(time).await;
@@ -233,7 +244,7 @@
         caller_address: at(CALLER_PORT),
         readiness_address: at(READINESS_PORT),
         peer_address: at(PEER_PORT),
-        metrics_address: None,
+        metrics_address: Some(at(FIGURES_PORT)),
         store_address: STORE,
         minimum_lease: Duration::from_secs(1),
         limits: MachineLimits {
--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -169,3 +169,22 @@
     world.pass(SECOND).await;
     assert_eq!(world.readiness(1).await, 200);
 }
+
+/// Operators see how long a gateway could not show that it missed no change.
+#[tokio::test(start_paused = true)]
+async fn times_without_current_knowledge_are_counted() {
+    let world = world().await;
+    let spells = || world.figure(1, "barleyspar_knowledge_old_seconds_count");
+    let before = spells().await.expect("the figure is told");
+    world.pass(20 * SECOND).await;
+    assert_eq!(spells().await, Some(before), "nothing fails");
+    world.store.set_down(true);
+    world.pass(4 * SECOND).await;
+    world.store.set_down(false);
+    world.pass(8 * SECOND).await;
+    assert_eq!(spells().await, Some(before + 1.0));
+    let lasted = world
+        .figure(1, "barleyspar_knowledge_old_seconds_sum")
+        .await;
+    assert!(lasted > Some(2.0), "{lasted:?}");
+}
