Tests that fail: a change late after the store was silent, after a second silence, and what one gateway learns

Story of the failure above the first test. On the code as it is all three fail (404 for an added route two seconds after its acknowledgement); the other tests of the feed pass.

--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -188,3 +188,65 @@
         .await;
     assert!(lasted > Some(2.0), "{lasted:?}");
 }
+
+/// Users saw a route that had been added refused with 404, and requests handled by
+/// an old configuration, 2.3 to 2.8 s after its acknowledgement, at a few gateways.
+///
+/// Order of events: the store took calls and stayed silent for nine seconds, the
+/// second time that day. Gateways asked it and their peers by turns and allowed each
+/// call twice the time of the one before, remembered from the first outage too. A
+/// second before the store was back, three of nine sent a call that they waited four
+/// seconds for. The store never answered it, served them all the while (it renewed
+/// their leases), and their peers knew the new configuration three seconds earlier.
+///
+/// Cause: waiting for one source kept a node from asking the others, and the wait
+/// grew beyond the bound within which a change must be in force. Evidence: the
+/// calls' time-outs in the logs are 1, 2 and 4 s, and the change came into force
+/// within 10 ms of the last one's end.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_however_long_the_store_was_silent() {
+    for half_seconds in 1..=24 {
+        let mut world = world().await;
+        silence_of_the_store(&mut world, half_seconds * SECOND / 2).await;
+        add_route(&mut world, "/added/");
+        world.pass(BOUND).await;
+        assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
+    }
+}
+
+/// The same for a second silence: nothing that the first one taught lengthens it.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_after_a_second_silence_of_the_store() {
+    for seconds in 1..=12 {
+        let mut world = world().await;
+        silence_of_the_store(&mut world, 6 * SECOND).await;
+        world.pass(10 * SECOND).await;
+        silence_of_the_store(&mut world, seconds * SECOND).await;
+        add_route(&mut world, "/added/");
+        world.pass(BOUND).await;
+        assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
+    }
+}
+
+async fn silence_of_the_store(world: &mut World, time: Duration) {
+    world.store.set_down(true);
+    world.pass(time).await;
+    world.store.set_down(false);
+}
+
+/// A silent store must not keep a node from what its peers know, nor a peer that
+/// knows nothing newer from the store: here only one gateway is served.
+#[tokio::test(start_paused = true)]
+async fn what_one_gateway_learns_reaches_those_that_the_store_is_silent_to() {
+    for served in 1..=GATEWAYS {
+        let mut world = world().await;
+        let cut_off = || (1..=GATEWAYS).filter(|number| *number != served);
+        for number in cut_off() {
+            world.network.cut(World::host(number), World::store_host());
+        }
+        world.pass(8 * SECOND).await;
+        add_route(&mut world, "/added/");
+        world.pass(2 * BOUND).await;
+        assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
+    }
+}
