Feed: the store and peers are asked at once, and a silent store each half bound

Root cause of the late configuration, of a class with waits that grow beyond the bound they serve: one loop asked the store and peers by turns, allowed each call to the store twice the time of the one before (up to 10 s for a page, remembered from one outage to the next), and so waited for calls that a silent store had taken and lost while the store served again and peers had the version.

Ruled out from the record: no way to the store (it renewed these nodes' leases), an unreadable configuration, a node that stood still.

Change: feed/asker asks the store, feed/follower follows peers, both at once, both writing feed/copy. While no answer comes a further call is sent each half of the shortest bound (1 s of 2 s); calls differ in how long they may take (1, 2, 1, 4, 1, 2, 1, 8 periods), so a store that is back is asked within a period and one that needs eight for an answer still gives one; an answer that keeps arriving is waited for. A peer's news or an answer ends the episode whole. Peers are tried after 0.3 s without an answer of the store, each in its turn: the one that knew nothing newer the longest ago, where before it was the one heard last, so that some were never asked.

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -9,7 +9,10 @@
 //! missing parent thus costs calls to the store, never a bound.
 
 mod age;
+mod asker;
+mod copy;
 mod follow;
+mod follower;
 mod frame;
 mod patience;
 mod poll;
--- a/crates/gateway/src/feed/patience.rs
+++ b/crates/gateway/src/feed/patience.rs
@@ -1,55 +1,71 @@
-//! How long the feed waits for the store's answer, and when it stops asking
-//! for changes.
+//! When the feed calls the store again, and how long each call may take.
+//!
+//! A call that a silent store took is lost: it must not be waited for once the
+//! store serves again. A call to a slow store must not be given up just before
+//! its answer. So while no answer comes, a further call is sent each period, and
+//! calls differ in how long they may take: of eight, four may take one period,
+//! two take two, one takes four and one eight. A store that is back is asked
+//! within one period, however long it was away; one that needs up to eight
+//! periods for an answer still gives one; at most four calls are open at once.
 
 use std::time::Duration;
 
-/// Time for the answer to a poll, beyond the poll itself.
-const SHORTEST_POLL: Duration = Duration::from_millis(600);
-const LONGEST_POLL: Duration = Duration::from_millis(2400);
-/// Time for one page of a range. When all nodes start at once, the store's
-/// link is busy for seconds.
-const SHORTEST_PAGE: Duration = Duration::from_millis(1000);
-const LONGEST_PAGE: Duration = Duration::from_secs(10);
-/// Polls without an answer after which the present state is read: it stays the
-/// same size while the changes since a revision only grow.
-const POLLS_UNTIL_RANGE: u32 = 2;
-
-/// Grows with each answer that does not come in time, until one does.
-#[derive(Debug, Default)]
+/// Most doublings of the time that a call may take.
+const MOST_DOUBLINGS: u32 = 3;
+/// Pause after a call that was refused, doubled with each further one.
+const SHORTEST_RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause of a node that knows nothing yet, and serves nobody.
+const LONGEST_FIRST_PAUSE: Duration = Duration::from_millis(300);
+
+/// Calls since the store's last answer.
+#[derive(Debug)]
 pub struct Patience {
-    late_polls: u32,
-    late_pages: u32,
+    period: Duration,
+    calls: u32,
+    refusals: u32,
 }
 
 impl Patience {
-    /// Time for the answer to a poll.
-    pub fn poll(&self) -> Duration {
-        doubled(SHORTEST_POLL, self.late_polls).min(LONGEST_POLL)
+    /// A call each `period` while no answer comes.
+    pub fn new(period: Duration) -> Self {
+        Self {
+            period,
+            calls: 0,
+            refusals: 0,
+        }
     }
 
-    /// Time for one page of a range.
-    pub fn page(&self) -> Duration {
-        doubled(SHORTEST_PAGE, self.late_pages).min(LONGEST_PAGE)
+    /// Time between calls while no answer comes.
+    pub fn period(&self) -> Duration {
+        self.period
     }
 
-    /// A poll got no answer in time. Whether to read the present state instead.
-    pub fn poll_was_late(&mut self) -> bool {
-        self.late_polls += 1;
-        self.late_polls >= POLLS_UNTIL_RANGE
+    /// A call is sent now: the time that its answer may take.
+    pub fn next_call(&mut self) -> Duration {
+        self.calls = self.calls.wrapping_add(1);
+        self.period * 2_u32.pow(self.calls.trailing_zeros().min(MOST_DOUBLINGS))
     }
 
-    /// A page did not come in time.
-    pub fn page_was_late(&mut self) {
-        self.late_pages += 1;
+    /// A call was refused: the pause before the next one.
+    pub fn refused(&mut self, knows_anything: bool) -> Duration {
+        let longest = if knows_anything {
+            self.period
+        } else {
+            LONGEST_FIRST_PAUSE
+        };
+        let pause = SHORTEST_RETRY_PAUSE.saturating_mul(2_u32.saturating_pow(self.refusals));
+        self.refusals = self.refusals.saturating_add(1);
+        pause.min(longest)
     }
 
-    /// The store answered.
-    pub fn answered(&mut self) {
-        *self = Self::default();
+    /// The store answered, or a peer made this node's knowledge current: nothing
+    /// of the silence before lengthens the next one.
+    pub fn start_anew(&mut self) {
+        self.calls = 0;
+        self.refusals = 0;
     }
 }
 
-fn doubled(shortest: Duration, times: u32) -> Duration {
-    const MOST_DOUBLINGS: u32 = 8;
-    shortest * 2_u32.pow(times.min(MOST_DOUBLINGS))
-}
+#[cfg(test)]
+#[path = "patience_tests.rs"]
+mod tests;
--- a/crates/gateway/src/feed/poll.rs
+++ b/crates/gateway/src/feed/poll.rs
@@ -9,28 +9,30 @@
 use crate::register::MEMBER_PREFIX;
 use crate::store::Store;
 
-/// Everything the store holds.
-pub struct Everything {
-    /// The items.
-    pub items: Vec<Item>,
-    /// A revision from which to follow changes.
-    pub revision: u64,
-    /// When the first call was sent.
-    pub asked: Instant,
-}
-
-/// Changes after a revision.
-pub struct Changes {
-    /// The changes, in order.
-    pub events: Vec<Event>,
-    /// The store's revision.
-    pub revision: u64,
-    /// When the call was sent.
-    pub asked: Instant,
+/// What the store answered.
+pub enum Reading {
+    /// Everything that it holds.
+    Everything {
+        /// The items.
+        items: Vec<Item>,
+        /// A revision from which to follow changes.
+        revision: u64,
+        /// When the first call was sent.
+        asked: Instant,
+    },
+    /// Changes after a revision.
+    Changes {
+        /// The changes, in order.
+        events: Vec<Event>,
+        /// The store's revision.
+        revision: u64,
+        /// When the call was sent.
+        asked: Instant,
+    },
 }
 
 /// Reads all items, waiting for each page for `patience` at most.
-pub async fn read_everything(store: &Store, patience: Duration) -> Result<Everything, StoreError> {
+pub async fn read_everything(store: &Store, patience: Duration) -> Result<Reading, StoreError> {
     let asked = Instant::now();
     let mut items: BTreeMap<String, Item> = BTreeMap::new();
     let mut after = None;
@@ -54,7 +56,7 @@
         after = page.last().map(|item| item.key.clone());
         items.extend(page.into_iter().map(|item| (item.key.clone(), item)));
         if !more || after.is_none() {
-            return Ok(Everything {
+            return Ok(Reading::Everything {
                 items: items.into_values().collect(),
                 revision,
                 asked,
@@ -84,7 +86,7 @@
     revision: u64,
     wait: Duration,
     patience: Duration,
-) -> Result<Changes, StoreError> {
+) -> Result<Reading, StoreError> {
     let asked = Instant::now();
     let call = StoreCall::Watch {
         prefix: String::new(),
@@ -92,7 +94,7 @@
         wait,
     };
     match store.call(&call, wait + patience).await? {
-        StoreAnswer::Events { events, revision } => Ok(Changes {
+        StoreAnswer::Events { events, revision } => Ok(Reading::Changes {
             events,
             revision,
             asked,
--- a/crates/gateway/src/feed/times.rs
+++ b/crates/gateway/src/feed/times.rs
@@ -9,6 +9,15 @@
 const BATCH_PART: f64 = 0.1;
 const AGE_PART: f64 = 0.55;
 const STEP_PART: f64 = 0.05;
+/// A store that was silent is asked again within this part of the bound after it
+/// serves again, which leaves as much for its answer and the way to followers.
+const ASK_PART: f64 = 0.5;
+/// Most answers take a few milliseconds, those of a slow store a tenth of the
+/// shortest bound (0.2 s of 2 s, seen on days of slow answers).
+const UNSERVED_PART: f64 = 0.15;
+/// A peer that knows more says so in its first frame, milliseconds after the
+/// hello; one of eight is found within two bounds.
+const TRIAL_PART: f64 = 0.25;
 /// Steps that count; trees of more nodes than these carry are not planned for.
 const MOST_STEPS: u32 = 4;
 
@@ -20,6 +29,12 @@
     pub poll: Duration,
     /// Pause between polls that had changes, so that these come in batches.
     pub batch_pause: Duration,
+    /// Time between calls to a store that does not answer.
+    pub ask_period: Duration,
+    /// Time without the store's answer after which peers are asked besides.
+    pub unserved_after: Duration,
+    /// Time for a peer to show newer knowledge when the store does not serve us.
+    pub peer_trial: Duration,
     age: Duration,
     step: Duration,
 }
@@ -31,6 +46,9 @@
         Self {
             poll: bound.mul_f64(POLL_PART),
             batch_pause: bound.mul_f64(BATCH_PART),
+            ask_period: bound.mul_f64(ASK_PART),
+            unserved_after: bound.mul_f64(UNSERVED_PART),
+            peer_trial: bound.mul_f64(TRIAL_PART),
             age: bound.mul_f64(AGE_PART),
             step: bound.mul_f64(STEP_PART),
         }
--- a/crates/gateway/src/feed/tree.rs
+++ b/crates/gateway/src/feed/tree.rs
@@ -5,6 +5,7 @@
 //! its followers in one order that all nodes agree on, so nodes that hear
 //! different peers still form no circle.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,13 +52,10 @@
 }
 
 /// Place in the order: machines with a faster link first, then by a hash.
-type Place = (std::cmp::Reverse<u32>, u64);
+type Place = (Reverse<u32>, u64);
 
 fn place(name: &str, capacity: u32) -> Place {
-    (
-        std::cmp::Reverse(capacity),
-        barleyspar_domain::rank("feed", name),
-    )
+    (Reverse(capacity), barleyspar_domain::rank("feed", name))
 }
 
 /// Peers heard within `silence` that stand before this node in the order.
@@ -121,17 +119,19 @@
     firsts.into_values().collect()
 }
 
-/// Any peer to follow, for a node that the store does not serve: the one heard
-/// last of those that `avoided` does not name.
+/// Any peer to follow, for a node that the store does not serve: of those that
+/// `usable` allows the one that knew nothing newer the longest time ago
+/// (`left_at`) or never, and of these the one heard last. So each peer has its
+/// turn, and one that was left for another reason comes first.
 pub fn any_peer(
     heard: &HashMap<Arc<str>, Heard>,
-    avoided: impl Fn(&str) -> bool,
+    usable: impl Fn(&str) -> bool,
+    left_at: impl Fn(&str) -> Option<Instant>,
 ) -> Option<Parent> {
-    let latest = |peer: &Heard| -> Instant { peer.at };
     heard
         .iter()
-        .filter(|(name, _)| !avoided(name))
-        .max_by_key(|(name, peer)| (latest(peer), (*name).clone()))
+        .filter(|(name, _)| usable(name))
+        .min_by_key(|(name, peer)| (left_at(name), Reverse(peer.at), (*name).clone()))
         .map(|(name, peer)| Parent {
             name: name.clone(),
             address: peer.address,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -272,7 +272,7 @@
     let (feed_state, feed_seen) = watch::channel(FeedState::default());
     let feed_task = FeedTask::new(
         context.clone(),
-        store.clone(),
+        store.separate(),
         feed_heard,
         feed_state,
         changes_sender,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -33,6 +33,7 @@
     network: Arc<dyn Network>,
     metrics: Arc<Metrics>,
     idle: Arc<Mutex<Vec<Connection>>>,
+    heard: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Store {
@@ -50,9 +51,30 @@
             network,
             metrics,
             idle: Arc::default(),
+            heard: Arc::default(),
         }
     }
 
+    /// A client of the same store with connections of its own, which tells only of
+    /// its own calls when the store was heard.
+    pub fn separate(&self) -> Self {
+        Self {
+            idle: Arc::default(),
+            heard: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// When the last part of an answer came, of whatever call.
+    pub fn last_heard(&self) -> Option<Instant> {
+        *self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note_heard(&self) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        *heard = Some(Instant::now());
+    }
+
     /// Makes one call. Waits for `patience` for its answer to begin, and as long
     /// for each further part of it: a long answer that keeps coming is not given
     /// up, since the next one would be no shorter.
@@ -88,8 +110,9 @@
         let (mut connection, response) = timeout(patience, self.send(call))
             .await
             .unwrap_or_else(|_| Err(time_is_up()))?;
+        self.note_heard();
         let status = response.status();
-        let body = read_body(response.into_body(), patience).await?;
+        let body = self.read_body(response.into_body(), patience).await?;
         connection.rest(Some(KEEP_ALIVE_SECONDS));
         self.lock().push(connection);
         self.dialect.read_store_answer(call, status, &body)
@@ -114,6 +137,22 @@
         Ok((connection, response))
     }
 
+    /// Reads a body of which each part comes within `patience`.
+    async fn read_body(&self, mut body: Incoming, patience: Duration) -> Result<Bytes, StoreError> {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = timeout(patience, body.frame())
+            .await
+            .map_err(|_| time_is_up())?
+        {
+            self.note_heard();
+            let frame = frame.map_err(|error| StoreError::Unanswered(error.to_string()))?;
+            if let Ok(part) = frame.into_data() {
+                whole.extend_from_slice(&part);
+            }
+        }
+        Ok(whole.freeze())
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Connection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -125,21 +164,6 @@
     }
 }
 
-/// Reads a body of which each part comes within `patience`.
-async fn read_body(mut body: Incoming, patience: Duration) -> Result<Bytes, StoreError> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = timeout(patience, body.frame())
-        .await
-        .map_err(|_| time_is_up())?
-    {
-        let frame = frame.map_err(|error| StoreError::Unanswered(error.to_string()))?;
-        if let Ok(part) = frame.into_data() {
-            whole.extend_from_slice(&part);
-        }
-    }
-    Ok(whole.freeze())
-}
-
 fn time_is_up() -> StoreError {
     StoreError::Unanswered("time is up".to_owned())
 }
