Tests: all gateways start while the store is silent; a store slower than the bound

The same cause elsewhere: nodes that knew nothing waited up to 10 s for a reading of the outage, serving nobody; a store that needs 0.5 to 3 s for an answer was given up again and again.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -28,7 +28,7 @@
 
 type AnswerBody = BoxBody<Bytes, Infallible>;
 
-/// Time that the store takes for an answer.
+/// Time that the store takes for an answer, unless it is slow.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
 fn pieces(mut bytes: Bytes) -> Vec<Bytes> {
@@ -55,6 +55,7 @@
     down: bool,
     refused: BTreeSet<IpAddr>,
     lose_answers: u32,
+    slow_by: Duration,
     time_per_item: Duration,
     piece_pause: Duration,
     calls: u64,
@@ -118,6 +119,11 @@
         self.lock().lose_answers = count;
     }
 
+    /// Time that each answer takes beyond the usual one.
+    pub fn set_slow_by(&self, time: Duration) {
+        self.lock().slow_by = time;
+    }
+
     /// Time that each item or event of an answer takes, as over a slow link.
     pub fn set_time_per_item(&self, time: Duration) {
         self.lock().time_per_item = time;
@@ -179,7 +185,8 @@
             .map_err(broken)?
             .to_bytes();
         self.lock().calls += 1;
-        sleep(ANSWER_TIME).await;
+        let slow_by = self.lock().slow_by;
+        sleep(ANSWER_TIME + slow_by).await;
         let call: StoreCall = decode(&body).expect("calls are well formed");
         if self.lock().down {
             std::future::pending::<()>().await;
--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -250,3 +250,42 @@
         assert_in_force(&world, 1..=GATEWAYS, "/added/").await;
     }
 }
+
+/// The same cause at the start: nodes that know nothing waited up to ten seconds
+/// for a reading that the silent store had taken, and served nobody meanwhile.
+#[tokio::test(start_paused = true)]
+async fn gateways_that_all_start_while_the_store_is_silent_serve_soon_after_its_return() {
+    for seconds in 1..=12 {
+        let mut world = World::new(
+            vec![plain_service("plain")],
+            vec![route("/plain/", "plain", RequestKind::Idempotent)],
+        );
+        world.start_runner("plain-1", "plain", &[]);
+        world.store.set_down(true);
+        for number in 1..=GATEWAYS {
+            world.start_gateway(number).await;
+        }
+        world.pass(seconds * SECOND).await;
+        world.store.set_down(false);
+        world.pass(3 * SECOND / 2).await;
+        assert_in_force(&world, 1..=GATEWAYS, "/plain/").await;
+    }
+}
+
+/// A store that needs longer for an answer than the bound allows is not given up:
+/// calls follow each other before the answer to the first has come.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_answers_slowly_still_tells_what_changes() {
+    for tenths in [5, 10, 15, 20, 30] {
+        let mut world = world().await;
+        let slow_by = tenths * SECOND / 10;
+        world.store.set_slow_by(slow_by);
+        world.pass(20 * SECOND).await;
+        for change in 0..3 {
+            let path = format!("/added-{change}/");
+            add_route(&mut world, &path);
+            world.pass(2 * slow_by + BOUND).await;
+            assert_in_force(&world, 1..=GATEWAYS, &path).await;
+        }
+    }
+}
