Feed: nodes that the store does not serve ask different peers, only such as are heard

Cause: the peer heard last is much the same for many nodes where messages go over relays, and a node takes 64 followers; dead peers stay listed for seconds. Change: each node has an order of its own among the peers heard within the usual silence.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -109,21 +109,27 @@
     fn choose(&mut self) -> Choice {
         let heard = self.heard.borrow();
         self.left.retain(|name, _| heard.contains_key(name));
+        let myself = Myself::of(&self.context.settings);
+        let silence = longest_silence(self.context.dispatch.nodes());
         if self.copy.is_overdue() && self.copy.peers_first_until().is_none() {
-            let peer = self.unserved.borrow().then(|| self.any_peer(&heard));
+            let unserved = *self.unserved.borrow();
+            let peer = unserved.then(|| self.any_peer(&myself, &heard, silence));
             return peer.flatten().map_or(Choice::Wait, Choice::Follow);
         }
-        let myself = Myself::of(&self.context.settings);
-        let silence = longest_silence(self.context.dispatch.nodes());
         let avoided = |name: &str| self.left.get(name).is_some_and(Left::is_avoided);
         tree::parent(&myself, &heard, silence, avoided).map_or(Choice::Watch, Choice::Follow)
     }
 
-    fn any_peer(&self, heard: &HashMap<Arc<str>, Heard>) -> Option<Parent> {
+    fn any_peer(
+        &self,
+        myself: &Myself,
+        heard: &HashMap<Arc<str>, Heard>,
+        silence: Duration,
+    ) -> Option<Parent> {
         let is_broken = |left: &Left| left.fault == Fault::Broken && left.is_avoided();
         let usable = |name: &str| !self.left.get(name).is_some_and(is_broken);
         let left_at = |name: &str| self.left.get(name).map(|left| left.at);
-        tree::any_peer(heard, usable, left_at)
+        tree::any_peer(myself, heard, silence, usable, left_at)
     }
 
     /// Waits until another choice may be right.
--- a/crates/gateway/src/feed/tree.rs
+++ b/crates/gateway/src/feed/tree.rs
@@ -119,19 +119,22 @@
     firsts.into_values().collect()
 }
 
-/// Any peer to follow, for a node that the store does not serve: of those that
-/// `usable` allows the one that knew nothing newer the longest time ago
-/// (`left_at`) or never, and of these the one heard last. So each peer has its
-/// turn, and one that was left for another reason comes first.
+/// Any peer to follow, for a node that the store does not serve: of those heard
+/// within `silence` that `usable` allows the one that knew nothing newer the
+/// longest time ago (`left_at`) or never. So each has its turn, and one that was
+/// left for another reason comes first. Each node has an order of its own, lest
+/// all ask the same one: it takes 64 followers at most.
 pub fn any_peer(
+    myself: &Myself,
     heard: &HashMap<Arc<str>, Heard>,
+    silence: Duration,
     usable: impl Fn(&str) -> bool,
     left_at: impl Fn(&str) -> Option<Instant>,
 ) -> Option<Parent> {
     heard
         .iter()
-        .filter(|(name, _)| usable(name))
-        .min_by_key(|(name, peer)| (left_at(name), Reverse(peer.at), (*name).clone()))
+        .filter(|(name, peer)| peer.at.elapsed() < silence && usable(name))
+        .min_by_key(|(name, _)| (left_at(name), barleyspar_domain::rank(&myself.name, name)))
         .map(|(name, peer)| Parent {
             name: name.clone(),
             address: peer.address,
--- a/crates/gateway/src/feed/tree_tests.rs
+++ b/crates/gateway/src/feed/tree_tests.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::tree::{FANOUT, Myself, parent};
+use super::tree::{FANOUT, Myself, any_peer, parent};
 use crate::peers::Heard;
 
 const SILENCE: Duration = Duration::from_secs(2);
@@ -41,14 +41,17 @@
         .collect()
 }
 
-fn parent_of(number: u8, nodes: u8, avoided: &[Arc<str>]) -> Option<Arc<str>> {
-    let myself = Myself {
+fn myself(number: u8) -> Myself {
+    Myself {
         name: name(number),
         capacity: capacity(number),
         zone: zone(number),
-    };
+    }
+}
+
+fn parent_of(number: u8, nodes: u8, avoided: &[Arc<str>]) -> Option<Arc<str>> {
     let avoided = |name: &str| avoided.iter().any(|avoided| &**avoided == name);
-    parent(&myself, &heard(nodes, number), SILENCE, avoided).map(|parent| parent.name)
+    parent(&myself(number), &heard(nodes, number), SILENCE, avoided).map(|parent| parent.name)
 }
 
 #[tokio::test(start_paused = true)]
@@ -119,3 +122,46 @@
         .filter(|(number, parent)| zones[parent] != zone(*number));
     assert_eq!(between.count(), usize::from(ZONES) - 1);
 }
+
+/// A node that the store does not serve asked the peer heard last again and again,
+/// and never the only one that the store served.
+#[tokio::test(start_paused = true)]
+async fn each_peer_has_its_turn() {
+    const NODES: u8 = 20;
+    let heard = heard(NODES, 7);
+    let mut left: HashMap<Arc<str>, Instant> = HashMap::new();
+    let mut turns = Vec::new();
+    for _ in 1..NODES {
+        let left_at = |name: &str| left.get(name).copied();
+        let next = any_peer(&myself(7), &heard, SILENCE, |_| true, left_at).unwrap();
+        tokio::time::advance(Duration::from_millis(1)).await;
+        left.insert(next.name.clone(), Instant::now());
+        turns.push(next.name);
+    }
+    turns.sort();
+    turns.dedup();
+    assert_eq!(turns.len(), usize::from(NODES) - 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_that_the_store_does_not_serve_ask_different_peers() {
+    const NODES: u8 = 250;
+    let mut followers: HashMap<Arc<str>, usize> = HashMap::new();
+    for number in 0..NODES {
+        let heard = heard(NODES, number);
+        let first = any_peer(&myself(number), &heard, SILENCE, |_| true, |_| None).unwrap();
+        *followers.entry(first.name).or_default() += 1;
+    }
+    let most = followers.values().max().copied();
+    assert!(most < Some(FANOUT), "{most:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_is_not_heard_is_not_asked() {
+    let heard = heard(5, 0);
+    tokio::time::advance(SILENCE).await;
+    assert_eq!(
+        any_peer(&myself(0), &heard, SILENCE, |_| true, |_| None),
+        None
+    );
+}
