--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -59,6 +59,7 @@
     time_per_item: Duration,
     piece_pause: Duration,
     calls: u64,
+    readings: u64,
 }
 
 /// The store. Clones are the same store.
@@ -140,6 +141,11 @@
         self.lock().calls
     }
 
+    /// Calls that came so far to read or to watch.
+    pub fn readings(&self) -> u64 {
+        self.lock().readings
+    }
+
     /// Forgets its history.
     pub fn forget_history(&self) {
         let mut state = self.lock();
@@ -184,10 +190,10 @@
             .await
             .map_err(broken)?
             .to_bytes();
-        self.lock().calls += 1;
+        let call: StoreCall = decode(&body).expect("calls are well formed");
+        self.lock().count(&call);
         let slow_by = self.lock().slow_by;
         sleep(ANSWER_TIME + slow_by).await;
-        let call: StoreCall = decode(&body).expect("calls are well formed");
         if self.lock().down {
             std::future::pending::<()>().await;
         }
@@ -286,6 +292,12 @@
 }
 
 impl State {
+    fn count(&mut self, call: &StoreCall) {
+        self.calls += 1;
+        let reads = matches!(call, StoreCall::Range { .. } | StoreCall::Watch { .. });
+        self.readings += u64::from(reads);
+    }
+
     fn write(&mut self, key: &str, value: Bytes, lease: u64) {
         self.revision += 1;
         let item = Item {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -233,6 +233,15 @@
     }
 }
 
+/// A site's gateways end with it: a test that plays many sites pays for one at a time.
+impl Drop for World {
+    fn drop(&mut self) {
+        for process in self.gateways.values() {
+            process.tasks.kill();
+        }
+    }
+}
+
 /// One replica, and one more if it cannot be reached.
 const POLICY: &str = "fn decide(context) { #{ replicas: 2, target: 1 } }";
 
--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -289,3 +289,22 @@
         }
     }
 }
+
+/// Further calls would only crowd the link on which the answer is arriving.
+#[tokio::test(start_paused = true)]
+async fn no_further_call_is_sent_while_an_answer_arrives() {
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/plain/", "plain", RequestKind::Idempotent)],
+    );
+    world.start_gateway(1).await;
+    world.pass(5 * SECOND).await;
+    // An answer takes ten seconds, without a long pause in it.
+    world.store.set_piece_pause(SECOND / 2);
+    add_route(&mut world, "/added/");
+    let before = world.store.readings();
+    world.pass(9 * SECOND).await;
+    let readings = world.store.readings() - before;
+    // One may have been on its way already.
+    assert!(readings <= 1, "{readings} readings");
+}
