Feed: a lost history is forgotten with the calls that showed it

What was learned of the store in one episode must not outlast it; a peer's news or an answer ends it whole, the lost history too (the next poll finds out again).

--- a/crates/gateway/src/feed/asker.rs
+++ b/crates/gateway/src/feed/asker.rs
@@ -18,7 +18,7 @@
 use crate::feed::state::FeedState;
 use crate::store::Store;
 
-/// A call to the store and, behind it, whether it ended by its time-out.
+/// A call to the store that is open.
 type Call = Pin<Box<dyn Future<Output = Ended> + Send>>;
 
 /// A call's end.
@@ -99,11 +99,12 @@
         }
     }
 
-    /// Forgets the calls that are open.
+    /// Forgets the calls that are open, and what they showed of the store.
     fn start_anew(&mut self) {
         self.open.clear();
         self.patience.start_anew();
         self.silent_since = None;
+        self.history_lost = false;
         self.unserved
             .send_if_modified(|unserved| std::mem::replace(unserved, false));
     }
@@ -213,7 +214,6 @@
         self.start_anew();
         let any = match &reading {
             Reading::Everything { revision, .. } => {
-                self.history_lost = false;
                 tracing::info!(event = "store_read", revision);
                 false
             }
