Stand-in store: what it holds apart from how it is served and fails

Change: store/data.rs (revisions, conditions, leases, history) and store/mod.rs (sockets, watches, faults); moved, not rewritten.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,13 +1,15 @@
-//! The key-value store: one order of revisions, conditions, leases, watches;
+//! The key-value store: what it holds ([`data`]), its watches, and what goes wrong:
 //! outages, callers that are refused, answers lost after the change was done.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod data;
+
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use barleyspar_catalog::{Event, Item, StoreAnswer, StoreCall, StoreError, Transaction};
+use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http::{Request, Response, StatusCode};
@@ -22,6 +24,7 @@
 
 use crate::dialect::{decode, encode, error_status};
 use crate::network::MemoryNetwork;
+use crate::store::data::Data;
 
 /// Pieces in which a slow answer is sent.
 const PIECES: usize = 20;
@@ -40,26 +43,23 @@
     pieces
 }
 
-struct Stored {
-    item: Item,
-    lease: u64,
+#[derive(Default)]
+struct State {
+    data: Data,
+    faults: Faults,
+    calls: u64,
+    readings: u64,
 }
 
+/// What goes wrong with the store's answers.
 #[derive(Default)]
-struct State {
-    revision: u64,
-    items: BTreeMap<String, Stored>,
-    history: Vec<Event>,
-    forgotten_up_to: u64,
-    leases: BTreeMap<u64, (Duration, Instant)>,
+struct Faults {
     down: bool,
     refused: BTreeSet<IpAddr>,
     lose_answers: u32,
     slow_by: Duration,
     time_per_item: Duration,
     piece_pause: Duration,
-    calls: u64,
-    readings: u64,
 }
 
 /// The store. Clones are the same store.
@@ -78,6 +78,14 @@
     }
 }
 
+impl State {
+    fn count(&mut self, call: &StoreCall) {
+        self.calls += 1;
+        let reads = matches!(call, StoreCall::Range { .. } | StoreCall::Watch { .. });
+        self.readings += u64::from(reads);
+    }
+}
+
 impl StoreStandIn {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -102,38 +110,38 @@
 
     /// Whether the store gives no answers.
     pub fn set_down(&self, down: bool) {
-        self.lock().down = down;
+        self.lock().faults.down = down;
     }
 
     /// Refuses every call of `caller`, or serves it again.
     pub fn refuse(&self, caller: IpAddr, refused: bool) {
         let mut state = self.lock();
         if refused {
-            state.refused.insert(caller);
+            state.faults.refused.insert(caller);
         } else {
-            state.refused.remove(&caller);
+            state.faults.refused.remove(&caller);
         }
     }
 
     /// The answers to the next `count` changes are lost.
     pub fn lose_answers(&self, count: u32) {
-        self.lock().lose_answers = count;
+        self.lock().faults.lose_answers = count;
     }
 
     /// Time that each answer takes beyond the usual one.
     pub fn set_slow_by(&self, time: Duration) {
-        self.lock().slow_by = time;
+        self.lock().faults.slow_by = time;
     }
 
     /// Time that each item or event of an answer takes, as over a slow link.
     pub fn set_time_per_item(&self, time: Duration) {
-        self.lock().time_per_item = time;
+        self.lock().faults.time_per_item = time;
     }
 
     /// Pause before each of the [`PIECES`] in which an answer is sent, as over a
     /// link that is slow but steady.
     pub fn set_piece_pause(&self, pause: Duration) {
-        self.lock().piece_pause = pause;
+        self.lock().faults.piece_pause = pause;
     }
 
     /// Calls that came so far, refused ones too.
@@ -148,33 +156,28 @@
 
     /// Forgets its history.
     pub fn forget_history(&self) {
-        let mut state = self.lock();
-        state.forgotten_up_to = state.revision;
-        state.history.clear();
+        self.lock().data.forget_history();
     }
 
     /// The value under `key`.
     pub fn get(&self, key: &str) -> Option<Bytes> {
-        self.lock()
-            .items
-            .get(key)
-            .map(|stored| stored.item.value.clone())
+        self.lock().data.get(key)
     }
 
     /// Writes `key`, as the platform does.
     pub fn put(&self, key: &str, value: Bytes) {
-        self.lock().write(key, value, 0);
+        self.lock().data.write(key, value, 0);
         self.notify();
     }
 
     /// Removes `key`, as the platform does.
     pub fn remove(&self, key: &str) {
-        self.lock().remove(key);
+        self.lock().data.remove(key);
         self.notify();
     }
 
     fn notify(&self) {
-        let revision = self.lock().revision;
+        let revision = self.lock().data.revision();
         self.changed.send_replace(revision);
     }
 
@@ -192,12 +195,12 @@
             .to_bytes();
         let call: StoreCall = decode(&body).expect("calls are well formed");
         self.lock().count(&call);
-        let slow_by = self.lock().slow_by;
+        let slow_by = self.lock().faults.slow_by;
         sleep(ANSWER_TIME + slow_by).await;
-        if self.lock().down {
+        if self.lock().faults.down {
             std::future::pending::<()>().await;
         }
-        let result = if self.lock().refused.contains(&caller) {
+        let result = if self.lock().faults.refused.contains(&caller) {
             Err(StoreError::Unavailable)
         } else {
             self.execute(&call).await
@@ -218,7 +221,7 @@
     }
 
     fn body(&self, bytes: Bytes) -> AnswerBody {
-        let pause = self.lock().piece_pause;
+        let pause = self.lock().faults.piece_pause;
         if pause.is_zero() || bytes.is_empty() {
             return Full::new(bytes).boxed();
         }
@@ -236,16 +239,16 @@
             StoreAnswer::Events { events, .. } => events.len(),
             _ => 0,
         };
-        self.lock().time_per_item * items as u32
+        self.lock().faults.time_per_item * items as u32
     }
 
     fn loses_answer(&self, call: &StoreCall) -> bool {
         let mut state = self.lock();
         let changes = matches!(call, StoreCall::Commit(_) | StoreCall::GrantLease { .. });
-        if !changes || state.lose_answers == 0 {
+        if !changes || state.faults.lose_answers == 0 {
             return false;
         }
-        state.lose_answers -= 1;
+        state.faults.lose_answers -= 1;
         true
     }
 
@@ -259,13 +262,13 @@
         {
             return self.watch(prefix, *after, *wait).await;
         }
-        let result = self.lock().execute(call);
+        let result = self.lock().data.execute(call);
         self.notify();
         result
     }
 
     fn expire(&self) {
-        self.lock().expire();
+        self.lock().data.expire();
         self.notify();
     }
 
@@ -279,8 +282,8 @@
         let until = Instant::now() + wait;
         let mut changed = self.changed.subscribe();
         loop {
-            self.lock().expire();
-            let answer = self.lock().events(prefix, after)?;
+            self.lock().data.expire();
+            let answer = self.lock().data.events(prefix, after)?;
             let empty = matches!(&answer, StoreAnswer::Events { events, .. } if events.is_empty());
             if !empty || Instant::now() >= until {
                 return Ok(answer);
@@ -290,142 +293,3 @@
         }
     }
 }
-
-impl State {
-    fn count(&mut self, call: &StoreCall) {
-        self.calls += 1;
-        let reads = matches!(call, StoreCall::Range { .. } | StoreCall::Watch { .. });
-        self.readings += u64::from(reads);
-    }
-
-    fn write(&mut self, key: &str, value: Bytes, lease: u64) {
-        self.revision += 1;
-        let item = Item {
-            key: key.to_owned(),
-            value,
-            revision: self.revision,
-        };
-        self.history.push(Event::Written(item.clone()));
-        self.items.insert(key.to_owned(), Stored { item, lease });
-    }
-
-    fn remove(&mut self, key: &str) {
-        if self.items.remove(key).is_some() {
-            self.revision += 1;
-            self.history.push(Event::Removed {
-                key: key.to_owned(),
-                revision: self.revision,
-            });
-        }
-    }
-
-    fn expire(&mut self) {
-        let now = Instant::now();
-        let over: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, (_, end))| *end <= now)
-            .map(|(lease, _)| *lease)
-            .collect();
-        for lease in over {
-            self.end_lease(lease);
-        }
-    }
-
-    fn end_lease(&mut self, lease: u64) {
-        self.leases.remove(&lease);
-        let keys: Vec<String> = self
-            .items
-            .iter()
-            .filter(|(_, stored)| stored.lease == lease)
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in keys {
-            self.remove(&key);
-        }
-    }
-
-    fn events(&self, prefix: &str, after: u64) -> Result<StoreAnswer, StoreError> {
-        if after < self.forgotten_up_to {
-            return Err(StoreError::HistoryLost);
-        }
-        let events = self
-            .history
-            .iter()
-            .filter(|event| match event {
-                Event::Written(item) => item.revision > after && item.key.starts_with(prefix),
-                Event::Removed { key, revision } => *revision > after && key.starts_with(prefix),
-            })
-            .cloned()
-            .collect();
-        Ok(StoreAnswer::Events {
-            events,
-            revision: self.revision,
-        })
-    }
-
-    fn execute(&mut self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
-        match call {
-            StoreCall::Range { prefix, .. } => Ok(StoreAnswer::Page {
-                items: self
-                    .items
-                    .values()
-                    .filter(|stored| stored.item.key.starts_with(prefix))
-                    .map(|stored| stored.item.clone())
-                    .collect(),
-                more: false,
-                revision: self.revision,
-            }),
-            StoreCall::Watch { .. } => unreachable!("watches wait"),
-            StoreCall::Commit(transaction) => self.commit(transaction),
-            StoreCall::GrantLease { time_to_live } => {
-                self.revision += 1;
-                let lease = self.revision;
-                self.leases
-                    .insert(lease, (*time_to_live, Instant::now() + *time_to_live));
-                Ok(StoreAnswer::Lease {
-                    lease,
-                    time_to_live: *time_to_live,
-                })
-            }
-            StoreCall::RenewLease { lease } => {
-                let (time_to_live, end) =
-                    self.leases.get_mut(lease).ok_or(StoreError::LeaseGone)?;
-                *end = Instant::now() + *time_to_live;
-                Ok(StoreAnswer::Renewed {
-                    time_to_live: *time_to_live,
-                })
-            }
-            StoreCall::EndLease { lease } => {
-                self.end_lease(*lease);
-                Ok(StoreAnswer::Ended)
-            }
-        }
-    }
-
-    fn commit(&mut self, transaction: &Transaction) -> Result<StoreAnswer, StoreError> {
-        let holds = transaction.conditions.iter().all(|(key, revision)| {
-            let known = self.items.get(key).map_or(0, |stored| stored.item.revision);
-            known == *revision
-        });
-        if !holds {
-            return Ok(StoreAnswer::Conflict);
-        }
-        let leases = transaction.writes.iter().map(|write| write.lease);
-        if leases
-            .filter(|lease| *lease != 0)
-            .any(|lease| !self.leases.contains_key(&lease))
-        {
-            return Err(StoreError::LeaseGone);
-        }
-        for write in &transaction.writes {
-            self.write(&write.key, write.value.clone(), write.lease);
-        }
-        for key in &transaction.removes {
-            self.remove(key);
-        }
-        Ok(StoreAnswer::Committed {
-            revision: self.revision,
-        })
-    }
-}
