Feed: one way to take in news, from the store or a peer

Cause: reading the change. Whole readings and changes were taken in by two functions that differed in two lines, from the store and from frames by four, and four sends dropped an error whose reason stood at the first only. Change: News (everything, or events) is what a reading and a frame bring; FeedCopy::take takes it, FeedCopy::tell sends it on, with the reason in one place.

--- a/crates/gateway/src/feed/asker.rs
+++ b/crates/gateway/src/feed/asker.rs
@@ -15,7 +15,7 @@
 use crate::feed::copy::FeedCopy;
 use crate::feed::patience::Patience;
 use crate::feed::poll::{Reading, read_changes, read_everything};
-use crate::feed::state::FeedState;
+use crate::feed::state::{FeedState, News};
 use crate::store::Store;
 
 /// A call to the store that is open.
@@ -212,12 +212,12 @@
 
     async fn take(&mut self, reading: Reading) {
         self.start_anew();
-        let any = match &reading {
-            Reading::Everything { revision, .. } => {
-                tracing::info!(event = "store_read", revision);
+        let any = match &reading.news {
+            News::Everything(_) => {
+                tracing::info!(event = "store_read", revision = reading.revision);
                 false
             }
-            Reading::Changes { events, .. } => !events.is_empty(),
+            News::Events(events) => !events.is_empty(),
         };
         self.copy.take_reading(reading).await;
         // Changes come in batches.
--- a/crates/gateway/src/feed/copy.rs
+++ b/crates/gateway/src/feed/copy.rs
@@ -9,9 +9,8 @@
 
 use crate::context::Context;
 use crate::feed::follow::Arrived;
-use crate::feed::frame::Content;
 use crate::feed::poll::Reading;
-use crate::feed::state::{Change, FeedState};
+use crate::feed::state::{Change, FeedState, News};
 use crate::feed::times::FeedTimes;
 
 /// Time from its start within which a node learns everything from a peer rather
@@ -82,98 +81,68 @@
 
     /// Takes in what the store answered.
     pub async fn take_reading(&self, reading: Reading) {
-        match reading {
-            Reading::Everything {
-                items,
-                revision,
-                asked,
-            } => self.take_everything(items, revision, asked, 0).await,
-            Reading::Changes {
-                events,
-                revision,
-                asked,
-            } => self.take_events(events, revision, asked, 0).await,
-        }
+        self.take(reading.news, reading.revision, reading.asked, 0)
+            .await;
     }
 
     /// Takes in a parent's frame.
     pub async fn take_frame(&self, arrived: Arrived) -> io::Result<()> {
         let Arrived { frame, complete_at } = arrived;
-        let depth = frame.depth + 1;
-        match frame.content {
-            Content::Everything(packed) => {
-                let items = packed.items()?;
-                self.take_everything(items, frame.revision, complete_at, depth)
-                    .await;
-            }
-            Content::Events(batches) => {
-                let mut events = Vec::new();
-                for batch in &batches {
-                    events.extend(batch.events()?);
-                }
-                self.take_events(events, frame.revision, complete_at, depth)
-                    .await;
-            }
-        }
+        let news = frame.content.news()?;
+        self.take(news, frame.revision, complete_at, frame.depth + 1)
+            .await;
         Ok(())
     }
 
     /// Passes entries on that do not belong to the copy: enough to know whom to
     /// follow.
-    pub async fn tell(&self, items: Vec<Item>) {
+    pub async fn tell_entries(&self, items: Vec<Item>) {
         for item in items {
-            // Without a listener the feed ends at its next step.
-            let _ = self.changes.send(Change::Event(Event::Written(item))).await;
-        }
-    }
-
-    async fn take_everything(
-        &self,
-        items: Vec<Item>,
-        revision: u64,
-        complete_at: Instant,
-        depth: u32,
-    ) {
-        let (mut newer, mut confirmed) = (false, false);
-        self.state.send_if_modified(|state| {
-            newer = state.take_everything(&items, revision);
-            confirmed = state.confirm(revision, complete_at, depth);
-            confirmed || newer
-        });
-        if newer {
-            // As above.
-            let _ = self.changes.send(Change::Everything(items)).await;
+            self.tell(Change::Event(Event::Written(item))).await;
         }
-        self.tell_complete(confirmed, complete_at).await;
     }
 
-    async fn take_events(
-        &self,
-        events: Vec<Event>,
-        revision: u64,
-        complete_at: Instant,
-        depth: u32,
-    ) {
-        let mut news = Vec::new();
+    /// Takes in `news` up to `revision`, complete at `complete_at`, as known over
+    /// `depth` steps.
+    async fn take(&self, news: News, revision: u64, complete_at: Instant, depth: u32) {
+        let mut changes = Vec::new();
         let mut confirmed = false;
         // Only what is new goes on: two nodes that follow each other while the
         // store serves neither would tell each other the same without end.
         self.state.send_if_modified(|state| {
-            news = state.take_events(events, revision);
+            changes = changes_by(state, news, revision);
             confirmed = state.confirm(revision, complete_at, depth);
-            confirmed || !news.is_empty()
+            confirmed || !changes.is_empty()
         });
-        for event in news {
-            let _ = self.changes.send(Change::Event(event)).await;
+        for change in changes {
+            self.tell(change).await;
+        }
+        // Behind the changes themselves, that there were no others.
+        if confirmed {
+            self.tell(Change::CompleteAt(complete_at)).await;
         }
-        self.tell_complete(confirmed, complete_at).await;
     }
 
-    /// Says, behind the changes themselves, that there were no others.
-    async fn tell_complete(&self, confirmed: bool, at: Instant) {
-        if confirmed {
-            // As above.
-            let _ = self.changes.send(Change::CompleteAt(at)).await;
+    async fn tell(&self, change: Change) {
+        // Without a listener the feed ends at its next step.
+        let _ = self.changes.send(change).await;
+    }
+}
+
+/// Takes `news` into `state`; what was not known before.
+fn changes_by(state: &mut FeedState, news: News, revision: u64) -> Vec<Change> {
+    match news {
+        News::Everything(items) => {
+            let newer = state.take_everything(&items, revision);
+            newer
+                .then_some(Change::Everything(items))
+                .into_iter()
+                .collect()
         }
+        News::Events(events) => state
+            .take_events(events, revision)
+            .into_iter()
+            .map(Change::Event)
+            .collect(),
     }
 }
--- a/crates/gateway/src/feed/frame.rs
+++ b/crates/gateway/src/feed/frame.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::feed::state::News;
+
 /// Longest frame; a longer one ends the connection.
 const LONGEST_FRAME: u32 = 16 << 20;
 /// Longest payload once it is inflated.
@@ -42,6 +44,22 @@
     Events(Vec<Packed>),
 }
 
+impl Content {
+    /// What it brings, unpacked.
+    pub fn news(&self) -> io::Result<News> {
+        match self {
+            Self::Everything(packed) => packed.items().map(News::Everything),
+            Self::Events(batches) => {
+                let mut events = Vec::new();
+                for batch in batches {
+                    events.extend(batch.events()?);
+                }
+                Ok(News::Events(events))
+            }
+        }
+    }
+}
+
 /// What a node tells its followers.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Frame {
--- a/crates/gateway/src/feed/poll.rs
+++ b/crates/gateway/src/feed/poll.rs
@@ -3,32 +3,21 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use barleyspar_catalog::{Event, Item, StoreAnswer, StoreCall, StoreError};
+use barleyspar_catalog::{Item, StoreAnswer, StoreCall, StoreError};
 use tokio::time::Instant;
 
+use crate::feed::state::News;
 use crate::register::MEMBER_PREFIX;
 use crate::store::Store;
 
 /// What the store answered.
-pub enum Reading {
-    /// Everything that it holds.
-    Everything {
-        /// The items.
-        items: Vec<Item>,
-        /// A revision from which to follow changes.
-        revision: u64,
-        /// When the first call was sent.
-        asked: Instant,
-    },
-    /// Changes after a revision.
-    Changes {
-        /// The changes, in order.
-        events: Vec<Event>,
-        /// The store's revision.
-        revision: u64,
-        /// When the call was sent.
-        asked: Instant,
-    },
+pub struct Reading {
+    /// Everything that it holds, or what has changed.
+    pub news: News,
+    /// The store's revision; of a whole reading, one from which to follow changes.
+    pub revision: u64,
+    /// When the first call was sent.
+    pub asked: Instant,
 }
 
 /// Reads all items, waiting for each page for `patience` at most.
@@ -56,8 +45,8 @@
         after = page.last().map(|item| item.key.clone());
         items.extend(page.into_iter().map(|item| (item.key.clone(), item)));
         if !more || after.is_none() {
-            return Ok(Reading::Everything {
-                items: items.into_values().collect(),
+            return Ok(Reading {
+                news: News::Everything(items.into_values().collect()),
                 revision,
                 asked,
             });
@@ -94,8 +83,8 @@
         wait,
     };
     match store.call(&call, wait + patience).await? {
-        StoreAnswer::Events { events, revision } => Ok(Reading::Changes {
-            events,
+        StoreAnswer::Events { events, revision } => Ok(Reading {
+            news: News::Events(events),
             revision,
             asked,
         }),
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -18,6 +18,15 @@
 /// other would keep theirs young for ever.
 const DEEPEST: u32 = 6;
 
+/// What the store, or a peer that knows more, has told.
+#[derive(Debug)]
+pub enum News {
+    /// Everything there is.
+    Everything(Vec<Item>),
+    /// What has changed, in order.
+    Events(Vec<Event>),
+}
+
 /// What the feed tells the node's other parts.
 #[derive(Debug, PartialEq)]
 pub enum Change {
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -75,7 +75,7 @@
             return;
         };
         let any = !items.is_empty();
-        self.copy.tell(items).await;
+        self.copy.tell_entries(items).await;
         if any {
             // Nothing new within that time: all members were known.
             let _ = timeout(MEMBERS_TAKEN_IN, self.heard.changed()).await;
