A node keeps less of each runner, a leader reads the reports that it needs

Change: discovery, dispatch and placement share one copy of a runner, and runners share names; what a node learns by using a runner stands apart and is made when it is used; only a leader has entries of the placement; the feed's copy keeps values without slack, and what it keeps for followers is bounded by changes too.

Ruled out: threads' arenas (the gateway has one thread and a log writer, their heap is one); keeping the former way with fewer connections at once: 10,000 of them are still priced and probed.

--- a/crates/catalog/src/runner.rs
+++ b/crates/catalog/src/runner.rs
@@ -68,9 +68,9 @@
 }
 
 /// Id of the life of the runner `name` that began at `born`.
-pub fn incarnation(name: &str, born: Option<u64>) -> Arc<str> {
+pub fn incarnation(name: &Arc<str>, born: Option<u64>) -> Arc<str> {
     match born {
         Some(born) => format!("{name}@{born}").into(),
-        None => name.into(),
+        None => name.clone(),
     }
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -58,11 +58,11 @@
     let now = chooser.now;
     let best_failure = candidates
         .iter()
-        .map(|entry| entry.health.failure_rate(now))
+        .map(|entry| entry.health().failure_rate(now))
         .fold(f64::INFINITY, f64::min);
     let best_response = candidates
         .iter()
-        .filter_map(|entry| entry.health.response_seconds())
+        .filter_map(|entry| entry.health().response_seconds())
         .fold(f64::INFINITY, f64::min);
     let gap = |entry: &RunnerEntry| {
         let wanted = query.wanted.as_ref()?;
@@ -78,8 +78,8 @@
         let entry = candidates[index];
         let in_flight = f64::from(entry.total_in_flight()) + chooser.blur(entry);
         let mut cost = in_flight / f64::from(entry.runner.slots.max(1));
-        cost += FAILURE_COST * (entry.health.failure_rate(now) - best_failure);
-        cost += slowness(entry.health.response_seconds(), best_response);
+        cost += FAILURE_COST * (entry.health().failure_rate(now) - best_failure);
+        cost += slowness(entry.health().response_seconds(), best_response);
         if let Some(gap) = gap(entry) {
             cost += SLOW_STREAM_COST * thousands * (gap / best_gap - 1.0).min(1.0);
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -135,7 +135,8 @@
     }
 
     /// Takes in a runner's entry.
-    pub fn update_runner(&mut self, runner: Runner, now: Instant) {
+    pub fn update_runner(&mut self, runner: impl Into<Arc<Runner>>, now: Instant) {
+        let runner = runner.into();
         let id = runner.id.clone();
         match self.runners.get_mut(&runner.id) {
             Some(entry) => entry.update(runner, now),
@@ -145,7 +146,7 @@
         self.end_cold_starts(&id, now);
     }
 
-    fn insert_runner(&mut self, runner: Runner, now: Instant) {
+    fn insert_runner(&mut self, runner: Arc<Runner>, now: Instant) {
         let id = runner.id.clone();
         let mut entry = RunnerEntry::new(runner, now);
         entry.peer_in_flight = self.peer_loads.at(entry.key);
@@ -233,7 +234,7 @@
     pub fn unreachable(&self, now: Instant) -> Vec<RunnerKey> {
         self.runners
             .iter()
-            .filter(|(_, entry)| entry.health.is_unreachable(now))
+            .filter(|(_, entry)| entry.health().is_unreachable(now))
             .map(|(_, entry)| entry.key)
             .collect()
     }
@@ -299,13 +300,13 @@
         let healthy: Vec<&RunnerEntry> = usable
             .iter()
             .copied()
-            .filter(|entry| !entry.health.is_blocked(now))
+            .filter(|entry| !entry.health().is_blocked(now))
             .collect();
         // With no sound runner left, a doubtful one is better than none.
         let considered = if healthy.is_empty() { usable } else { healthy };
         let candidates: Vec<&RunnerEntry> = considered
             .into_iter()
-            .filter(|entry| !entry.health.is_busy(now))
+            .filter(|entry| !entry.health().is_busy(now))
             .filter(|entry| has_room(entry, query, engine))
             .filter(|entry| self.spares_cold(entry, service.as_deref(), now))
             .collect();
@@ -340,7 +341,7 @@
         let pause = cold::pause(id, &self.name, &self.members, &spec, bounds);
         let rested = |pause: Duration| {
             let since = |at| now.saturating_duration_since(at);
-            entry.sent_at.is_none_or(|at| since(at) >= pause)
+            entry.sent_at().is_none_or(|at| since(at) >= pause)
         };
         pause.is_some_and(rested)
     }
@@ -372,7 +373,7 @@
         let entry = self.runners.get_mut(id).expect("the runner was chosen");
         let in_flight = entry.total_in_flight();
         entry.in_flight += 1;
-        entry.sent_at = Some(now);
+        entry.sends(now);
         entry.tokens += query.tokens;
         entry.unread_tokens += query.prompt_tokens;
         let runner = entry.runner.clone();
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -60,42 +60,28 @@
 }
 
 /// Behaviour seen, fading with time.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Health {
-    seen_at: Instant,
+    seen_at: Option<Instant>,
     successes: f64,
     failures: f64,
     failures_in_row: u32,
     blocked_until: Option<Instant>,
     busy_until: Option<Instant>,
     unreachable: bool,
-    block: Duration,
+    /// How long it is left alone next; `None`: the shortest time.
+    block: Option<Duration>,
     response_seconds: Option<f64>,
 }
 
 impl Health {
-    /// A runner of which nothing is known.
-    pub fn new(now: Instant) -> Self {
-        Self {
-            seen_at: now,
-            successes: 0.0,
-            failures: 0.0,
-            failures_in_row: 0,
-            blocked_until: None,
-            busy_until: None,
-            unreachable: false,
-            block: SHORTEST_BLOCK,
-            response_seconds: None,
-        }
-    }
-
     /// Takes in a success.
     pub fn succeeded(&mut self, now: Instant, first_byte: Duration) {
         self.fade(now);
         self.successes += 1.0;
         self.failures_in_row = 0;
         self.unreachable = false;
-        self.block = SHORTEST_BLOCK;
+        self.block = None;
         self.blocked_until = None;
         let sample = first_byte.as_secs_f64();
         self.response_seconds = Some(
@@ -114,8 +100,9 @@
         self.failures_in_row += 1;
         self.unreachable = failure != Failure::Broken;
         if failure == Failure::Unreachable || self.failures_in_row >= FAILURES_UNTIL_BLOCKED {
-            self.block_for(now, self.block);
-            self.block = (self.block * 2).min(LONGEST_BLOCK);
+            let block = self.block.unwrap_or(SHORTEST_BLOCK);
+            self.block_for(now, block);
+            self.block = Some((block * 2).min(LONGEST_BLOCK));
         }
     }
 
@@ -160,13 +147,15 @@
     }
 
     fn kept(&self, now: Instant) -> f64 {
-        part_left(now.saturating_duration_since(self.seen_at), HALF_LIFE)
+        self.seen_at.map_or(1.0, |at| {
+            part_left(now.saturating_duration_since(at), HALF_LIFE)
+        })
     }
 
     fn fade(&mut self, now: Instant) {
         let kept = self.kept(now);
         self.successes *= kept;
         self.failures *= kept;
-        self.seen_at = now;
+        self.seen_at = Some(now);
     }
 }
--- a/crates/dispatch/src/outcome.rs
+++ b/crates/dispatch/src/outcome.rs
@@ -21,7 +21,7 @@
 ) {
     match outcome {
         Outcome::Success { first_byte } | Outcome::PromptRead { first_byte } => {
-            entry.health.succeeded(now, first_byte);
+            entry.health_mut().succeeded(now, first_byte);
         }
         Outcome::Streamed { usual_gap } => {
             if let Some(wanted) = wanted {
@@ -29,22 +29,22 @@
             }
         }
         Outcome::Busy => {
-            entry.health.failed(now, Failure::Error);
+            entry.health_mut().failed(now, Failure::Error);
             match wanted {
                 Some(wanted) if entry.has_much_room() => entry.refuses(wanted, now),
-                _ => entry.health.busy_for(now, BUSY_BLOCK),
+                _ => entry.health_mut().busy_for(now, BUSY_BLOCK),
             }
         }
         Outcome::Replaced => {
-            entry.health.failed(now, Failure::Unreachable);
-            entry.health.block_for(now, WRONG_RUNNER_BLOCK);
+            entry.health_mut().failed(now, Failure::Unreachable);
+            entry.health_mut().block_for(now, WRONG_RUNNER_BLOCK);
             entry.replace();
         }
         Outcome::NotHeld => match wanted {
             Some(wanted) => entry.lacks(wanted, now),
-            None => entry.health.block_for(now, WRONG_RUNNER_BLOCK),
+            None => entry.health_mut().block_for(now, WRONG_RUNNER_BLOCK),
         },
-        Outcome::Failed(failure) => entry.health.failed(now, failure),
+        Outcome::Failed(failure) => entry.health_mut().failed(now, failure),
         Outcome::Abandoned => {}
     }
 }
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -1,8 +1,8 @@
 //! A runner as the dispatcher keeps it.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, LazyLock};
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{HeldModel, ModelReference, Runner, RunnerState};
@@ -31,7 +31,8 @@
 /// for it: an order that concerns the model must be under way.
 const REFUSED_TIME: Duration = Duration::from_millis(400);
 
-/// A runner with what this node knows of it.
+/// A runner with what this node knows of it. A node keeps one of every runner of the
+/// site and uses few, so what is learnt by using one stands apart ([`Seen`]).
 #[derive(Debug)]
 pub struct RunnerEntry {
     /// The runner as discovery or the placement leader showed it last.
@@ -46,8 +47,6 @@
     pub unread_tokens: u64,
     /// Attempts of other nodes in flight, as they said last.
     pub peer_in_flight: u32,
-    /// Behaviour seen.
-    pub health: Health,
     /// Whether it takes new work, for attempts that are about to be sent.
     pub open: Arc<AtomicBool>,
     /// Whether another runner has its address: this one never comes back.
@@ -55,12 +54,18 @@
     /// Where the operators evacuate its zone: until when it still serves what no
     /// other runner can.
     evacuated: Option<Instant>,
+    seen: Option<Box<Seen>>,
+}
+
+/// What this node has seen of a runner, or was told of it by the leader.
+#[derive(Debug, Default)]
+struct Seen {
+    health: Health,
     /// Until when it is cold by its own entry.
     cold_until: Option<Instant>,
     /// Until when it may be cold without having said so.
     doubted_until: Option<Instant>,
-    /// When this node sent it a request last.
-    pub sent_at: Option<Instant>,
+    sent_at: Option<Instant>,
     lacking: HashMap<ModelReference, Instant>,
     /// Models on their way out, and until when that is believed.
     unloading: HashMap<Arc<str>, Instant>,
@@ -75,6 +80,9 @@
     gaps: HashMap<Arc<str>, f64>,
 }
 
+/// What is known of a runner that this node never used.
+static NOTHING: LazyLock<Seen> = LazyLock::new(Seen::default);
+
 /// The last report of the runner that this node was told of.
 #[derive(Debug, Clone, Copy)]
 struct Reported {
@@ -82,38 +90,67 @@
     at: Instant,
 }
 
+impl Seen {
+    /// Whether an entry may still be older than the last report.
+    fn is_reported_lately(&self, now: Instant) -> bool {
+        self.reported
+            .is_some_and(|report| now.saturating_duration_since(report.at) < ENTRY_LAG)
+    }
+}
+
 impl RunnerEntry {
     /// A runner that has just been discovered.
-    pub fn new(runner: Runner, now: Instant) -> Self {
+    pub fn new(runner: Arc<Runner>, now: Instant) -> Self {
         let mut entry = Self {
             key: runner_key(&runner.id),
-            runner: Arc::new(runner),
+            runner,
             in_flight: 0,
             tokens: 0,
             unread_tokens: 0,
             peer_in_flight: 0,
-            health: Health::new(now),
             open: Arc::new(AtomicBool::new(true)),
             replaced: false,
             evacuated: None,
-            cold_until: None,
-            doubted_until: None,
-            sent_at: None,
-            lacking: HashMap::new(),
-            unloading: HashMap::new(),
-            loading: None,
-            refusing: HashMap::new(),
-            reported: None,
-            doubtful_models: None,
-            gaps: HashMap::new(),
+            seen: None,
         };
         entry.warms(now);
         entry
     }
 
+    fn seen(&self) -> &Seen {
+        self.seen.as_deref().unwrap_or(&NOTHING)
+    }
+
+    fn seen_mut(&mut self) -> &mut Seen {
+        self.seen.get_or_insert_default()
+    }
+
+    /// Behaviour seen.
+    pub fn health(&self) -> &Health {
+        &self.seen().health
+    }
+
+    /// Behaviour seen, to be added to.
+    pub fn health_mut(&mut self) -> &mut Health {
+        &mut self.seen_mut().health
+    }
+
+    /// When this node sent it a request last.
+    pub fn sent_at(&self) -> Option<Instant> {
+        self.seen().sent_at
+    }
+
+    /// Notes that this node sends it a request.
+    pub fn sends(&mut self, now: Instant) {
+        self.seen_mut().sent_at = Some(now);
+    }
+
     /// Takes in for how long its newest entry says that it is cold.
     fn warms(&mut self, now: Instant) {
-        self.cold_until = Some(now + self.runner.warming);
+        let warming = self.runner.warming;
+        if !warming.is_zero() || self.seen.is_some() {
+            self.seen_mut().cold_until = Some(now + warming);
+        }
     }
 
     /// The operators evacuate its zone: it gets what no other runner can serve until
@@ -130,7 +167,9 @@
     /// for `cold_time` it is thought cold.
     pub fn take_back(&mut self, cold_time: Duration, now: Instant) {
         self.evacuated = None;
-        self.doubted_until = Some(now + cold_time);
+        if !cold_time.is_zero() {
+            self.seen_mut().doubted_until = Some(now + cold_time);
+        }
         if self.is_open(now) {
             self.open = Arc::new(AtomicBool::new(true));
         }
@@ -144,41 +183,50 @@
     /// Whether it is cold, or may be.
     pub fn is_cold(&self, now: Instant) -> bool {
         let lasts = |until: Option<Instant>| until.is_some_and(|until| now < until);
-        lasts(self.cold_until) || lasts(self.doubted_until)
+        lasts(self.seen().cold_until) || lasts(self.seen().doubted_until)
     }
 
     /// Takes in a newer entry. A runner that was draining stays so: an entry
     /// that says otherwise is older than it looks.
-    pub fn update(&mut self, mut newer: Runner, now: Instant) {
-        if self.runner.state == RunnerState::Draining {
-            newer.state = RunnerState::Draining;
-        }
+    pub fn update(&mut self, newer: Arc<Runner>, now: Instant) {
+        let drains = self.runner.state == RunnerState::Draining;
         let is_late = newer.heartbeat < self.runner.heartbeat;
-        if is_late {
-            let state = newer.state;
-            newer = (*self.runner).clone();
-            newer.state = state;
-        }
-        let fresh_report = self
-            .reported
-            .is_some_and(|report| now.saturating_duration_since(report.at) < ENTRY_LAG);
-        self.doubtful_models = None;
-        if fresh_report {
-            let models = std::mem::replace(&mut newer.models, self.runner.models.clone());
-            self.doubtful_models = Some(models);
+        let state = if drains {
+            RunnerState::Draining
+        } else {
+            newer.state
+        };
+        let mut newer = if is_late { self.runner.clone() } else { newer };
+        if newer.state != state {
+            Arc::make_mut(&mut newer).state = state;
         }
-        if newer.models != self.runner.models {
-            self.lacking.clear();
+        if self.seen.is_some() {
+            self.follow_models(&mut newer, now);
         }
         if newer.state == RunnerState::Draining {
             self.close();
         }
-        self.runner = Arc::new(newer);
+        self.runner = newer;
         if !is_late {
             self.warms(now);
         }
     }
 
+    /// Weighs the models of a newer entry against the last report.
+    fn follow_models(&mut self, newer: &mut Arc<Runner>, now: Instant) {
+        let known = self.runner.models.clone();
+        let seen = self.seen_mut();
+        let fresh_report = seen.is_reported_lately(now);
+        seen.doubtful_models = None;
+        if fresh_report && newer.models != known {
+            let models = std::mem::replace(&mut Arc::make_mut(newer).models, known.clone());
+            seen.doubtful_models = Some(models);
+        }
+        if newer.models != known {
+            seen.lacking.clear();
+        }
+    }
+
     /// Tells attempts that are about to be sent that the runner is leaving.
     pub fn close(&self) {
         self.open.store(false, Ordering::Relaxed);
@@ -193,27 +241,31 @@
     /// Takes in what the runner holds, from its own report.
     pub fn update_models(&mut self, inventory: Inventory, now: Instant) {
         let sequence = inventory.sequence;
-        if self.reported.is_some_and(|known| sequence < known.sequence) {
+        let seen = self.seen_mut();
+        if seen.reported.is_some_and(|known| sequence < known.sequence) {
             return;
         }
-        self.reported = Some(Reported { sequence, at: now });
-        self.lacking.clear();
-        self.doubtful_models = None;
-        self.unloading = inventory
+        seen.reported = Some(Reported { sequence, at: now });
+        seen.lacking.clear();
+        seen.doubtful_models = None;
+        seen.unloading = inventory
             .unloading
             .into_iter()
             .map(|model| (model, now + LONGEST_UNLOAD))
             .collect();
-        self.loading = inventory.loading.map(|loading| {
+        seen.loading = inventory.loading.map(|loading| {
             let ready_in = Duration::from_millis(loading.ready_in_ms.into());
             (loading.model, now + ready_in)
         });
-        Arc::make_mut(&mut self.runner).models = inventory.models;
+        if self.runner.models != inventory.models {
+            Arc::make_mut(&mut self.runner).models = inventory.models;
+        }
     }
 
     /// When `model` is expected to be there, if the runner loads it.
     pub fn ready_at(&self, model: &str) -> Option<Instant> {
         let (_, at) = self
+            .seen()
             .loading
             .as_ref()
             .filter(|(loading, _)| **loading == *model)?;
@@ -222,12 +274,12 @@
 
     /// Remembers that the runner said it does not hold `wanted`.
     pub fn lacks(&mut self, wanted: ModelReference, now: Instant) {
-        self.lacking.insert(wanted, now + NOT_HELD_TIME);
+        self.seen_mut().lacking.insert(wanted, now + NOT_HELD_TIME);
     }
 
     /// Remembers that the runner refused `wanted` although it has room.
     pub fn refuses(&mut self, wanted: ModelReference, now: Instant) {
-        self.refusing.insert(wanted, now + REFUSED_TIME);
+        self.seen_mut().refusing.insert(wanted, now + REFUSED_TIME);
     }
 
     /// Whether most of its slots are free.
@@ -238,7 +290,8 @@
     /// Takes in how far apart a stream's events came.
     pub fn streamed(&mut self, model: &Arc<str>, usual_gap: Duration) {
         let sample = usual_gap.as_secs_f64();
-        self.gaps
+        self.seen_mut()
+            .gaps
             .entry(model.clone())
             .and_modify(|known| *known += GAP_WEIGHT * (sample - *known))
             .or_insert(sample);
@@ -246,7 +299,7 @@
 
     /// Usual seconds between two events of a stream of `model`.
     pub fn usual_gap(&self, model: &str) -> Option<f64> {
-        self.gaps.get(model).copied()
+        self.seen().gaps.get(model).copied()
     }
 
     /// Whether the runner takes new work.
@@ -258,7 +311,7 @@
     /// All models that it may be thought to hold now or later, until it is
     /// heard of again.
     pub fn possible_models(&self) -> Vec<Arc<str>> {
-        let doubtful = self.doubtful_models.iter().flatten();
+        let doubtful = self.seen().doubtful_models.iter().flatten();
         self.runner
             .models
             .iter()
@@ -269,10 +322,11 @@
 
     /// Whether the runner holds `wanted`, as far as this node knows.
     pub fn holds(&self, wanted: &ModelReference, now: Instant) -> bool {
-        if self.lacking.get(wanted).is_some_and(|until| now < *until) {
+        let seen = self.seen();
+        if seen.lacking.get(wanted).is_some_and(|until| now < *until) {
             return false;
         }
-        let unloading = self.unloading.get(&wanted.model);
+        let unloading = seen.unloading.get(&wanted.model);
         if unloading.is_some_and(|until| now < *until) {
             return false;
         }
@@ -289,18 +343,17 @@
 
     /// Whether the runner takes requests for `wanted`, as far as this node knows.
     pub fn takes(&self, wanted: &ModelReference, now: Instant) -> bool {
-        let refuses = self.refusing.get(wanted).is_some_and(|until| now < *until);
+        let refusing = self.seen().refusing.get(wanted);
+        let refuses = refusing.is_some_and(|until| now < *until);
         !refuses && self.holds(wanted, now)
     }
 
     /// The models that the runner was last said to hold; an entry that came
     /// right behind a report counts once it has stood for a while.
     fn models(&self, now: Instant) -> &[HeldModel] {
-        let fresh = self
-            .reported
-            .is_some_and(|report| now.saturating_duration_since(report.at) < ENTRY_LAG);
-        match &self.doubtful_models {
-            Some(models) if !fresh => models,
+        let seen = self.seen();
+        match &seen.doubtful_models {
+            Some(models) if !seen.is_reported_lately(now) => models,
             _ => &self.runner.models,
         }
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -7,8 +7,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::arrivals::Arrivals;
 use crate::context::Context;
 use crate::feed::Change;
+use crate::names::Names;
 use crate::peers::PeerHandle;
 use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle};
 use crate::register::MEMBER_PREFIX;
@@ -37,6 +39,10 @@
     pub confirmed: watch::Sender<Option<Instant>>,
     /// Whether the latest configuration could not be read.
     pub unreadable: bool,
+    /// Which arrivals the log tells of.
+    pub arrivals: Arrivals,
+    /// Names that runners' entries share.
+    pub names: Names,
     /// Runners that stand in the store, by their own ids.
     pub runners: HashMap<Arc<str>, KnownRunner>,
     /// Zones that the operators evacuate, and until when the runners of each still
@@ -238,10 +244,12 @@
         tracing::info!(event = "configuration_in_force", version, routes);
     }
 
-    fn runner(&mut self, runner: Runner, revision: u64, whole_reading: bool) {
+    fn runner(&mut self, mut runner: Runner, revision: u64, whole_reading: bool) {
         if !self.follow_life(&runner) {
             return;
         }
+        self.names.share(&mut runner);
+        let runner = Arc::new(runner);
         self.tell(&runner, revision, whole_reading);
         self.placement.update_runner(runner.clone());
         self.context.dispatch.update_runner(runner);
@@ -284,6 +292,9 @@
         if expected == runner.state && (told.is_some() || whole_reading) {
             return;
         }
+        if expected == runner.state && !self.arrivals.tells(Instant::now()) {
+            return;
+        }
         tracing::info!(
             event = "runner_entry",
             runner = &*runner.id,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -86,7 +86,7 @@
     Observe(PermitId, Outcome),
     Split(Arc<Route>, oneshot::Sender<Arc<str>>),
     Configure(Arc<Configuration>),
-    UpdateRunner(Box<Runner>),
+    UpdateRunner(Arc<Runner>),
     RemoveRunner(Arc<str>),
     RetainRunners(Vec<Arc<str>>),
     UpdateModels(Inventory),
@@ -172,8 +172,8 @@
     }
 
     /// Takes in a runner's entry.
-    pub fn update_runner(&self, runner: Runner) {
-        self.send(Command::UpdateRunner(Box::new(runner)));
+    pub fn update_runner(&self, runner: Arc<Runner>) {
+        self.send(Command::UpdateRunner(runner));
     }
 
     /// Forgets a runner.
@@ -303,7 +303,7 @@
                 self.splitter.retain(&configuration.routes);
                 self.dispatcher.set_configuration(configuration);
             }
-            Command::UpdateRunner(runner) => self.dispatcher.update_runner(*runner, now()),
+            Command::UpdateRunner(runner) => self.dispatcher.update_runner(runner, now()),
             Command::RemoveRunner(id) => self.dispatcher.remove_runner(&id),
             Command::RetainRunners(kept) => self.dispatcher.retain_runners(&kept),
             Command::UpdateModels(inventory) => self.dispatcher.update_models(inventory, now()),
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{Event, Item};
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::feed::frame::{Packed, pack};
@@ -12,6 +13,9 @@
 
 /// Batches that are kept for followers; one that is further behind gets everything.
 const KEPT_BATCHES: usize = 64;
+/// Changes that are kept for followers in all batches: a sixth of what ten thousand
+/// runners take. Everything costs a follower that lacks more about as much.
+const KEPT_EVENTS: usize = 2048;
 
 /// Most steps from the store's watcher. Each step's time on the way makes
 /// knowledge look a little younger than it is; nodes that came to follow each
@@ -64,13 +68,40 @@
     Everything(Packed),
 }
 
+/// An item as it is kept: as small as it gets, since every node keeps all.
+#[derive(Debug)]
+struct Kept {
+    value: Box<[u8]>,
+    revision: u64,
+}
+
+impl Kept {
+    fn of(item: &Item) -> Self {
+        Self {
+            value: item.value.as_ref().into(),
+            revision: item.revision,
+        }
+    }
+}
+
+/// An [`Item`] on the wire, without a copy of it.
+#[derive(Serialize)]
+struct PackedItem<'a> {
+    key: &'a str,
+    #[serde(with = "serde_bytes")]
+    value: &'a [u8],
+    revision: u64,
+}
+
 /// A copy of the store, complete up to a revision and as of a moment.
 #[derive(Debug, Default)]
 pub struct FeedState {
-    items: BTreeMap<String, Item>,
+    items: BTreeMap<Box<str>, Kept>,
     /// All items for the wire, packed when a follower first asks for them.
     whole: OnceLock<Packed>,
     batches: VecDeque<Arc<Batch>>,
+    /// Changes in the batches.
+    batched: usize,
     /// The revision from which the batches show all changes.
     batches_from: u64,
     revision: u64,
@@ -120,10 +151,11 @@
         }
         self.items = items
             .iter()
-            .map(|item| (item.key.clone(), item.clone()))
+            .map(|item| (item.key.as_str().into(), Kept::of(item)))
             .collect();
         self.whole = OnceLock::new();
         self.batches.clear();
+        self.batched = 0;
         self.batches_from = revision;
         self.revision = revision;
         true
@@ -141,15 +173,18 @@
         self.revision = self.revision.max(revision);
         if !news.is_empty() {
             self.whole = OnceLock::new();
+            self.batched += news.len();
             self.batches.push_back(Arc::new(Batch {
                 to: self.revision,
                 events: news.clone(),
                 packed: OnceLock::new(),
             }));
         }
-        if self.batches.len() > KEPT_BATCHES
-            && let Some(oldest) = self.batches.pop_front()
-        {
+        while self.batches.len() > KEPT_BATCHES || self.batched > KEPT_EVENTS {
+            let Some(oldest) = self.batches.pop_front() else {
+                break;
+            };
+            self.batched -= oldest.events.len();
             self.batches_from = oldest.to;
         }
         news
@@ -162,7 +197,7 @@
             Event::Written(item) => (&item.key, item.revision),
             Event::Removed { key, revision } => (key, *revision),
         };
-        let known = self.items.get(key).map_or(0, |item| item.revision);
+        let known = self.items.get(key.as_str()).map_or(0, |item| item.revision);
         revision > self.revision && revision > known
     }
 
@@ -181,7 +216,7 @@
     /// What a copy with `revision` lacks of this one.
     pub fn missing(&self, revision: u64) -> Missing {
         if revision < self.batches_from {
-            let pack_all = || pack(&Vec::from_iter(self.items.values()));
+            let pack_all = || pack(&self.packed_items());
             return Missing::Everything(self.whole.get_or_init(pack_all).clone());
         }
         Missing::Batches(
@@ -193,13 +228,25 @@
         )
     }
 
+    fn packed_items(&self) -> Vec<PackedItem<'_>> {
+        self.items
+            .iter()
+            .map(|(key, kept)| PackedItem {
+                key,
+                value: &kept.value,
+                revision: kept.revision,
+            })
+            .collect()
+    }
+
     fn apply(&mut self, event: &Event) {
         match event {
             Event::Written(item) => {
-                self.items.insert(item.key.clone(), item.clone());
+                let key = item.key.as_str().into();
+                self.items.insert(key, Kept::of(item));
             }
             Event::Removed { key, .. } => {
-                self.items.remove(key);
+                self.items.remove(key.as_str());
             }
         }
     }
--- a/crates/gateway/src/feed/state_tests.rs
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -134,3 +134,32 @@
     assert!(state.is_overdue(&times, deadline + moment));
     assert!(state.deadline(&times, deadline + moment) > deadline);
 }
+
+/// Followers of any build read what a copy packs as a list of items.
+#[test]
+fn everything_that_a_copy_packs_is_a_list_of_items() {
+    let items = vec![item("a", 3), item("b", 4)];
+    let mut state = FeedState::default();
+    state.take_everything(&items, 4);
+    let Missing::Everything(packed) = state.missing(0) else {
+        panic!("it knows nothing yet");
+    };
+    assert_eq!(packed.items().expect("it is a list of items"), items);
+}
+
+#[test]
+fn what_is_kept_for_followers_is_bounded_by_changes_too() {
+    let mut state = FeedState::default();
+    state.take_everything(&[item("a", 1)], 1);
+    for batch in 0..8 {
+        let from = 1 + 1000 * batch;
+        let events =
+            (from + 1..=from + 1000).map(|revision| written(&format!("k{revision}"), revision));
+        state.take_events(events.collect(), from + 1000);
+    }
+    assert!(matches!(state.missing(1), Missing::Everything(_)));
+    let Missing::Batches(batches) = state.missing(7001) else {
+        panic!("the last batch is kept");
+    };
+    assert_eq!(batches.len(), 1);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod answers;
+mod arrivals;
 mod attempt;
 mod body;
 mod context;
@@ -18,6 +19,7 @@
 mod listener;
 mod messages;
 mod metrics;
+mod names;
 mod network;
 mod node;
 mod peers;
--- /dev/null
+++ b/crates/gateway/src/names_tests.rs
@@ -0,0 +1,49 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use barleyspar_catalog::{HeldModel, Runner, RunnerState, WeightCopies};
+
+use super::{Names, SPARE};
+
+fn runner(number: usize, model: &str) -> Runner {
+    let name: Arc<str> = format!("runner-{number}").into();
+    Runner {
+        id: name.clone(),
+        name,
+        born: None,
+        service: "service".into(),
+        address: "10.0.0.1:80".parse().expect("it is an address"),
+        zone: "zone".into(),
+        slots: 8,
+        state: RunnerState::Available,
+        remaining: None,
+        warming: Duration::ZERO,
+        heartbeat: 1,
+        models: vec![HeldModel {
+            model: model.into(),
+            version: 1,
+            adapters: Vec::new(),
+        }],
+        copies: WeightCopies::default(),
+    }
+}
+
+#[test]
+fn runners_share_their_names() {
+    let mut names = Names::default();
+    let (mut one, mut other) = (runner(1, "model"), runner(2, "model"));
+    names.share(&mut one);
+    names.share(&mut other);
+    assert!(Arc::ptr_eq(&one.service, &other.service));
+    assert!(Arc::ptr_eq(&one.models[0].model, &other.models[0].model));
+    assert_eq!(other, runner(2, "model"));
+}
+
+#[test]
+fn names_that_nobody_uses_are_forgotten() {
+    let mut names = Names::default();
+    for number in 0..10 * SPARE {
+        names.share(&mut runner(number, &format!("model-{number}")));
+    }
+    assert!(names.known.len() < 2 * SPARE, "{}", names.known.len());
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::arrivals::Arrivals;
 use crate::body::AnswerBody;
 use crate::context::{Context, body_memory};
 use crate::discovery::Discovery;
@@ -22,6 +23,7 @@
 use crate::feed::{FeedState, FeedTask};
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::listener::{self, ListenerLimits};
+use crate::names::Names;
 use crate::network::{Listener, Network, Sockets};
 use crate::placement::{self, LeaseKeeper, PlacementTask};
 use crate::quota::QuotaTask;
@@ -239,6 +241,8 @@
         leader: leader_sender,
         confirmed: confirmed_sender,
         unreadable: false,
+        names: Names::default(),
+        arrivals: Arrivals::default(),
         runners: HashMap::new(),
         evacuated: BTreeMap::new(),
     };
--- a/crates/gateway/src/placement/entry.rs
+++ b/crates/gateway/src/placement/entry.rs
@@ -1,5 +1,6 @@
 //! A runner as the leader keeps it: what it reported and what it was ordered.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use barleyspar_catalog::{Configuration, Order, OrderAction, Report, Runner};
@@ -16,7 +17,7 @@
 /// A runner with its entry and what the leader does there.
 pub struct Entry {
     /// The runner as discovery shows it.
-    pub runner: Runner,
+    pub runner: Arc<Runner>,
     /// The runner as the planner sees it.
     pub view: RunnerView,
     /// When its report is read next, if it is.
@@ -31,7 +32,7 @@
 
 impl Entry {
     /// A runner of which only the discovery's entry is known.
-    pub fn new(runner: &Runner) -> Self {
+    pub fn new(runner: &Arc<Runner>) -> Self {
         Self {
             runner: runner.clone(),
             view: RunnerView::new(runner),
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod inventories;
 mod lease;
 mod order;
+mod runners;
 mod summary;
 mod task;
 
@@ -69,7 +70,7 @@
 /// Messages to the placement task.
 enum Command {
     Configure(Arc<Configuration>),
-    UpdateRunner(Box<Runner>),
+    UpdateRunner(Arc<Runner>),
     RemoveRunner(Arc<str>),
     RetainRunners(Vec<Arc<str>>),
     SetEvacuated(BTreeSet<Arc<str>>),
@@ -106,8 +107,8 @@
     }
 
     /// Takes in a runner's entry.
-    pub fn update_runner(&self, runner: Runner) {
-        self.send(Command::UpdateRunner(Box::new(runner)));
+    pub fn update_runner(&self, runner: Arc<Runner>) {
+        self.send(Command::UpdateRunner(runner));
     }
 
     /// Forgets a runner.
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -57,7 +57,7 @@
 /// Gives `order`, if `lease` allows it at the very moment of writing.
 pub async fn give(
     context: Context,
-    runner: Runner,
+    runner: Arc<Runner>,
     order: Order,
     lease: watch::Receiver<Option<Lease>>,
 ) -> OrderResult {
@@ -73,14 +73,14 @@
         .await
         .map(|(status, _)| context.dialect.read_order_answer(status));
     OrderResult {
-        runner: runner.id,
+        runner: runner.id.clone(),
         order,
         answer,
     }
 }
 
 /// Reads a runner's report.
-pub async fn read_report(context: Context, runner: Runner) -> ReportResult {
+pub async fn read_report(context: Context, runner: Arc<Runner>) -> ReportResult {
     let request = context.dialect.report_call(&runner.name);
     let report = call(&context, &runner, request, || true)
         .await
@@ -93,7 +93,7 @@
         })
         .and_then(|report| of_same_life(&runner, report));
     ReportResult {
-        runner: runner.id,
+        runner: runner.id.clone(),
         report,
     }
 }
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -1,21 +1,21 @@
 //! The task that leads the placement while this node holds the lease.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Configuration, Order, OrderAnswer, Runner, RunnerState};
-use barleyspar_dispatch::{RunnerKey, runner_key};
+use barleyspar_catalog::{Configuration, Order, OrderAnswer};
 use barleyspar_loading::{DemandBook, Lease, PlannedOrder, Planner, RunnerView};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::Context;
 use crate::peers::{PeerHandle, demand_believed_for};
-use crate::placement::entry::{Entry, REPORT_AGAIN, accepted, load_time, take_report};
+use crate::placement::entry::{REPORT_AGAIN, accepted, load_time, take_report};
 use crate::placement::inventories::{inventory, parts};
 use crate::placement::lease::holder;
 use crate::placement::order::{CallError, OrderResult, ReportResult, give, read_report};
+use crate::placement::runners::Runners;
 use crate::placement::summary::tell;
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
 
@@ -27,8 +27,6 @@
 /// Time after an order's expected end at which its runner's report is read first;
 /// one that is older than the order has a lower number, and is read again.
 const REPORT_LAG: Duration = Duration::from_millis(80);
-/// Time between two looks at a runner that some node cannot reach.
-const DOUBT_PAUSE: Duration = Duration::from_millis(400);
 /// Pause in the task's own steps after which it must have been frozen.
 const FREEZE: Duration = Duration::from_millis(500);
 /// Time after a freeze without orders, to hear of a successor.
@@ -51,13 +49,11 @@
     planner: Planner,
     book: DemandBook,
     configuration: Arc<Configuration>,
-    entries: BTreeMap<Arc<str>, Entry>,
+    runners: Runners,
     lease: watch::Receiver<Option<Lease>>,
     leading: Option<u64>,
     /// Highest token of ours that a runner refused for a higher one.
     fenced_token: u64,
-    /// Zones that the operators want to be evacuated.
-    evacuated: BTreeSet<Arc<str>>,
     /// Runners of which other nodes have yet to be told.
     unpublished: BTreeSet<Arc<str>>,
     /// When the log told last what a step saw.
@@ -82,11 +78,10 @@
             planner,
             book: DemandBook::default(),
             configuration: Arc::default(),
-            entries: BTreeMap::new(),
+            runners: Runners::default(),
             lease,
             leading: None,
             fenced_token: 0,
-            evacuated: BTreeSet::new(),
             unpublished: BTreeSet::new(),
             told_at: None,
             peers,
@@ -150,45 +145,29 @@
 
     fn command(&mut self, command: Command) {
         match command {
-            Command::Configure(configuration) => self.configuration = configuration,
-            Command::UpdateRunner(runner) => self.update_runner(*runner),
-            Command::RemoveRunner(id) => {
-                self.entries.remove(&id);
+            Command::Configure(configuration) => {
+                self.configuration = configuration;
+                if self.leading.is_some() {
+                    self.runners.cover(&self.configuration);
+                }
+            }
+            Command::UpdateRunner(runner) => {
+                let leads = self.leading.is_some();
+                self.runners.update(runner, &self.configuration, leads);
             }
-            Command::SetEvacuated(zones) => self.set_evacuated(zones),
-            Command::RetainRunners(kept) => self.entries.retain(|id, _| kept.contains(id)),
+            Command::RemoveRunner(id) => self.runners.remove(&id),
+            Command::SetEvacuated(zones) => self.runners.set_evacuated(zones),
+            Command::RetainRunners(kept) => self.runners.retain(&kept),
             Command::Demand(node, items, unreachable) => {
                 let believed_for = demand_believed_for(self.context.dispatch.nodes());
                 self.book.update(node, items, believed_for, now());
-                self.doubt(&unreachable);
+                self.runners.doubt(&unreachable);
             }
             Command::Ordered(result) => self.ordered(result),
             Command::Reported(result) => self.reported(result),
         }
     }
 
-    /// Nothing is loaded for callers where nothing is sent.
-    fn set_evacuated(&mut self, zones: BTreeSet<Arc<str>>) {
-        for entry in self.entries.values_mut() {
-            entry.view.evacuated = zones.contains(&entry.view.zone);
-        }
-        self.evacuated = zones;
-    }
-
-    /// Looks again at runners that some node cannot reach.
-    fn doubt(&mut self, unreachable: &[RunnerKey]) {
-        if unreachable.is_empty() || self.leading.is_none() {
-            return;
-        }
-        for entry in self.entries.values_mut() {
-            let doubted = unreachable.contains(&runner_key(&entry.runner.id));
-            let asked = entry.report_at.is_some() || entry.asking;
-            if doubted && !asked && entry.looked_at.elapsed() > DOUBT_PAUSE {
-                entry.report_at = Some(Instant::now());
-            }
-        }
-    }
-
     /// Begins or ends leading as the lease says.
     fn follow_lease(&mut self) {
         let token = self.lease.borrow_and_update().map(|lease| lease.token);
@@ -198,50 +177,17 @@
         self.leading = token;
         self.context.metrics.leads(token.is_some());
         self.planner.restart(now());
-        for entry in self.entries.values_mut() {
-            entry.view.reported = false;
-            entry.view.ordered = None;
-            entry.report_at = Some(Instant::now());
-        }
-    }
-
-    fn update_runner(&mut self, runner: Runner) {
-        let has_engine = self
-            .configuration
-            .services
-            .get(&runner.service)
-            .is_some_and(|service| service.engine.is_some());
-        if !has_engine && runner.models.is_empty() {
-            return;
-        }
-        let entry = self
-            .entries
-            .entry(runner.id.clone())
-            .or_insert_with(|| Entry::new(&runner));
-        entry.view.evacuated = self.evacuated.contains(&runner.zone);
-        if runner.state == RunnerState::Draining {
-            entry.view.open = false;
-        }
-        if runner.heartbeat < entry.runner.heartbeat {
-            return;
-        }
-        if !entry.view.reported {
-            entry.view.models = runner.models.clone();
-        }
-        if !runner.copies.memory.is_empty() || !runner.copies.disk.is_empty() {
-            entry.view.copies = runner.copies.clone();
+        match token {
+            Some(_) => self.runners.lead(&self.configuration),
+            None => self.runners.rest(),
         }
-        entry.runner = runner;
     }
 
     fn read_reports(&mut self) {
         let now = Instant::now();
-        for entry in self.entries.values_mut() {
+        for entry in self.runners.led_mut() {
             let due = entry.report_at.is_some_and(|at| at <= now);
-            // An entry may name a service that nobody configured, and any address.
-            let service = self.configuration.services.get(&entry.runner.service);
-            let is_engine = service.is_some_and(|service| service.engine.is_some());
-            if !due || entry.asking || !entry.view.open || !is_engine {
+            if !due || entry.asking || !entry.view.open {
                 continue;
             }
             entry.asking = true;
@@ -256,10 +202,11 @@
     }
 
     fn reported(&mut self, result: ReportResult) {
-        let Some(entry) = self.entries.get_mut(&result.runner) else {
+        let Some(entry) = self.runners.get_mut(&result.runner) else {
             return;
         };
         entry.asking = false;
+        entry.view.unread = false;
         let report = match result.report {
             Ok(report) => report,
             Err(cause) => {
@@ -291,7 +238,7 @@
 
     /// Takes in at this node what a runner holds, and notes it for the others.
     fn publish(&mut self, runner: &Arc<str>) {
-        if let Some(entry) = self.entries.get(runner) {
+        if let Some(entry) = self.runners.get(runner) {
             self.context.dispatch.update_models(inventory(&entry.view));
             self.unpublished.insert(runner.clone());
         }
@@ -302,7 +249,7 @@
         let unpublished = std::mem::take(&mut self.unpublished);
         let entries = unpublished
             .iter()
-            .filter_map(|runner| self.entries.get(runner));
+            .filter_map(|runner| self.runners.get(runner));
         let inventories = entries.map(|entry| inventory(&entry.view)).collect();
         for part in parts(inventories) {
             self.peers.publish(part);
@@ -315,14 +262,12 @@
         let Some(lease) = lease.filter(may_order) else {
             return;
         };
-        let mut views: Vec<RunnerView> = self
-            .entries
-            .values()
-            .map(|entry| entry.view.clone())
-            .collect();
+        let mut views: Vec<RunnerView> =
+            self.runners.led().map(|entry| entry.view.clone()).collect();
         let orders = self
             .planner
             .plan(&self.configuration, &mut views, &mut self.book, now());
+        self.runners.look(self.planner.looks());
         for order in orders {
             self.give(order, lease.token);
         }
@@ -333,7 +278,7 @@
     }
 
     fn give(&mut self, planned: PlannedOrder, token: u64) {
-        let Some(entry) = self.entries.get_mut(&planned.runner) else {
+        let Some(entry) = self.runners.get_mut(&planned.runner) else {
             return;
         };
         if entry.ordering {
@@ -380,7 +325,7 @@
         self.context
             .metrics
             .order(result.order.action.name(), outcome);
-        let Some(entry) = self.entries.get_mut(&result.runner) else {
+        let Some(entry) = self.runners.get_mut(&result.runner) else {
             return;
         };
         entry.ordering = false;
--- a/crates/loading/src/adapters.rs
+++ b/crates/loading/src/adapters.rs
@@ -75,7 +75,7 @@
         let (index, runner) = runners
             .iter()
             .enumerate()
-            .filter(|(_, runner)| runner.service == *self.service && runner.orderable())
+            .filter(|(_, runner)| runner.service == *self.service && runner.orderable_once_read())
             .filter(|(_, runner)| runner.held(model).is_some())
             .filter(|(_, runner)| runner.pending_adapters.len() < MOST_PENDING)
             .min_by_key(|(_, runner)| (adapters(runner), runner.id.clone()))?;
--- a/crates/loading/src/board.rs
+++ b/crates/loading/src/board.rs
@@ -86,7 +86,7 @@
     }
 
     fn count_adapter_host(&mut self, runner: &RunnerView) {
-        if !runner.orderable() {
+        if !runner.orderable_once_read() {
             return;
         }
         for held in &runner.models {
@@ -193,10 +193,10 @@
     /// Whether a replica of `model` may be put on `runner`, now or soon.
     fn may_hold(&self, runner: &RunnerView, model: &str) -> bool {
         let waits = self.plan.switches.is_on(Mechanism::NearCopies);
-        let takes_orders = waits || runner.orderable();
+        let takes_orders = waits || runner.orderable_once_read();
         runner.service == *self.plan.service
             && runner.takes_work()
-            && runner.reported
+            && (runner.reported || runner.unread)
             && takes_orders
             && runner.held(model).is_none()
             && self
@@ -227,7 +227,7 @@
     /// Whether a load there would leave no runner that takes adapters of some
     /// model whose adapters are in use.
     fn is_last_for_adapters(&self, runner: &RunnerView) -> bool {
-        let own = usize::from(runner.orderable());
+        let own = usize::from(runner.orderable_once_read());
         runner
             .models
             .iter()
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -16,6 +16,9 @@
 
 /// Seconds for which a runner is thought busy if nothing is known of its order.
 const UNKNOWN_BUSY_TIME: f64 = 1.0;
+/// Seconds until the report of a runner is known that was never asked for it: a new
+/// connection and its answer.
+const READING_TIME: f64 = 0.02;
 /// Shortest time in seconds for which a runner is thought busy that is so: until
 /// the next step.
 const SHORTEST_BUSY_TIME: f64 = 0.1;
@@ -142,6 +145,9 @@
         if runner.orderable() {
             return 0.0;
         }
+        if runner.unread {
+            return READING_TIME;
+        }
         runner.busy_until.map_or(UNKNOWN_BUSY_TIME, |until| {
             let left = until.saturating_duration_since(self.now);
             let overdue = self.now.saturating_duration_since(until);
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -69,6 +69,8 @@
     started: Instant,
     planned_at: Instant,
     summaries: Vec<StepSummary>,
+    /// Runners whose reports the last step lacked.
+    looks: Vec<Arc<str>>,
 }
 
 impl Planner {
@@ -82,6 +84,7 @@
             started: now,
             planned_at: now,
             summaries: Vec::new(),
+            looks: Vec::new(),
         }
     }
 
@@ -90,6 +93,17 @@
         &self.summaries
     }
 
+    /// Runners whose reports have to be read before they can be ordered.
+    pub fn looks(&self) -> &[Arc<str>] {
+        &self.looks
+    }
+
+    fn look_if_unread(&mut self, runner: &RunnerView) {
+        if runner.unread {
+            self.looks.push(runner.id.clone());
+        }
+    }
+
     /// Forgets its pace: another node may have ordered until `now`.
     pub fn restart(&mut self, now: Instant) {
         self.services.clear();
@@ -108,6 +122,7 @@
     ) -> Vec<PlannedOrder> {
         let totals = book.totals(now);
         self.summaries.clear();
+        self.looks.clear();
         let mut orders = Vec::new();
         for service in configuration.services.values() {
             let Some(engine) = &service.engine else {
@@ -140,7 +155,7 @@
                 book,
                 now,
             };
-            plan_adapters(&plan, runners, &mut orders);
+            self.plan_adapters(&plan, runners, &mut orders);
             let mut state = self.service_state(&service.name);
             state.share.set_longest_load(longest_load(engine));
             follow_loads(&mut state.share, runners, now);
@@ -211,6 +226,31 @@
         }
     }
 
+    fn plan_adapters(
+        &mut self,
+        plan: &AdapterPlan<'_>,
+        runners: &mut [RunnerView],
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        for (model, adapter) in plan.wanted(runners) {
+            let Some((index, action)) = plan.step(runners, &model, &adapter) else {
+                continue;
+            };
+            let runner = &mut runners[index];
+            if !runner.orderable() {
+                self.look_if_unread(runner);
+                continue;
+            }
+            runner.ordered = Some(action.clone());
+            orders.push(PlannedOrder {
+                runner: runner.id.clone(),
+                action,
+                source: Source::Memory,
+                wanted_by: model,
+            });
+        }
+    }
+
     /// Chooses places for models that lack replicas, the best first, and orders
     /// the first step towards each.
     fn plan_models(
@@ -247,6 +287,7 @@
                 continue;
             }
             if !runners[now.runner].orderable() {
+                self.look_if_unread(&runners[now.runner]);
                 continue;
             }
             let Some(action) = self.step(plan, state, (&runners[now.runner], &model), &now) else {
@@ -333,26 +374,6 @@
     share.update(is_held, now);
 }
 
-fn plan_adapters(
-    plan: &AdapterPlan<'_>,
-    runners: &mut [RunnerView],
-    orders: &mut Vec<PlannedOrder>,
-) {
-    for (model, adapter) in plan.wanted(runners) {
-        let Some((index, action)) = plan.step(runners, &model, &adapter) else {
-            continue;
-        };
-        let runner = &mut runners[index];
-        runner.ordered = Some(action.clone());
-        orders.push(PlannedOrder {
-            runner: runner.id.clone(),
-            action,
-            source: Source::Memory,
-            wanted_by: model,
-        });
-    }
-}
-
 /// Whether a load from the store may begin beside `making_room` that will.
 fn may_load(plan: &ModelPlan<'_>, state: &mut ServiceState, making_room: usize) -> bool {
     let ready = state.pace.ready(plan.now, plan.engine.loads_per_second);
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -40,6 +40,9 @@
     pub open: bool,
     /// Whether the operators want nothing more to be sent to its zone.
     pub evacuated: bool,
+    /// Whether its report was not asked for yet since this node may order it: the
+    /// planner has it read before the first order.
+    pub unread: bool,
     /// Whether its report is known since this node may order it.
     pub reported: bool,
     /// Whether it answered when it was last asked.
@@ -69,6 +72,7 @@
             zone: runner.zone.clone(),
             open: runner.state == RunnerState::Available,
             evacuated: false,
+            unread: false,
             reported: false,
             reachable: true,
             sequence: 0,
@@ -91,6 +95,11 @@
         self.takes_work() && self.reported && !self.busy && self.ordered.is_none()
     }
 
+    /// Whether the planner may order it now, or as soon as its report is read.
+    pub fn orderable_once_read(&self) -> bool {
+        self.orderable() || (self.unread && self.takes_work())
+    }
+
     /// The held model of this name.
     pub fn held(&self, model: &str) -> Option<&HeldModel> {
         self.models.iter().find(|held| &*held.model == model)
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -97,7 +97,7 @@
         models: &[&str],
     ) -> Self {
         let record = Runner {
-            id: incarnation(id, Some(1)),
+            id: incarnation(&id.into(), Some(1)),
             name: id.into(),
             born: Some(1),
             service: service.name.clone(),
