Retry budget: one retry in a window for as many nodes as the allowance covers

Cause: a node's part of 1,040 retries among 985 nodes is 0.74 of one, so a retry was denied unless the node had had two requests of the service within the window, while nearly all of the allowance lay idle. Change: a node whose place (by rendezvous hash) is within the allowance may always retry once in a window; among more nodes than the allowance has retries, within the part of it that is not used otherwise. Ruled out: budgets lent by datagram, a trip before each retry for one in 400 seconds and node.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -6,8 +6,10 @@
 
 use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, Runner, Service};
 
-use crate::budget::{BudgetLimits, RetryBudget};
+use crate::budget::{BudgetLimits, RetryBudget, Share};
 use crate::choice::{Chooser, cheapest};
+use barleyspar_domain::rank;
+
 use crate::cold;
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
@@ -256,6 +258,16 @@
             .or_insert_with(|| RetryBudget::new(limits, started))
     }
 
+    /// This node's share of the retries to `service`.
+    fn share(&self, service: &Arc<str>) -> Share {
+        let own = rank(service, &self.name);
+        let before = |member: &&Arc<str>| **member != self.name && rank(service, *member) > own;
+        Share {
+            nodes: self.nodes(),
+            place: self.members.iter().filter(before).count(),
+        }
+    }
+
     /// Asks for a runner.
     pub fn acquire(&mut self, query: Query, now: Instant) -> Acquired {
         if let Some(refusal) = self.account(&query, now) {
@@ -268,11 +280,11 @@
     }
 
     fn account(&mut self, query: &Query, now: Instant) -> Option<Refusal> {
-        let nodes = self.nodes();
         match query.attempt {
             AttemptKind::Unsent => return None,
             AttemptKind::Retry => {
-                let taken = self.budget(&query.service).try_take(now, nodes);
+                let share = self.share(&query.service);
+                let taken = self.budget(&query.service).try_take(now, share);
                 return (!taken).then_some(Refusal {
                     reason: RefusalReason::RetryBudget,
                     retry_after: USUAL_RETRY_AFTER,
@@ -314,7 +326,7 @@
         let chooser = Chooser {
             zone: &self.zone,
             nodes: self.nodes(),
-            seed: barleyspar_domain::rank(&self.next_id, &*self.name),
+            seed: rank(&self.next_id, &*self.name),
             now,
         };
         let index = cheapest(&candidates, query, chooser)?;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,7 +20,7 @@
 mod split;
 mod waiting;
 
-pub use budget::{BudgetLimits, RetryBudget};
+pub use budget::{BudgetLimits, RetryBudget, Share};
 pub use demand::DemandItem;
 pub use dispatcher::{Dispatcher, Site};
 pub use health::{Failure, Outcome};
