--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -140,11 +140,12 @@
     pub fn update_runner(&mut self, runner: impl Into<Arc<Runner>>, now: Instant) {
         let runner = runner.into();
         let id = runner.id.clone();
+        let before = self.possible_models(&id);
         match self.runners.get_mut(&runner.id) {
             Some(entry) => entry.update(runner, now),
             None => self.insert_runner(runner, now),
         }
-        self.index(&id);
+        self.index(&id, &before);
         self.end_cold_starts(&id, now);
     }
 
@@ -159,11 +160,16 @@
         self.runners.insert(id, entry);
     }
 
-    /// Notes which models the runner `id` may hold.
-    fn index(&mut self, id: &Arc<str>) {
-        if let Some(entry) = self.runners.get(id) {
-            self.holders.set(id, entry.possible_models());
-        }
+    /// Models that the runner `id` may hold.
+    fn possible_models(&self, id: &str) -> Vec<Arc<str>> {
+        let entry = self.runners.get(id);
+        entry.map(RunnerEntry::possible_models).unwrap_or_default()
+    }
+
+    /// Notes which models the runner `id` may hold, `before` which it might until now.
+    fn index(&mut self, id: &Arc<str>, before: &[Arc<str>]) {
+        let models = self.possible_models(id);
+        self.holders.change(id, before, &models);
     }
 
     /// Notes that cold starts ended at the runner `id`.
@@ -178,17 +184,19 @@
     /// Takes in what a runner holds, from its own report.
     pub fn update_models(&mut self, inventory: Inventory, now: Instant) {
         let id = inventory.runner.clone();
+        let before = self.possible_models(&id);
         if let Some(entry) = self.runners.get_mut(&id) {
             entry.update_models(inventory, now);
         }
-        self.index(&id);
+        self.index(&id, &before);
         self.end_cold_starts(&id, now);
     }
 
     /// Forgets a runner.
     pub fn remove_runner(&mut self, id: &str) {
-        self.holders.remove(id);
-        if let Some(entry) = self.runners.remove(id) {
+        if let Some(mut entry) = self.runners.remove(id) {
+            self.holders
+                .change(&entry.runner.id, &entry.possible_models(), &[]);
             self.ids.remove(&entry.key);
             entry.close();
         }
@@ -389,7 +397,7 @@
         entry.tokens += query.tokens;
         entry.unread_tokens += query.prompt_tokens;
         let runner = entry.runner.clone();
-        let open = entry.open.clone();
+        let open = entry.open();
         if let Some(wanted) = &query.wanted {
             self.demand.started(&query.service, wanted);
         }
--- a/crates/dispatch/src/holders.rs
+++ b/crates/dispatch/src/holders.rs
@@ -10,35 +10,27 @@
 #[derive(Debug, Default)]
 pub struct Holders {
     by_model: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
-    models: HashMap<Arc<str>, Vec<Arc<str>>>,
 }
 
 impl Holders {
-    /// The runner `id` may hold `models`, and no others.
-    pub fn set(&mut self, id: &Arc<str>, models: Vec<Arc<str>>) {
-        if self.models.get(id).is_some_and(|known| *known == models) {
-            return;
+    /// The runner `id` may hold `after`, where it might hold `before` until now.
+    pub fn change(&mut self, id: &Arc<str>, before: &[Arc<str>], after: &[Arc<str>]) {
+        for model in before.iter().filter(|model| !after.contains(model)) {
+            self.forget(id, model);
         }
-        self.remove(id);
-        for model in &models {
-            self.by_model
-                .entry(model.clone())
-                .or_default()
-                .insert(id.clone());
+        for model in after.iter().filter(|model| !before.contains(model)) {
+            let runners = self.by_model.entry(model.clone()).or_default();
+            runners.insert(id.clone());
         }
-        self.models.insert(id.clone(), models);
     }
 
-    /// The runner `id` is gone.
-    pub fn remove(&mut self, id: &str) {
-        for model in self.models.remove(id).unwrap_or_default() {
-            let Some(runners) = self.by_model.get_mut(&model) else {
-                continue;
-            };
-            runners.remove(id);
-            if runners.is_empty() {
-                self.by_model.remove(&model);
-            }
+    fn forget(&mut self, id: &Arc<str>, model: &Arc<str>) {
+        let Some(runners) = self.by_model.get_mut(model) else {
+            return;
+        };
+        runners.remove(id);
+        if runners.is_empty() {
+            self.by_model.remove(model);
         }
     }
 
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -47,8 +47,6 @@
     pub unread_tokens: u64,
     /// Attempts of other nodes in flight, as they said last.
     pub peer_in_flight: u32,
-    /// Whether it takes new work, for attempts that are about to be sent.
-    pub open: Arc<AtomicBool>,
     /// Whether another runner has its address: this one never comes back.
     replaced: bool,
     /// Where the operators evacuate its zone: until when it still serves what no
@@ -61,6 +59,8 @@
 #[derive(Debug, Default)]
 struct Seen {
     health: Health,
+    /// Whether it takes new work, for attempts that are about to be sent.
+    open: Option<Arc<AtomicBool>>,
     /// Until when it is cold by its own entry.
     cold_until: Option<Instant>,
     /// Until when it may be cold without having said so.
@@ -108,7 +108,6 @@
             tokens: 0,
             unread_tokens: 0,
             peer_in_flight: 0,
-            open: Arc::new(AtomicBool::new(true)),
             replaced: false,
             evacuated: None,
             seen: None,
@@ -135,6 +134,12 @@
         &mut self.seen_mut().health
     }
 
+    /// Whether it takes new work, for an attempt that was granted by [`Self::is_open`].
+    pub fn open(&mut self) -> Arc<AtomicBool> {
+        let open = || Arc::new(AtomicBool::new(true));
+        self.seen_mut().open.get_or_insert_with(open).clone()
+    }
+
     /// When this node sent it a request last.
     pub fn sent_at(&self) -> Option<Instant> {
         self.seen().sent_at
@@ -170,9 +175,6 @@
         if !cold_time.is_zero() {
             self.seen_mut().doubted_until = Some(now + cold_time);
         }
-        if self.is_open(now) {
-            self.open = Arc::new(AtomicBool::new(true));
-        }
     }
 
     /// Whether its zone is evacuated.
@@ -228,8 +230,12 @@
     }
 
     /// Tells attempts that are about to be sent that the runner is leaving.
-    pub fn close(&self) {
-        self.open.store(false, Ordering::Relaxed);
+    pub fn close(&mut self) {
+        // Attempts that are granted later, if any, have a flag of their own.
+        let open = self.seen.as_mut().and_then(|seen| seen.open.take());
+        if let Some(open) = open {
+            open.store(false, Ordering::Relaxed);
+        }
     }
 
     /// Another runner answered at its address.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -44,19 +44,12 @@
     /// Names that runners' entries share.
     pub names: Names,
     /// Runners that stand in the store, by their own ids.
-    pub runners: HashMap<Arc<str>, KnownRunner>,
+    pub runners: HashMap<Arc<str>, Arc<Runner>>,
     /// Zones that the operators evacuate, and until when the runners of each still
     /// serve what no others can.
     pub evacuated: BTreeMap<Arc<str>, Instant>,
 }
 
-/// The latest life of a runner, and the state of which the log has told.
-pub struct KnownRunner {
-    id: Arc<str>,
-    born: Option<u64>,
-    state: RunnerState,
-}
-
 impl Discovery {
     /// Passes changes on until they end.
     pub async fn run(mut self, mut changes: mpsc::Receiver<Change>) {
@@ -185,7 +178,7 @@
         };
         tracing::info!(event = "runner_gone", runner = &*known.id);
         self.context.dispatch.remove_runner(known.id.clone());
-        self.placement.remove_runner(known.id);
+        self.placement.remove_runner(known.id.clone());
     }
 
     /// Changes which zones are evacuated, and tells everybody if that is new.
@@ -280,13 +273,8 @@
     /// of all changes, and the leader tells of them by its orders and reports.
     /// Nor is one of a `whole_reading` that shows what is usual: `store_known`
     /// counts these.
-    fn tell(&mut self, runner: &Runner, revision: u64, whole_reading: bool) {
-        let latest = KnownRunner {
-            id: runner.id.clone(),
-            born: runner.born,
-            state: runner.state,
-        };
-        let known = self.runners.insert(runner.name.clone(), latest);
+    fn tell(&mut self, runner: &Arc<Runner>, revision: u64, whole_reading: bool) {
+        let known = self.runners.insert(runner.name.clone(), runner.clone());
         let told = known.map(|known| known.state);
         let expected = told.unwrap_or(RunnerState::Available);
         if expected == runner.state && (told.is_some() || whole_reading) {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{
-    Backend, Bounds, ClientLimits, ColdBounds, Configuration, Credential, EngineSpec,
-    MachineLimits, ModelSpec, NodeSettings, QuotaBounds, RequestKind, Route, Service, Tenant,
+    Backend, Bounds, ClientLimits, ColdBounds, Configuration, Credential, EngineSpec, HeldModel,
+    MachineLimits, ModelSpec, NodeSettings, QuotaBounds, RequestKind, Route, Runner, RunnerState,
+    Service, Tenant, WeightCopies, incarnation,
 };
 use barleyspar_gateway::{Gateway, Placing, TaskGroup};
 use barleyspar_loading::Switches;
@@ -120,6 +121,44 @@
         runner
     }
 
+    /// Enters `count` runners of `service` into the store that hold two of its models
+    /// and have copies of four: entries only, for what nodes keep of them.
+    pub fn enter_runners(&self, service: &str, count: usize) {
+        let service = &self.configuration.services[service];
+        let engine = service.engine.as_ref().expect("it has an engine");
+        let models: Vec<Arc<str>> = engine.models.keys().cloned().collect();
+        for number in 0..count {
+            let chosen = |step: usize| models[(number * 7 + step) % models.len()].clone();
+            let name: Arc<str> = format!("i-{number:010x}").into();
+            let held = (0..2).map(|step| HeldModel {
+                model: chosen(step),
+                version: 1,
+                adapters: Vec::new(),
+            });
+            let copies: Vec<Arc<str>> = (0..4).map(chosen).collect();
+            let record = Runner {
+                id: incarnation(&name, Some(1_774_062_070_535)),
+                name,
+                born: Some(1_774_062_070_535),
+                service: service.name.clone(),
+                address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 3, 0, 1)), 7000),
+                zone: ZONE.into(),
+                slots: engine.slots,
+                state: RunnerState::Available,
+                remaining: None,
+                warming: Duration::ZERO,
+                heartbeat: 1,
+                models: held.collect(),
+                copies: WeightCopies {
+                    memory: copies[..2].to_vec(),
+                    disk: copies,
+                },
+            };
+            let key = format!("{}{}", names::RUNNER_PREFIX, record.name);
+            self.store.put(&key, encode(&record));
+        }
+    }
+
     /// Address of the store's host.
     pub fn store_host() -> IpAddr {
         STORE.ip()
