--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,22 +1,19 @@
 //! The dispatcher: grants runners to requests, lets them wait, or refuses them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, Runner, Service};
+use barleyspar_catalog::{ColdBounds, Configuration, ModelReference};
 
 use crate::budget::{BudgetLimits, RetryBudget, Share};
 use crate::choice::{Chooser, cheapest};
 use barleyspar_domain::rank;
 
-use crate::cold;
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
-use crate::eligibility::{can_serve, has_room};
 use crate::health::Outcome;
 use crate::holders::Holders;
-use crate::inventory::Inventory;
 use crate::outcome::apply;
 use crate::peer_load::PeerLoads;
 use crate::query::{Acquired, AttemptKind, Grant, PermitId, Query, Refusal, RefusalReason, Ticket};
@@ -47,26 +44,26 @@
 /// The state of all of this node's requests and of all runners it knows.
 #[derive(Debug)]
 pub struct Dispatcher {
-    name: Arc<str>,
-    zone: Arc<str>,
-    limits: BudgetLimits,
-    started: Instant,
+    pub(crate) name: Arc<str>,
+    pub(crate) zone: Arc<str>,
+    pub(crate) limits: BudgetLimits,
+    pub(crate) started: Instant,
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) runners: BTreeMap<Arc<str>, RunnerEntry>,
     pub(crate) queue: Queue,
     permits: HashMap<PermitId, Permit>,
     /// Runners that this node has sent a request: all that a look at its own load
     /// and troubles has to see, few of the thousands that it knows.
-    used: BTreeSet<Arc<str>>,
-    budgets: HashMap<Arc<str>, RetryBudget>,
+    pub(crate) used: BTreeSet<Arc<str>>,
+    pub(crate) budgets: HashMap<Arc<str>, RetryBudget>,
     pub(crate) demand: DemandTable,
     pub(crate) cold_starts: ColdStarts,
-    holders: Holders,
-    ids: HashMap<RunnerKey, Arc<str>>,
-    peer_loads: PeerLoads,
-    members: Vec<Arc<str>>,
-    site: Site,
-    evacuated: BTreeMap<Arc<str>, Instant>,
+    pub(crate) holders: Holders,
+    pub(crate) ids: HashMap<RunnerKey, Arc<str>>,
+    pub(crate) peer_loads: PeerLoads,
+    pub(crate) members: Vec<Arc<str>>,
+    pub(crate) site: Site,
+    pub(crate) evacuated: BTreeMap<Arc<str>, Instant>,
     pub(crate) next_id: u64,
 }
 
@@ -121,121 +118,10 @@
     }
 
     /// Nodes that share limits.
-    fn nodes(&self) -> usize {
+    pub(crate) fn nodes(&self) -> usize {
         self.members.len().max(1)
     }
 
-    /// Takes in which zones the operators evacuate, and until when the runners of
-    /// each still serve what no others can.
-    pub fn set_evacuated(&mut self, zones: BTreeMap<Arc<str>, Instant>, now: Instant) {
-        for entry in self.runners.values_mut() {
-            if let Some(last) = zones.get(&entry.runner.zone) {
-                entry.evacuate(*last, now);
-            } else if entry.is_evacuated() {
-                let service = self.configuration.services.get(&entry.runner.service);
-                let cold = service.and_then(|service| service.cold);
-                entry.take_back(cold.map_or(Duration::ZERO, |cold| cold.time), now);
-            }
-        }
-        self.evacuated = zones;
-    }
-
-    /// Takes in a runner's entry.
-    pub fn update_runner(&mut self, runner: impl Into<Arc<Runner>>, now: Instant) {
-        let runner = runner.into();
-        let id = runner.id.clone();
-        let before = self.possible_models(&id);
-        match self.runners.get_mut(&runner.id) {
-            Some(entry) => entry.update(runner, now),
-            None => self.insert_runner(runner, now),
-        }
-        self.index(&id, &before);
-        self.end_cold_starts(&id, now);
-    }
-
-    fn insert_runner(&mut self, runner: Arc<Runner>, now: Instant) {
-        let id = runner.id.clone();
-        let mut entry = RunnerEntry::new(runner, now);
-        entry.peer_in_flight = self.peer_loads.at(entry.key);
-        if let Some(last) = self.evacuated.get(&entry.runner.zone) {
-            entry.evacuate(*last, now);
-        }
-        self.ids.insert(entry.key, id.clone());
-        self.runners.insert(id, entry);
-    }
-
-    /// Models that the runner `id` may hold.
-    fn possible_models(&self, id: &str) -> Vec<Arc<str>> {
-        let entry = self.runners.get(id);
-        entry.map(RunnerEntry::possible_models).unwrap_or_default()
-    }
-
-    /// Notes which models the runner `id` may hold, `before` which it might until now.
-    fn index(&mut self, id: &Arc<str>, before: &[Arc<str>]) {
-        let models = self.possible_models(id);
-        self.holders.change(id, before, &models);
-    }
-
-    /// Notes that cold starts ended at the runner `id`.
-    fn end_cold_starts(&mut self, id: &str, now: Instant) {
-        if let Some(entry) = self.runners.get(id) {
-            let service = &entry.runner.service;
-            self.cold_starts
-                .end(service, |wanted| entry.holds(wanted, now), now);
-        }
-    }
-
-    /// Takes in what a runner holds, from its own report.
-    pub fn update_models(&mut self, inventory: Inventory, now: Instant) {
-        let id = inventory.runner.clone();
-        let before = self.possible_models(&id);
-        if let Some(entry) = self.runners.get_mut(&id) {
-            entry.update_models(inventory, now);
-        }
-        self.index(&id, &before);
-        self.end_cold_starts(&id, now);
-    }
-
-    /// Forgets a runner.
-    pub fn remove_runner(&mut self, id: &str) {
-        self.used.remove(id);
-        if let Some(mut entry) = self.runners.remove(id) {
-            self.holders
-                .change(&entry.runner.id, &entry.possible_models(), &[]);
-            self.ids.remove(&entry.key);
-            entry.close();
-        }
-    }
-
-    /// Forgets all runners but those in `kept`.
-    pub fn retain_runners(&mut self, kept: &[Arc<str>]) {
-        let kept: HashSet<&Arc<str>> = kept.iter().collect();
-        let gone: Vec<Arc<str>> = self
-            .runners
-            .keys()
-            .filter(|id| !kept.contains(id))
-            .cloned()
-            .collect();
-        gone.iter().for_each(|id| self.remove_runner(id));
-    }
-
-    /// Takes in other nodes' attempts in flight, as `source` says, which will
-    /// say it again within `believed_for`.
-    pub fn set_peer_load(
-        &mut self,
-        source: Arc<str>,
-        in_flight: Vec<(RunnerKey, u32)>,
-        believed_for: Duration,
-        now: Instant,
-    ) {
-        for key in self.peer_loads.update(source, in_flight, believed_for, now) {
-            let id = self.ids.get(&key);
-            if let Some(entry) = id.and_then(|id| self.runners.get_mut(id)) {
-                entry.peer_in_flight = self.peer_loads.at(key);
-            }
-        }
-    }
-
     /// This node's attempts in flight by runner.
     pub fn own_load(&self) -> Vec<(RunnerKey, u32)> {
         self.used_runners()
@@ -315,29 +201,7 @@
     }
 
     fn try_grant(&mut self, query: &Query, now: Instant) -> Option<Grant> {
-        let service = self.configuration.services.get(&query.service).cloned();
-        let engine = service.as_ref().and_then(|service| service.engine.as_ref());
-        let usable: Vec<&RunnerEntry> = self
-            .possible(query, engine.is_some())
-            .filter(|entry| entry.runner.service == query.service && entry.is_open(now))
-            .filter(|entry| !query.excluded.contains(&entry.runner.id))
-            .filter(|entry| self.is_home(entry, query))
-            .filter(|entry| can_serve(entry, query, engine, now))
-            .collect();
-        let healthy: Vec<&RunnerEntry> = usable
-            .iter()
-            .copied()
-            .filter(|entry| !entry.health().is_blocked(now))
-            .collect();
-        // With no sound runner left, a doubtful one is better than none.
-        let considered = if healthy.is_empty() { usable } else { healthy };
-        let candidates: Vec<&RunnerEntry> = considered
-            .into_iter()
-            .filter(|entry| !entry.health().is_busy(now))
-            .filter(|entry| has_room(entry, query, engine))
-            .filter(|entry| self.spares_cold(entry, service.as_deref(), now))
-            .collect();
-        let candidates = before_evacuated(candidates);
+        let candidates = self.candidates(query, now);
         let chooser = Chooser {
             zone: &self.zone,
             nodes: self.nodes(),
@@ -350,50 +214,6 @@
         Some(self.grant(&id, query, count, now))
     }
 
-    /// Whether `query` may be served where the runner is.
-    pub(crate) fn is_home(&self, entry: &RunnerEntry, query: &Query) -> bool {
-        query.homes.allow(self.site.regions.get(&entry.runner.zone))
-    }
-
-    /// Whether one more request now is within this node's part of what the runner
-    /// bears; always so for one that is not cold.
-    fn spares_cold(&self, entry: &RunnerEntry, service: Option<&Service>, now: Instant) -> bool {
-        let Some(spec) = service.and_then(|service| service.cold) else {
-            return true;
-        };
-        if !entry.is_cold(now) {
-            return true;
-        }
-        let (id, bounds) = (&entry.runner.id, &self.site.cold);
-        let pause = cold::pause(id, &self.name, &self.members, &spec, bounds);
-        let rested = |pause: Duration| {
-            let since = |at| now.saturating_duration_since(at);
-            entry.sent_at().is_none_or(|at| since(at) >= pause)
-        };
-        pause.is_some_and(rested)
-    }
-
-    /// Runners that may serve `query`: those that may hold its model.
-    fn possible<'a>(
-        &'a self,
-        query: &'a Query,
-        has_engine: bool,
-    ) -> Box<dyn Iterator<Item = &'a RunnerEntry> + 'a> {
-        match query.wanted.as_ref().filter(|_| has_engine) {
-            Some(wanted) => Box::new(self.may_hold(&wanted.model)),
-            None => Box::new(self.runners.values()),
-        }
-    }
-
-    /// Runners that may hold `model`.
-    pub(crate) fn may_hold<'a>(
-        &'a self,
-        model: &'a str,
-    ) -> impl Iterator<Item = &'a RunnerEntry> + 'a {
-        let ids = self.holders.of(model);
-        ids.filter_map(|id| self.runners.get(id))
-    }
-
     fn grant(&mut self, id: &Arc<str>, query: &Query, candidates: usize, now: Instant) -> Grant {
         self.next_id += 1;
         let permit = self.next_id;
@@ -486,11 +306,3 @@
         }
     }
 }
-
-/// Runners whose zone is evacuated serve only what no other can.
-fn before_evacuated(candidates: Vec<&RunnerEntry>) -> Vec<&RunnerEntry> {
-    let (evacuated, others): (Vec<_>, Vec<_>) = candidates
-        .into_iter()
-        .partition(|entry| entry.is_evacuated());
-    if others.is_empty() { evacuated } else { others }
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! own; one task drives it.
 
 mod budget;
+mod candidates;
 mod choice;
 mod cold;
 mod cold_start;
@@ -12,6 +13,7 @@
 mod health;
 mod holders;
 mod inventory;
+mod knowledge;
 mod outcome;
 mod peer_load;
 mod query;
--- a/crates/gateway/src/peers/relaying.rs
+++ b/crates/gateway/src/peers/relaying.rs
@@ -97,8 +97,8 @@
         let others: BTreeSet<Arc<str>> = relays
             .iter()
             .chain(self.relay.relays())
+            .filter(|relay| **relay != name)
             .cloned()
-            .filter(|relay| *relay != name)
             .collect();
         let sum = self.relay.own_sum(now);
         let relay = name.clone();
