--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -599,3 +599,55 @@
     assert_eq!((&*most.model, most.replicas), ("hot", 3));
     assert_eq!(most.needed, 10, "one on each runner: {most:?}");
 }
+
+/// A leader of thousands of runners does not ask them all for their reports: what
+/// their entries say is enough to choose a place, and the report of that one is read
+/// before the first order there.
+#[test]
+fn a_runner_whose_report_was_never_read_is_read_and_then_ordered() {
+    let mut case = Case::new(ONE, vec![wish("c", None, 1)]);
+    let mut runners = [runner("1", &["a", "b"]), runner("2", &["a"])];
+    for runner in &mut runners {
+        runner.unread = true;
+        runner.reported = false;
+    }
+    let configuration = configuration(&["a", "b", "c"]);
+    assert_eq!(case.plan(&configuration, &mut runners), []);
+    assert_eq!(case.planner.looks(), ["2".into()]);
+    runners[1].unread = false;
+    runners[1].reported = true;
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders, [("2".to_owned(), load("c"))]);
+    assert!(case.planner.looks().is_empty());
+}
+
+#[test]
+fn an_adapter_is_loaded_at_a_runner_once_its_report_is_read() {
+    let mut case = Case::new(ONE, vec![wish("a", Some("a1"), 1)]);
+    let mut runners = [runner("1", &["a"])];
+    runners[0].unread = true;
+    runners[0].reported = false;
+    let configuration = configuration(&["a"]);
+    assert_eq!(case.plan(&configuration, &mut runners), []);
+    assert_eq!(case.planner.looks(), ["1".into()]);
+    runners[0].unread = false;
+    runners[0].reported = true;
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders.len(), 1);
+    assert!(orders[0].1.adapter().is_some());
+}
+
+/// Where nothing is sent nothing is loaded; what stands there counts against what the
+/// policy allows, and is wanted elsewhere.
+#[test]
+fn an_evacuated_runner_is_not_ordered_and_its_replica_is_loaded_elsewhere() {
+    let mut case = Case::new(ONE, vec![wish("a", None, 1)]);
+    let mut runners = [runner("1", &["a"]), runner("2", &[]), runner("3", &[])];
+    runners[0].evacuated = true;
+    runners[1].evacuated = true;
+    let configuration = configuration(&["a"]);
+    let orders = case.plan(&configuration, &mut runners);
+    assert_eq!(orders, [("3".to_owned(), load("a"))]);
+    end_load(&mut runners[2]);
+    assert_eq!(case.plan(&configuration, &mut runners), []);
+}
