Feed: a node that knows nothing and no peer asks the store at once

Cause: the wait until what a node has read is taken in also held a node that had read nothing; it waited 0.6 s for peers. Change: only a node that knows something waits. Test first: 503 after 0.1 s.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -141,7 +141,7 @@
     /// Whether the members that this node has read may not be taken in yet.
     fn is_settling(&self) -> bool {
         self.known_since
-            .is_none_or(|since| since.elapsed() < MEMBERS_TAKEN_IN)
+            .is_some_and(|since| since.elapsed() < MEMBERS_TAKEN_IN)
     }
 
     fn any_peer(
@@ -158,8 +158,7 @@
 
     /// Waits until another choice may be right.
     async fn wait(&mut self) {
-        let settles = self.copy.is_known() && self.is_settling();
-        let pause = if settles {
+        let pause = if self.is_settling() {
             MEMBERS_LOOK
         } else {
             self.copy.times.poll
--- a/crates/standin/tests/start.rs
+++ b/crates/standin/tests/start.rs
@@ -44,3 +44,19 @@
     let answer = world.ask(GATEWAYS, "/plain/x", "asked", None).await;
     assert_eq!(answer.code(), 200);
 }
+
+/// What users saw: after all 87 gateways of a site had lost power, 57 requests of two
+/// seconds were served in time, 221 before the way was changed in which a node decides
+/// to watch the store. One that knew nothing waited 0.6 s for peers that it did not know.
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_knows_of_no_peer_asks_the_store_at_once() {
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/plain/", "plain", RequestKind::Idempotent)],
+    );
+    world.start_runner("plain-1", "plain", &[]);
+    world.start_gateway(1).await;
+    world.pass(SECOND / 10).await;
+    let answer = world.ask(1, "/plain/x", "asked", None).await;
+    assert_eq!(answer.code(), 200);
+}
