--- a/crates/gateway/src/feed/asker.rs
+++ b/crates/gateway/src/feed/asker.rs
@@ -18,6 +18,10 @@
 use crate::feed::state::{FeedState, News};
 use crate::store::Store;
 
+/// Time after a whole reading until the next call: with what it has read a node finds
+/// whom to follow, and most need not ask again.
+const PARENT_FOUND_IN: Duration = Duration::from_millis(20);
+
 /// A call to the store that is open.
 type Call = Pin<Box<dyn Future<Output = Ended> + Send>>;
 
@@ -212,20 +216,16 @@
 
     async fn take(&mut self, reading: Reading) {
         self.start_anew();
-        let any = match &reading.news {
+        let pause = match &reading.news {
             News::Everything(_) => {
                 tracing::info!(event = "store_read", revision = reading.revision);
-                false
+                PARENT_FOUND_IN
             }
-            News::Events(events) => !events.is_empty(),
+            // Changes come in batches.
+            News::Events(events) if !events.is_empty() => self.copy.times.batch_pause,
+            News::Events(_) => Duration::ZERO,
         };
         self.copy.take_reading(reading).await;
-        // Changes come in batches.
-        let pause = if any {
-            self.copy.times.batch_pause
-        } else {
-            Duration::ZERO
-        };
         self.not_before = Instant::now() + pause;
     }
 }
