--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -13,6 +13,9 @@
 }
 
 /// The store's data; its clock is tokio's.
+/// Items of one page, as the platform's store gives them.
+const PAGE_ITEMS: usize = 500;
+
 #[derive(Default)]
 pub(super) struct Data {
     revision: u64,
@@ -28,6 +31,21 @@
         self.revision
     }
 
+    fn page(&self, prefix: &str, after: Option<&str>) -> StoreAnswer {
+        let mut found = self
+            .items
+            .values()
+            .map(|stored| &stored.item)
+            .filter(|item| item.key.starts_with(prefix))
+            .filter(|item| after.is_none_or(|after| *item.key > *after));
+        let items: Vec<Item> = found.by_ref().take(PAGE_ITEMS).cloned().collect();
+        StoreAnswer::Page {
+            items,
+            more: found.next().is_some(),
+            revision: self.revision,
+        }
+    }
+
     /// The value under `key`.
     pub(super) fn get(&self, key: &str) -> Option<Bytes> {
         self.items.get(key).map(|stored| stored.item.value.clone())
@@ -112,16 +130,7 @@
     /// Carries a call out that needs no waiting.
     pub(super) fn execute(&mut self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
         match call {
-            StoreCall::Range { prefix, .. } => Ok(StoreAnswer::Page {
-                items: self
-                    .items
-                    .values()
-                    .filter(|stored| stored.item.key.starts_with(prefix))
-                    .map(|stored| stored.item.clone())
-                    .collect(),
-                more: false,
-                revision: self.revision,
-            }),
+            StoreCall::Range { prefix, after, .. } => Ok(self.page(prefix, after.as_deref())),
             StoreCall::Watch { .. } => unreachable!("watches wait"),
             StoreCall::Commit(transaction) => self.commit(transaction),
             StoreCall::GrantLease { time_to_live } => {
