--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -12,10 +12,10 @@
     lease: u64,
 }
 
-/// The store's data; its clock is tokio's.
 /// Items of one page, as the platform's store gives them.
 const PAGE_ITEMS: usize = 500;
 
+/// The store's data; its clock is tokio's.
 #[derive(Default)]
 pub(super) struct Data {
     revision: u64,
