Reading the change again: what was kept twice, dead or wider than needed

Cause: found by reading the whole difference. Counts kept beside what they follow from (changes in the feed's batches; the stand-in store's calls and readings beside its calls by kind); a set of all keys built at each whole reading to look for one; an entry of the placement inserted and looked up again behind a branch that could not be reached; the list of members' names written out where Members::names stands; fields of the dispatcher opened to its crate that no module uses; a stand-in's method that nobody calls. Change: derived, called or removed.

--- a/crates/catalog/src/dialect.rs
+++ b/crates/catalog/src/dialect.rs
@@ -81,7 +81,6 @@
     fn read_object(&self, key: &str, value: &[u8]) -> Result<StoredObject, DialectError>;
     /// The own id of the runner whose entry `key` is.
     fn runner_of_key<'a>(&self, key: &'a str) -> Option<&'a str>;
-
     /// The zone whose evacuation stands under `key`.
     fn evacuation_of_key<'a>(&self, key: &'a str) -> Option<&'a str>;
     /// Path on which readiness is asked for.
--- a/crates/dispatch/src/candidates.rs
+++ b/crates/dispatch/src/candidates.rs
@@ -14,8 +14,12 @@
 impl Dispatcher {
     /// The runners that could take `query` now.
     pub(crate) fn candidates<'a>(&'a self, query: &'a Query, now: Instant) -> Vec<&'a RunnerEntry> {
-        let service = self.configuration.services.get(&query.service).cloned();
-        let engine = service.as_ref().and_then(|service| service.engine.as_ref());
+        let service = self
+            .configuration
+            .services
+            .get(&query.service)
+            .map(|service| &**service);
+        let engine = service.and_then(|service| service.engine.as_ref());
         let usable: Vec<&RunnerEntry> = self
             .possible(query, engine.is_some())
             .filter(|entry| entry.runner.service == query.service && entry.is_open(now))
@@ -34,7 +38,7 @@
             .into_iter()
             .filter(|entry| !entry.health().is_busy(now))
             .filter(|entry| has_room(entry, query, engine))
-            .filter(|entry| self.spares_cold(entry, service.as_deref(), now))
+            .filter(|entry| self.spares_cold(entry, service, now))
             .collect();
         before_evacuated(candidates)
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,11 +5,10 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{ColdBounds, Configuration, ModelReference};
+use barleyspar_domain::rank;
 
 use crate::budget::{BudgetLimits, RetryBudget, Share};
 use crate::choice::{Chooser, cheapest};
-use barleyspar_domain::rank;
-
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
 use crate::health::Outcome;
@@ -45,9 +44,9 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     pub(crate) name: Arc<str>,
-    pub(crate) zone: Arc<str>,
-    pub(crate) limits: BudgetLimits,
-    pub(crate) started: Instant,
+    zone: Arc<str>,
+    limits: BudgetLimits,
+    started: Instant,
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) runners: BTreeMap<Arc<str>, RunnerEntry>,
     pub(crate) queue: Queue,
@@ -55,7 +54,7 @@
     /// Runners that this node has sent a request: all that a look at its own load
     /// and troubles has to see, few of the thousands that it knows.
     pub(crate) used: BTreeSet<Arc<str>>,
-    pub(crate) budgets: HashMap<Arc<str>, RetryBudget>,
+    budgets: HashMap<Arc<str>, RetryBudget>,
     pub(crate) demand: DemandTable,
     pub(crate) cold_starts: ColdStarts,
     pub(crate) holders: Holders,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -72,19 +72,18 @@
     }
 
     fn everything(&mut self, items: Vec<Item>) {
-        let keys: HashSet<&str> = items.iter().map(|item| &*item.key).collect();
         let members: Vec<&str> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(MEMBER_PREFIX))
             .collect();
         self.peers.retain(&members);
-        if !keys.contains(LEADER_KEY) {
+        if !items.iter().any(|item| item.key == LEADER_KEY) {
             self.leader.send_replace(None);
         }
         let dialect = self.context.dialect.clone();
-        let evacuated: Vec<&str> = keys
+        let evacuated: Vec<&str> = items
             .iter()
-            .filter_map(|key| dialect.evacuation_of_key(key))
+            .filter_map(|item| dialect.evacuation_of_key(&item.key))
             .collect();
         self.evacuate(|zones| zones.retain(|zone, _| evacuated.contains(&&**zone)));
         // Evacuations and the configuration first: no runner may be used before them.
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -100,8 +100,6 @@
     /// All items for the wire, packed when a follower first asks for them.
     whole: OnceLock<Packed>,
     batches: VecDeque<Arc<Batch>>,
-    /// Changes in the batches.
-    batched: usize,
     /// The revision from which the batches show all changes.
     batches_from: u64,
     revision: u64,
@@ -155,7 +153,6 @@
             .collect();
         self.whole = OnceLock::new();
         self.batches.clear();
-        self.batched = 0;
         self.batches_from = revision;
         self.revision = revision;
         true
@@ -173,23 +170,26 @@
         self.revision = self.revision.max(revision);
         if !news.is_empty() {
             self.whole = OnceLock::new();
-            self.batched += news.len();
             self.batches.push_back(Arc::new(Batch {
                 to: self.revision,
                 events: news.clone(),
                 packed: OnceLock::new(),
             }));
         }
-        while self.batches.len() > KEPT_BATCHES || self.batched > KEPT_EVENTS {
+        while self.batches.len() > KEPT_BATCHES || self.batched() > KEPT_EVENTS {
             let Some(oldest) = self.batches.pop_front() else {
                 break;
             };
-            self.batched -= oldest.events.len();
             self.batches_from = oldest.to;
         }
         news
     }
 
+    /// Changes in the batches.
+    fn batched(&self) -> usize {
+        self.batches.iter().map(|batch| batch.events.len()).sum()
+    }
+
     /// Whether the event is later than all that is known of its key. Pages of
     /// one reading form no snapshot, so an item may be ahead of the revision.
     fn is_news(&self, event: &Event) -> bool {
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -157,11 +157,6 @@
         self.members.len() + 1 > MESH_NODES
     }
 
-    /// All members.
-    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Member)> {
-        self.members.iter()
-    }
-
     /// The member with this name.
     pub fn get(&self, name: &str) -> Option<&Member> {
         self.members.get(name)
--- a/crates/gateway/src/peers/relaying.rs
+++ b/crates/gateway/src/peers/relaying.rs
@@ -121,8 +121,7 @@
     /// Sends what runners hold to all nodes, over relays if there are any.
     pub(super) async fn publish(&mut self, inventories: Vec<Inventory>) {
         if !self.members.is_relayed() {
-            let everybody: Vec<Arc<str>> =
-                self.members.iter().map(|(name, _)| name.clone()).collect();
+            let everybody: Vec<Arc<str>> = self.members.names().cloned().collect();
             return self.send_held(inventories, true, &everybody).await;
         }
         let own = (&self.context.settings.name, &self.own);
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -260,7 +260,7 @@
             return;
         };
         if !self.members.is_relayed() {
-            let everybody = self.members.iter().map(|(name, _)| name.clone()).collect();
+            let everybody = self.members.names().cloned().collect();
             return self.tell_load(snapshot.load, everybody).await;
         }
         let now = Instant::now();
--- a/crates/gateway/src/placement/runners.rs
+++ b/crates/gateway/src/placement/runners.rs
@@ -52,11 +52,12 @@
             .collect();
         let reads = engines.len() <= READ_AT_ONCE;
         for runner in engines {
-            self.insert(&runner, reads);
+            self.entry(&runner, reads);
         }
     }
 
-    fn insert(&mut self, runner: &Arc<Runner>, reads: bool) {
+    /// The entry of `runner`, made if there is none.
+    fn entry(&mut self, runner: &Arc<Runner>, reads: bool) -> &mut Entry {
         let evacuated = self.evacuated.contains(&runner.zone);
         self.led.entry(runner.id.clone()).or_insert_with(|| {
             let mut entry = Entry::new(runner);
@@ -64,7 +65,7 @@
             entry.view.unread = !reads;
             entry.report_at = reads.then(Instant::now);
             entry
-        });
+        })
     }
 
     /// Takes in a runner's entry. `leads` while this node orders.
@@ -76,10 +77,7 @@
             return;
         }
         let reads = self.led.len() <= READ_AT_ONCE;
-        self.insert(&runner, reads);
-        let Some(entry) = self.led.get_mut(&runner.id) else {
-            return;
-        };
+        let entry = self.entry(&runner, reads);
         entry.view.open = runner.state == RunnerState::Available;
         if !entry.view.reported {
             entry.view.models = runner.models.clone();
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -206,12 +206,6 @@
         self.serve(network, address);
     }
 
-    /// It is cold for `time` from now on, and says so in its entry.
-    pub fn grow_cold(&self, time: Duration) {
-        self.lock().record.warming = time;
-        self.publish();
-    }
-
     /// Fails requests from now on.
     pub fn fail(&self, fault: Option<Fault>) {
         self.lock().fault = fault;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -47,8 +47,6 @@
 struct State {
     data: Data,
     faults: Faults,
-    calls: u64,
-    readings: u64,
     by_kind: BTreeMap<&'static str, u64>,
 }
 
@@ -93,9 +91,6 @@
 
 impl State {
     fn count(&mut self, call: &StoreCall) {
-        self.calls += 1;
-        let reads = matches!(call, StoreCall::Range { .. } | StoreCall::Watch { .. });
-        self.readings += u64::from(reads);
         *self.by_kind.entry(kind(call)).or_default() += 1;
     }
 }
@@ -160,7 +155,7 @@
 
     /// Calls that came so far, refused ones too.
     pub fn calls(&self) -> u64 {
-        self.lock().calls
+        self.lock().by_kind.values().sum()
     }
 
     /// Calls that came so far, by kind.
@@ -170,7 +165,9 @@
 
     /// Calls that came so far to read or to watch.
     pub fn readings(&self) -> u64 {
-        self.lock().readings
+        let state = self.lock();
+        let of = |kind| state.by_kind.get(kind).copied().unwrap_or(0);
+        of("read") + of("read_stale") + of("watch")
     }
 
     /// Forgets its history.
