Sight: what runners say of their limits, and in which answers

Neither log nor figures told whether a node had read a runner's limit, nor which answers name it. Each node now reads it from the answers to requests, orders and questions for reports, keeps the newest word of each runner and says in one line when it changes (runner_limit); limited_answers counts by kind of call whether the answer named a limit. Nothing decides by it yet. The stand-in runner names a limit and notes all calls.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod dialect;
 mod homes;
+mod limit;
 mod order;
 mod request;
 mod routes;
@@ -23,6 +24,7 @@
 };
 pub use dialect::{Dialect, DialectError, HeaderOwner, StoredObject};
 pub use homes::Homes;
+pub use limit::RunnerLimit;
 pub use order::{Order, OrderAction, OrderAnswer, Report};
 pub use request::{Forward, ModelReference, RequestFacts};
 pub use routes::RouteTable;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -224,6 +224,7 @@
         entry.tokens += query.tokens;
         entry.unread_tokens += query.prompt_tokens;
         let runner = entry.runner.clone();
+        let limited = entry.is_limited();
         let open = entry.open();
         if let Some(wanted) = &query.wanted {
             self.demand.started(&query.service, wanted);
@@ -243,6 +244,7 @@
             runner,
             candidates,
             in_flight,
+            limited,
             open,
         }
     }
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -66,6 +66,8 @@
     pub candidates: usize,
     /// Attempts at the runner before this one.
     pub in_flight: u32,
+    /// Whether the runner is known to name a limit.
+    pub limited: bool,
     /// Whether the runner takes new work; goes false as soon as it leaves.
     pub open: Arc<AtomicBool>,
 }
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -9,6 +9,7 @@
 
 use crate::health::Health;
 use crate::inventory::Inventory;
+use crate::limits::LimitWord;
 
 /// A runner's incarnation in messages between nodes.
 pub type RunnerKey = u32;
@@ -78,6 +79,8 @@
     doubtful_models: Option<Vec<HeldModel>>,
     /// Usual seconds between two events of a stream, by model.
     gaps: HashMap<Arc<str>, f64>,
+    /// What it said last of its limit, if it ever named one.
+    limit: Option<LimitWord>,
 }
 
 /// What is known of a runner that this node never used.
@@ -134,6 +137,16 @@
         &mut self.seen_mut().health
     }
 
+    /// What it said last of its limit; `None` if it never named one.
+    pub fn limit(&self) -> Option<LimitWord> {
+        self.seen().limit
+    }
+
+    /// Takes in what it said of its limit.
+    pub fn set_limit(&mut self, word: LimitWord) {
+        self.seen_mut().limit = Some(word);
+    }
+
     /// Whether it takes new work, for an attempt that was granted by [`Self::is_open`].
     pub fn open(&mut self) -> Arc<AtomicBool> {
         let open = || Arc::new(AtomicBool::new(true));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{AnswerFacts, Forward, Runner};
-use barleyspar_dispatch::{Failure, Outcome};
+use barleyspar_dispatch::{Failure, LimitWord, Outcome};
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -158,9 +158,35 @@
     let (head, body) = response.into_parts();
     let facts = context.dialect.read_answer(&head);
     check_head(&head, &facts, outgoing)?;
+    hear_limit(context, permit, head.status, &facts, sent_at);
     Ok((connection, head, facts, body, waited))
 }
 
+/// Takes in what the answer says of its runner's limit. One without a limit speaks
+/// for the moment at which the request was sent: an answer that names one may have
+/// overtaken it. A misdirected request is answered by some other runner.
+fn hear_limit(
+    context: &Context,
+    permit: &Permit,
+    status: StatusCode,
+    facts: &AnswerFacts,
+    sent_at: Instant,
+) {
+    let limit = facts.limit;
+    if status == StatusCode::MISDIRECTED_REQUEST || (limit.is_none() && !permit.is_limited()) {
+        return;
+    }
+    context.metrics.limited_answer("request", limit.is_some());
+    let at = if limit.is_some() {
+        Instant::now()
+    } else {
+        sent_at
+    };
+    let at = at.into_std();
+    let runner = permit.runner().id.clone();
+    context.dispatch.hear_limit(runner, LimitWord { limit, at });
+}
+
 /// Refuses a head that cannot be the answer to this request.
 fn check_head(
     head: &http::response::Parts,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,12 +7,14 @@
 
 use barleyspar_catalog::{Configuration, Route, Runner};
 use barleyspar_dispatch::{
-    Acquired, BudgetLimits, DemandItem, Dispatcher, Grant, Inventory, Outcome, PermitId, Query,
-    Refusal, RunnerKey, Splitter, Ticket,
+    Acquired, BudgetLimits, DemandItem, Dispatcher, Grant, Inventory, LimitWord, Outcome, PermitId,
+    Query, Refusal, RunnerKey, Splitter, Ticket,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::journal;
+
 /// Time between two looks at the queue when nothing happens.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3600);
 
@@ -47,6 +49,11 @@
         self.grant.in_flight
     }
 
+    /// Whether the runner was known to name a limit.
+    pub fn is_limited(&self) -> bool {
+        self.grant.limited
+    }
+
     /// Whether the runner still takes new work.
     pub fn is_open(&self) -> bool {
         self.grant.open.load(Ordering::Relaxed)
@@ -91,6 +98,7 @@
     RetainRunners(Vec<Arc<str>>),
     UpdateModels(Inventory),
     PeerLoad(Arc<str>, Vec<(RunnerKey, u32)>, Duration),
+    HearLimit(Arc<str>, LimitWord),
     SetMembers(Vec<Arc<str>>),
     SetEvacuated(BTreeMap<Arc<str>, Instant>),
     SetLimits(BudgetLimits),
@@ -201,6 +209,11 @@
         self.send(Command::PeerLoad(source, load, believed_for));
     }
 
+    /// Takes in what the runner `id` said of its limit.
+    pub fn hear_limit(&self, id: Arc<str>, word: LimitWord) {
+        self.send(Command::HearLimit(id, word));
+    }
+
     /// Sets the nodes that share limits, this one included.
     pub fn set_members(&self, members: Vec<Arc<str>>) {
         let nodes = members.len() as u32;
@@ -311,6 +324,11 @@
                 self.dispatcher
                     .set_peer_load(source, load, believed_for, now())
             }
+            Command::HearLimit(id, word) => {
+                if let Some(change) = self.dispatcher.hear_limit(&id, word) {
+                    journal::runner_limit(&change);
+                }
+            }
             Command::SetLimits(limits) => self.dispatcher.set_limits(limits),
             Command::SetMembers(members) => self.dispatcher.set_members(members),
             Command::SetEvacuated(zones) => {
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use barleyspar_callers::Denial;
-use barleyspar_catalog::{ModelReference, RequestFacts, Route, Tenant};
-use barleyspar_dispatch::Refusal;
+use barleyspar_catalog::{ModelReference, RequestFacts, Route, RunnerLimit, Tenant};
+use barleyspar_dispatch::{LimitChange, Refusal};
 use barleyspar_domain::Verdict;
 
 use crate::attempt::AttemptError;
@@ -133,6 +133,17 @@
     tracing::warn!(event = "runner_failed", request, runner, status);
 }
 
+/// The limit that a runner is known to name has changed.
+pub fn runner_limit(change: &LimitChange) {
+    let per_second = |limit: Option<RunnerLimit>| limit.map(RunnerLimit::per_second);
+    tracing::warn!(
+        event = "runner_limit",
+        runner = &*change.runner,
+        per_second = per_second(change.limit),
+        before = per_second(change.before)
+    );
+}
+
 /// The request was refused by the dispatcher.
 pub fn refused(request: &str, refusal: Refusal, verdict: Verdict) {
     tracing::warn!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,6 +53,7 @@
     quota_decisions: Family<CallLabels, Counter>,
     request_seconds: Family<KindLabels, Histogram>,
     attempts: Family<CallLabels, Counter>,
+    limited_answers: Family<CallLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
     store_seconds: Histogram,
     orders: Family<CallLabels, Counter>,
@@ -75,6 +76,7 @@
             quota_decisions: Family::default(),
             request_seconds: Family::new_with_constructor(times),
             attempts: Family::default(),
+            limited_answers: Family::default(),
             store_calls: Family::default(),
             store_seconds: times(),
             orders: Family::default(),
@@ -109,6 +111,11 @@
             self.request_seconds.clone(),
         );
         registry.register("attempts", "Attempts at runners", self.attempts.clone());
+        registry.register(
+            "limited_answers",
+            "Answers that named the runner's limit, or were expected to",
+            self.limited_answers.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -181,6 +188,13 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    /// A runner that is known to name a limit answered a `call`, or one named a limit.
+    pub fn limited_answer(&self, call: &'static str, named: bool) {
+        let outcome = if named { "named" } else { "not_named" };
+        let labels = CallLabels { call, outcome };
+        self.limited_answers.get_or_create(&labels).inc();
+    }
+
     /// A call to the store ended.
     pub fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
         let labels = CallLabels { call, outcome };
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Order, OrderAnswer, Report, Runner};
+use barleyspar_catalog::{Order, OrderAnswer, Report, Runner, RunnerLimit};
+use barleyspar_dispatch::LimitWord;
 use barleyspar_loading::Lease;
 use bytes::Bytes;
 use http::header::HOST;
@@ -69,7 +70,7 @@
             .borrow()
             .is_some_and(|lease| lease.token == token && lease.may_order(now))
     };
-    let answer = call(&context, &runner, request, allowed)
+    let answer = call(&context, &runner, "order", request, allowed)
         .await
         .map(|(status, _)| context.dialect.read_order_answer(status));
     OrderResult {
@@ -82,7 +83,7 @@
 /// Reads a runner's report.
 pub async fn read_report(context: Context, runner: Arc<Runner>) -> ReportResult {
     let request = context.dialect.report_call(&runner.name);
-    let report = call(&context, &runner, request, || true)
+    let report = call(&context, &runner, "report", request, || true)
         .await
         .map_err(|error| error.to_string())
         .and_then(|(status, body)| {
@@ -112,6 +113,7 @@
 async fn call(
     context: &Context,
     runner: &Runner,
+    name: &'static str,
     mut request: Request<Bytes>,
     allowed: impl Fn() -> bool,
 ) -> Result<(StatusCode, Bytes), CallError> {
@@ -139,6 +141,9 @@
         })?;
     let (head, body) = response.into_parts();
     let facts = context.dialect.read_answer(&head);
+    if head.status != StatusCode::MISDIRECTED_REQUEST && facts.limit.is_some() {
+        hear_limit(context, runner, name, facts.limit);
+    }
     let body = timeout_at(until, Limited::new(body, ANSWER_BYTES).collect())
         .await
         .map_err(|_| unanswered("time is up".to_owned()))?
@@ -149,3 +154,12 @@
         .put_back(&runner.id, connection, facts.keep_alive_seconds);
     Ok((head.status, body))
 }
+
+/// Takes in the limit that a runner named in its answer to a call of the leader's.
+fn hear_limit(context: &Context, runner: &Runner, name: &'static str, limit: Option<RunnerLimit>) {
+    context.metrics.limited_answer(name, true);
+    let at = Instant::now().into_std();
+    context
+        .dispatch
+        .hear_limit(runner.id.clone(), LimitWord { limit, at });
+}
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -2,8 +2,8 @@
 
 use barleyspar_catalog::{
     AnswerFacts, Configuration, Credential, Dialect, DialectError, Forward, HeaderOwner,
-    ModelReference, Order, OrderAnswer, Report, RequestFacts, Runner, StoreAnswer, StoreCall,
-    StoreError, StoredObject,
+    ModelReference, Order, OrderAnswer, Report, RequestFacts, Runner, RunnerLimit, StoreAnswer,
+    StoreCall, StoreError, StoredObject,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, request, response};
@@ -32,6 +32,8 @@
     pub const NOT_RUN: &str = "not-run";
     /// The runner's signature.
     pub const SIGNATURE: &str = "signature";
+    /// Requests a second that a runner takes from all nodes together.
+    pub const LIMIT: &str = "limit";
     /// Key of the configuration.
     pub const CONFIGURATION_KEY: &str = "configuration";
     /// Prefix of the keys by which zones are evacuated.
@@ -114,7 +116,7 @@
     fn header_owner(&self, name: &HeaderName) -> HeaderOwner {
         match name.as_str() {
             names::RUNNER | names::TENANT | names::CREDENTIAL => HeaderOwner::System,
-            names::NOT_RUN | names::SIGNATURE => HeaderOwner::Runner,
+            names::NOT_RUN | names::SIGNATURE | names::LIMIT => HeaderOwner::Runner,
             "content-length" | "transfer-encoding" | "connection" => HeaderOwner::Hop,
             _ => HeaderOwner::Caller,
         }
@@ -146,6 +148,9 @@
             keep_alive_seconds: Some(10),
             event_stream: text(headers, "content-type").as_deref() == Some("text/event-stream"),
             encoded: false,
+            limit: text(headers, names::LIMIT)
+                .and_then(|value| value.parse().ok())
+                .and_then(RunnerLimit::new),
         }
     }
 
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -17,7 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::dialect::{decode, encode, names};
 use crate::network::MemoryNetwork;
@@ -63,11 +63,22 @@
     pub whole: bool,
 }
 
+/// A call that arrived: a request, an order, or a question for a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// When it came.
+    pub at: Instant,
+    /// Whether it was a request.
+    pub is_request: bool,
+}
+
 struct State {
     record: Runner,
     fault: Option<Fault>,
     runs: Vec<Run>,
     arrivals: u64,
+    calls: Vec<Call>,
+    limit: Option<f64>,
     orders: Vec<Order>,
     lose_order_answers: u32,
     sequence: u64,
@@ -117,6 +128,8 @@
                 fault: None,
                 runs: Vec::new(),
                 arrivals: 0,
+                calls: Vec::new(),
+                limit: None,
                 orders: Vec::new(),
                 lose_order_answers: 0,
                 sequence: 0,
@@ -231,6 +244,16 @@
         self.lock().arrivals
     }
 
+    /// Calls that arrived, of all kinds.
+    pub fn calls(&self) -> Vec<Call> {
+        self.lock().calls.clone()
+    }
+
+    /// Names a limit in all its answers from now on, in requests a second.
+    pub fn name_limit(&self, per_second: Option<f64>) {
+        self.lock().limit = per_second;
+    }
+
     /// Orders that arrived.
     pub fn orders(&self) -> Vec<Order> {
         self.lock().orders.clone()
@@ -257,11 +280,21 @@
         if meant != Some(&*self.lock().record.name) {
             return Ok(status(StatusCode::MISDIRECTED_REQUEST, Bytes::new()));
         }
-        match head.uri.path() {
-            names::REPORT_PATH => Ok(status(StatusCode::OK, encode(&self.report()))),
-            names::ORDER_PATH => self.order(&body).await,
-            _ => self.run(&head.headers, body).await,
+        let path = head.uri.path();
+        self.lock().calls.push(Call {
+            at: Instant::now(),
+            is_request: ![names::REPORT_PATH, names::ORDER_PATH].contains(&path),
+        });
+        let mut response = match path {
+            names::REPORT_PATH => status(StatusCode::OK, encode(&self.report())),
+            names::ORDER_PATH => self.clone().order(&body).await?,
+            _ => self.clone().run(&head.headers, body).await?,
+        };
+        if let Some(limit) = self.lock().limit {
+            let value = HeaderValue::from_str(&limit.to_string()).expect("it is plain text");
+            response.headers_mut().insert(names::LIMIT, value);
         }
+        Ok(response)
     }
 
     async fn run(self, headers: &HeaderMap, body: Bytes) -> Result<Response<RunnerBody>, Broken> {
