--- /dev/null
+++ b/crates/standin/tests/limits.rs
@@ -0,0 +1,196 @@
+//! Runners in need, which take so many calls a second from all gateways together.
+//!
+//! A runner that named a limit of one call a second got twelve in four seconds, where
+//! eleven were allowed, although nearly all of them could have gone to another runner.
+
+use std::time::Duration;
+
+use barleyspar_catalog::RequestKind;
+use barleyspar_standin::{
+    Answer, Call, RunnerStandIn, World, engine_service, plain_service, route,
+};
+use futures_util::future::join_all;
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+const GATEWAYS: u8 = 6;
+/// Time within which what a runner gets is compared with its limit.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time within which all gateways that call the runner have heard of its limit.
+const TOLD_WITHIN: Duration = Duration::from_millis(500);
+
+/// Most calls in a window that a runner with this limit may get.
+fn most(per_second: f64) -> usize {
+    (per_second * 1.5 * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+/// Most calls in any window from `from` on.
+fn busiest_window(calls: &[Call], from: Instant) -> usize {
+    let times: Vec<Instant> = calls.iter().map(|call| call.at).collect();
+    let counted = times.iter().filter(|at| **at >= from);
+    let in_window = |begin: &Instant| {
+        let end = *begin + WINDOW;
+        times.iter().filter(|at| (*begin..end).contains(at)).count()
+    };
+    counted.map(in_window).max().unwrap_or(0)
+}
+
+/// Requests, or else calls of the leader's, from `from` on.
+fn calls_since(runner: &RunnerStandIn, from: Instant, requests: bool) -> usize {
+    let calls = runner.calls();
+    let counted = calls
+        .iter()
+        .filter(|call| call.at >= from && call.is_request == requests);
+    counted.count()
+}
+
+/// Asks `gateways` in turn for `time`, `rate` times a second.
+async fn ask(
+    world: &World,
+    (path, models): (&str, &[&str]),
+    rate: u32,
+    time: Duration,
+    gateways: &[u8],
+) -> Vec<Answer> {
+    let begun = Instant::now();
+    let count = (time.as_secs_f64() * f64::from(rate)) as u32;
+    let asked = (0..count).map(|number| async move {
+        tokio::time::sleep_until(begun + SECOND / rate * number).await;
+        let gateway = gateways[number as usize % gateways.len()];
+        let model = models.get(number as usize / gateways.len() % models.len().max(1));
+        let id = format!("{}-{number}", begun.elapsed().as_nanos());
+        world.ask(gateway, path, &id, model.copied()).await
+    });
+    join_all(asked).await
+}
+
+fn served(answers: &[Answer]) -> usize {
+    answers.iter().filter(|answer| answer.code() == 200).count()
+}
+
+fn all() -> Vec<u8> {
+    (1..=GATEWAYS).collect()
+}
+
+const PLAIN: (&str, &[&str]) = ("/plain/x", &[]);
+
+/// Three plain runners, and six gateways.
+async fn plain_world() -> World {
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/plain/", "plain", RequestKind::Idempotent)],
+    );
+    for number in 1..=3 {
+        world.start_runner(&format!("plain-{number}"), "plain", &[]);
+    }
+    world.start_gateways(1..=GATEWAYS).await;
+    world.pass(12 * SECOND).await;
+    world
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_in_need_gets_no_more_than_it_named_from_all_gateways() {
+    for limit in [0.0, 0.5, 1.0, 4.0] {
+        let world = plain_world().await;
+        let runner = &world.runners["plain-1"];
+        ask(&world, PLAIN, 30, SECOND, &all()).await;
+        runner.name_limit(Some(limit));
+        let told = Instant::now() + TOLD_WITHIN;
+        let answers = ask(&world, PLAIN, 30, 12 * SECOND, &all()).await;
+        assert_eq!(served(&answers), answers.len(), "limit {limit}");
+        let busiest = busiest_window(&runner.calls(), told);
+        assert!(busiest <= most(limit), "limit {limit}: {busiest} calls");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_names_no_limit_any_more_gets_its_share_again() {
+    let world = plain_world().await;
+    let runner = &world.runners["plain-1"];
+    runner.name_limit(Some(1.0));
+    ask(&world, PLAIN, 30, 8 * SECOND, &all()).await;
+    runner.name_limit(None);
+    ask(&world, PLAIN, 30, 8 * SECOND, &all()).await;
+    let from = Instant::now();
+    ask(&world, PLAIN, 30, 4 * SECOND, &all()).await;
+    let requests = calls_since(runner, from, true);
+    assert!(requests >= 20, "{requests} of 120 requests");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_limit_holds_whichever_gateway_dies_or_is_cut_off() {
+    for victim in all() {
+        for dies in [true, false] {
+            let mut world = plain_world().await;
+            let runner = world.runners["plain-1"].clone();
+            runner.name_limit(Some(2.0));
+            let told = Instant::now() + TOLD_WITHIN;
+            ask(&world, PLAIN, 30, 4 * SECOND, &all()).await;
+            let mut others = all();
+            if dies {
+                world.kill_gateway(victim);
+                others.retain(|number| *number != victim);
+            } else {
+                for other in all().into_iter().filter(|number| *number != victim) {
+                    world.network.cut(World::host(victim), World::host(other));
+                }
+            }
+            let answers = ask(&world, PLAIN, 30, 6 * SECOND, &others).await;
+            assert_eq!(served(&answers), answers.len(), "gateway {victim}");
+            let busiest = busiest_window(&runner.calls(), told);
+            assert!(busiest <= most(2.0), "gateway {victim}: {busiest} calls");
+        }
+    }
+}
+
+/// Two engines with room for two models each, and six gateways.
+async fn engine_world() -> World {
+    let mut world = World::new(
+        vec![engine_service("engine", &["a", "b", "c", "d", "e"])],
+        vec![route("/stream/", "engine", RequestKind::Streaming)],
+    );
+    world.start_runner("engine-1", "engine", &["a", "b"]);
+    world.start_runner("engine-2", "engine", &["c"]);
+    world.start_gateways(1..=GATEWAYS).await;
+    world.pass(12 * SECOND).await;
+    world
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_only_a_runner_in_need_holds_is_soon_served_elsewhere() {
+    for limit in [0.5, 1.0, 2.0] {
+        let world = engine_world().await;
+        let runner = &world.runners["engine-1"];
+        let load = ("/stream/x", &["a"][..]);
+        ask(&world, load, 6, SECOND, &all()).await;
+        runner.name_limit(Some(limit));
+        let told = Instant::now() + TOLD_WITHIN;
+        ask(&world, load, 6, 4 * SECOND, &all()).await;
+        let later = ask(&world, load, 6, 8 * SECOND, &all()).await;
+        let busiest = busiest_window(&runner.calls(), told);
+        assert!(busiest <= most(limit), "limit {limit}: {busiest} calls");
+        assert_eq!(served(&later), later.len(), "limit {limit}");
+    }
+}
+
+/// Orders and questions for reports are calls like others.
+#[tokio::test(start_paused = true)]
+async fn the_leaders_calls_are_part_of_what_a_runner_in_need_gets() {
+    let world = engine_world().await;
+    let runner = &world.runners["engine-1"];
+    runner.name_limit(Some(1.0));
+    let told = Instant::now() + TOLD_WITHIN;
+    // Demand that moves: each model is wanted anew while the others fall silent.
+    for _ in 0..3 {
+        for model in ["e", "a", "d", "b", "c"] {
+            let load = ("/stream/x", &[model][..]);
+            ask(&world, load, 6, 2 * SECOND, &all()).await;
+        }
+    }
+    let busiest = busiest_window(&runner.calls(), told);
+    let by_leader = calls_since(runner, told, false);
+    assert!(
+        busiest <= most(1.0),
+        "{busiest} calls in a window, {by_leader} of the leader's in all"
+    );
+}
