An answer that nobody reads is cut at its deadline

What callers saw: with callers that leave their answers unread, runners' places stay taken and others are refused as if runners were full; memory grows by megabytes an answer. Cause: the end of an unfinished stream, and each piece of a long answer, waited for room on the way to a reader that takes nothing, with the place at the runner in hand; no time limit holds for a caller that reads nothing. Ruled out: dead callers (the system's own time-out ends those). Change: an answer that ends unfinished gives back its place and connection at once and leaves only its end for the reader; pieces wait until the deadline at most; a connection of which nothing is read for the configuration's idle time is closed (tokio-io-timeout); 32 KB of an answer are read at once, so that 0.3 MB at most are kept for a slow reader, where hyper reads up to 400 KB at a time. Taken out once and seen to fail: the time limit for reading, the end that does not wait. Left: many slow readers together are bounded by connections only, not by memory.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -16,6 +16,15 @@
 /// Pieces of an answer's body.
 pub type Pieces = mpsc::Sender<Result<Bytes, CutOff>>;
 
+/// Ends an unfinished answer. Its reader may not have taken what is on its way, and may
+/// never: the sender keeps nothing else for it.
+pub fn cut_off(pieces: Pieces) {
+    crate::tasks::spawn(async move {
+        // Without a reader there is nobody to be told.
+        let _ = pieces.send(Err(CutOff)).await;
+    });
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum AnswerBody {
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::Semaphore;
+use tokio_io_timeout::TimeoutStream;
 
 use crate::body::AnswerBody;
 use crate::lifecycle::{Lifecycle, Stage};
@@ -28,7 +30,7 @@
     pub connections: usize,
     /// Bytes of a request's head.
     pub header_bytes: usize,
-    /// Time for a head to come, rest before it included.
+    /// Time for a head to come, rest before it included, and for a caller to read on.
     pub idle_timeout: Duration,
 }
 
@@ -82,7 +84,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(SMALLEST_HEAD))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(read_on(stream, limits.idle_timeout)), service);
     tokio::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => return log_end(result),
@@ -91,6 +93,17 @@
     log_end(connection.await);
 }
 
+/// A connection that ends when its caller reads nothing of what is written to it for
+/// `longest_pause`: an answer would be kept for as long as the caller stays.
+fn read_on(
+    stream: Box<dyn ByteStream>,
+    longest_pause: Duration,
+) -> Pin<Box<TimeoutStream<Box<dyn ByteStream>>>> {
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(longest_pause));
+    Box::pin(stream)
+}
+
 fn log_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         tracing::debug!(%error, "caller's connection ended");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout_at;
 
 use crate::attempt::Answered;
-use crate::body::{AnswerBody, CutOff};
+use crate::body::{AnswerBody, cut_off};
 use crate::exchange::Exchange;
 use crate::journal;
 use crate::trust;
@@ -105,16 +105,20 @@
     crate::tasks::spawn(async move {
         let mut next = Some(collected);
         while let Some(piece) = next {
-            if sender.send(Ok(piece)).await.is_err() {
-                return;
+            match timeout_at(exchange.deadline, sender.send(Ok(piece))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => {
+                    exchange.end(status, "deadline");
+                    return cut_off(sender);
+                }
             }
             next = match timeout_at(exchange.deadline, answered.body.frame()).await {
                 Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
                 Ok(None) => None,
                 Ok(Some(Err(_))) | Err(_) => {
-                    let _ = sender.send(Err(CutOff)).await;
                     exchange.end(status, "answer_broken");
-                    return;
+                    return cut_off(sender);
                 }
             };
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::attempt::{Answered, attempt, misdirected};
-use crate::body::{AnswerBody, CutOff, Pieces};
+use crate::body::{AnswerBody, Pieces, cut_off};
 use crate::dispatch::Permit;
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::Exchange;
@@ -84,7 +84,7 @@
                         .end(StatusCode::OK.as_u16(), crate::journal::ANSWERED);
                 }
                 RunEnd::ClientLeft => return self.exchange.end(0, "client_left"),
-                RunEnd::Deadline => return self.cut("deadline").await,
+                RunEnd::Deadline => return self.cut("deadline"),
                 RunEnd::Broken(cause) => {
                     answered.permit.finish(Outcome::Failed(Failure::Broken));
                     drop(answered.connection);
@@ -98,14 +98,15 @@
             };
             match next {
                 Some(next) => answered = next,
-                None => return self.cut("stream_broken").await,
+                None => return self.cut("stream_broken"),
             }
         }
     }
 
-    async fn cut(mut self, reason: &str) {
-        let _ = self.pieces.send(Err(CutOff)).await;
+    /// Ends the stream unfinished; nothing waits for its reader.
+    fn cut(mut self, reason: &str) {
         self.exchange.end(StatusCode::OK.as_u16(), reason);
+        cut_off(self.pieces);
     }
 
     /// Relays one run.
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -14,6 +14,10 @@
 use tokio::time::Instant;
 
 use crate::network::Network;
+
+/// Bytes of an answer that are read at once: a few of these are kept for a caller that
+/// reads slowly.
+const READ_BYTES: usize = 32 * 1024;
 use crate::upstream::pool::OpenSlot;
 use crate::upstream::tracked::{BytesWritten, TrackedStream};
 
@@ -75,6 +79,7 @@
             .map_err(|error| refused(&error))?;
         let (stream, written) = TrackedStream::new(stream);
         let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| refused(&error))?;
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -1,13 +1,15 @@
 //! A runner: plain, or a model engine that takes fenced orders. It keeps a
 //! history of what it ran, and fails on request.
 
+mod guards;
+mod orders;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use barleyspar_catalog::{
-    EngineSpec, HeldModel, Order, OrderAction, Report, Runner, RunnerState, Service, WeightCopies,
-    incarnation,
+    EngineSpec, HeldModel, Order, Report, Runner, RunnerState, Service, WeightCopies, incarnation,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -19,15 +21,17 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
-use crate::dialect::{decode, encode, names};
+use crate::dialect::{encode, names};
 use crate::network::MemoryNetwork;
 use crate::runner_body::{Broken, RunnerBody, not_run, sign, status, stream};
 use crate::store::StoreStandIn;
 
+pub use guards::RunGuard;
+
+use guards::OpenConnection;
+
 /// Time that a plain request takes.
 const PLAIN_WORK: Duration = Duration::from_millis(30);
-/// Time to load an adapter.
-const ADAPTER_LOAD: Duration = Duration::from_millis(20);
 
 /// How a runner fails the requests that it runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +46,8 @@
     BreakStream(u64),
     /// Its streams stop after so many events, and stay open.
     StallStream(u64),
+    /// Each event of its streams has so many bytes more.
+    LongEvents(usize),
 }
 
 fn held(model: &&str) -> HeldModel {
@@ -76,6 +82,8 @@
     record: Runner,
     fault: Option<Fault>,
     runs: Vec<Run>,
+    running: usize,
+    connections: usize,
     arrivals: u64,
     calls: Vec<Call>,
     limit: Option<f64>,
@@ -128,6 +136,8 @@
                 record,
                 fault: None,
                 runs: Vec::new(),
+                running: 0,
+                connections: 0,
                 arrivals: 0,
                 calls: Vec::new(),
                 limit: None,
@@ -159,7 +169,9 @@
         let accepting = tokio::spawn(async move {
             while let Some((stream, _)) = connections.recv().await {
                 let served = runner.clone();
+                let open = OpenConnection::new(&runner);
                 let serving = tokio::spawn(async move {
+                    let _open = open;
                     let service = service_fn(|request| served.clone().answer(request));
                     let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
                     // A caller may leave at any time.
@@ -231,6 +243,16 @@
         self.lock().lose_order_answers = count;
     }
 
+    /// Runs that have not ended.
+    pub fn running(&self) -> usize {
+        self.lock().running
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
     /// What it ran.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -362,140 +384,4 @@
             cache_used: 0,
         }
     }
-
-    async fn order(self, body: &[u8]) -> Result<Response<RunnerBody>, Broken> {
-        let order: Order = decode(body).expect("orders are well formed");
-        let code = self.take_order(&order);
-        if code == StatusCode::ACCEPTED {
-            tokio::spawn(self.clone().carry_out(order.action));
-        }
-        let lost = {
-            let mut state = self.lock();
-            let lost = state.lose_order_answers > 0;
-            state.lose_order_answers = state.lose_order_answers.saturating_sub(1);
-            lost
-        };
-        if lost {
-            std::future::pending::<()>().await;
-        }
-        Ok(status(code, Bytes::new()))
-    }
-
-    fn take_order(&self, order: &Order) -> StatusCode {
-        let mut state = self.lock();
-        state.orders.push(order.clone());
-        if order.fencing_token < state.fence {
-            return StatusCode::PRECONDITION_FAILED;
-        }
-        state.fence = order.fencing_token;
-        if state.busy || order.expected_sequence != state.sequence {
-            return StatusCode::CONFLICT;
-        }
-        state.sequence += 1;
-        match &order.action {
-            OrderAction::LoadModel { model } => {
-                state.busy = true;
-                let engine = self.engine.as_ref().expect("only engines take orders");
-                let weight =
-                    |name: &Arc<str>| engine.models.get(name).map_or(0.0, |spec| spec.weights_mb);
-                let held: f64 = state
-                    .record
-                    .models
-                    .iter()
-                    .map(|held| weight(&held.model))
-                    .sum();
-                if held + weight(model) > engine.memory_mb {
-                    state.overcommitted = true;
-                }
-            }
-            OrderAction::UnloadModel { .. } => state.busy = true,
-            OrderAction::LoadAdapter { model, adapter } => {
-                state.pending.push((model.clone(), adapter.clone()));
-            }
-            OrderAction::UnloadAdapter { model, adapter } => {
-                for held in state
-                    .record
-                    .models
-                    .iter_mut()
-                    .filter(|held| held.model == *model)
-                {
-                    held.adapters.retain(|name| name != adapter);
-                }
-            }
-        }
-        StatusCode::ACCEPTED
-    }
-
-    async fn carry_out(self, action: OrderAction) {
-        let load_time = self
-            .engine
-            .as_ref()
-            .and_then(|engine| engine.models.get(action.model()))
-            .map_or(Duration::ZERO, |spec| spec.remote_load);
-        match &action {
-            OrderAction::LoadModel { .. } => sleep(load_time).await,
-            OrderAction::LoadAdapter { .. } => sleep(ADAPTER_LOAD).await,
-            _ => {}
-        }
-        {
-            let mut state = self.lock();
-            match action {
-                OrderAction::LoadModel { model } => {
-                    state.busy = false;
-                    state.record.models.push(HeldModel {
-                        model,
-                        version: 1,
-                        adapters: Vec::new(),
-                    });
-                }
-                OrderAction::UnloadModel { model } => {
-                    state.busy = false;
-                    state.record.models.retain(|held| held.model != model);
-                }
-                OrderAction::LoadAdapter { model, adapter } => {
-                    state
-                        .pending
-                        .retain(|key| *key != (model.clone(), adapter.clone()));
-                    for held in state
-                        .record
-                        .models
-                        .iter_mut()
-                        .filter(|held| held.model == model)
-                    {
-                        held.adapters.push(adapter.clone());
-                    }
-                }
-                OrderAction::UnloadAdapter { .. } => {}
-            }
-        }
-        self.publish();
-    }
-}
-
-/// Notes a run, and whether it ended by itself.
-pub struct RunGuard {
-    runner: RunnerStandIn,
-    index: usize,
-}
-
-impl RunGuard {
-    fn begin(runner: &RunnerStandIn, request_id: &str, headers: &HeaderMap) -> Self {
-        let mut state = runner.lock();
-        state.runs.push(Run {
-            request_id: request_id.to_owned(),
-            headers: headers.clone(),
-            whole: false,
-        });
-        let index = state.runs.len() - 1;
-        drop(state);
-        Self {
-            runner: runner.clone(),
-            index,
-        }
-    }
-
-    /// The run ended by itself.
-    pub fn end(&self) {
-        self.runner.lock().runs[self.index].whole = true;
-    }
 }
--- a/crates/standin/src/runner_body.rs
+++ b/crates/standin/src/runner_body.rs
@@ -99,7 +99,11 @@
                 sender.closed().await;
                 return;
             }
-            let event = format!("id: {id}\ndata: token {id}\n\n");
+            let more = match fault {
+                Some(Fault::LongEvents(bytes)) => "x".repeat(bytes),
+                _ => String::new(),
+            };
+            let event = format!("id: {id}\ndata: token {id}{more}\n\n");
             if sender.send(Ok(event.into())).await.is_err() {
                 return;
             }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -11,7 +11,7 @@
     MachineLimits, ModelSpec, NodeSettings, QuotaBounds, RequestKind, Route, Runner, RunnerState,
     Service, Tenant, WeightCopies, incarnation,
 };
-use barleyspar_gateway::{Gateway, Placing, TaskGroup};
+use barleyspar_gateway::{ByteStream, Gateway, Placing, TaskGroup};
 use barleyspar_loading::Switches;
 use barleyspar_policy::Program;
 use bytes::Bytes;
@@ -237,6 +237,13 @@
         self.gateways[&number].gateway.clone()
     }
 
+    /// A caller's connection to gateway `number`.
+    pub async fn connect(&self, number: u8) -> Box<dyn ByteStream> {
+        let to = SocketAddr::new(Self::host(number), CALLER_PORT);
+        let connected = self.network.host(CLIENT).connect(to).await;
+        connected.expect("the gateway listens")
+    }
+
     /// Asks gateway `number`.
     pub async fn ask(&self, number: u8, path: &str, id: &str, model: Option<&str>) -> Answer {
         self.ask_within(number, path, id, model, USUAL_DEADLINE)
