Test: leave for a runner in need is kept for what only it can take

It now has leave from the start: without the order of preference its first request goes to the runner in need.

--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -117,9 +117,12 @@
 fn a_runner_in_need_serves_only_what_no_other_can() {
     let now = Instant::now();
     let mut dispatcher = in_need(&["a", "b"], now);
+    // Leave is there, and is kept for what only that runner can take.
+    dispatcher.take_leave("a", LeaveAnswer::Granted, now);
     for _ in 0..8 {
         assert_eq!(granted(&mut dispatcher, now).as_deref(), Some("b"));
     }
+    let now = now + SECOND;
     // The other one is full.
     assert_eq!(granted(&mut dispatcher, now), None);
     assert_eq!(asked(&mut dispatcher, now).len(), 1);
