Sight: which tries are one request, and which broke by their runner's crash

Cause: the logs could not tell whether one request or many took the runners, nor a crash from a connection that broke alone. Change: a fingerprint of host, path, caller and body; when a connection breaks under a request, one new connection tells whether the runner crashed; one line then says which request was there and how far it had come; a counter by progress and cause.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod access;
 mod bucket;
+mod fingerprint;
 mod home;
 mod ledger;
 mod messages;
 
 pub use access::{AccessBounds, Denial, Knowledge, authorize};
 pub use bucket::{QuotaLimit, TokenBucket, cost};
+pub use fingerprint::Fingerprint;
 pub use home::{QuotaHome, Share};
 pub use ledger::QuotaLedger;
 pub use messages::{QuotaAnswer, QuotaRequest, Subject};
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_callers::cost;
+use barleyspar_callers::{Fingerprint, cost};
 use barleyspar_catalog::{RequestFacts, RequestKind, Route, Tenant};
 use bytes::Bytes;
 use http::header::HOST;
@@ -55,14 +55,8 @@
             configured_after(context.started.elapsed()),
         ));
     };
-    let host = head
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
     let route = table
-        .find(host, head.uri.path())
+        .find(host(&head), head.uri.path())
         .cloned()
         .ok_or(OwnAnswer::rejected(StatusCode::NOT_FOUND, "no_route"))?;
     let configuration = table.configuration();
@@ -89,7 +83,7 @@
             charge,
         },
         facts.clone(),
-        outgoing(context, head, body, facts.request_id, memory),
+        outgoing(context, head, body, facts, memory),
         received,
         deadline,
     );
@@ -150,13 +144,24 @@
     by_client.min(route.timeout.unwrap_or(USUAL_DEADLINE))
 }
 
+/// The host that a request names.
+fn host(head: &request::Parts) -> &str {
+    head.headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default()
+}
+
 fn outgoing(
     context: &Context,
     head: request::Parts,
     body: Bytes,
-    request_id: Option<String>,
+    facts: RequestFacts,
     memory: OwnedSemaphorePermit,
 ) -> Outgoing {
+    let asked = head.uri.path_and_query().map_or("", |asked| asked.as_str());
+    let fingerprint = Fingerprint::of(host(&head), asked, facts.credential.as_ref(), &body);
     let target = head
         .uri
         .path_and_query()
@@ -167,7 +172,8 @@
         target,
         headers: trust::to_runner(|name| context.dialect.header_owner(name), &head.headers),
         body,
-        request_id,
+        request_id: facts.request_id,
+        fingerprint,
         _memory: memory,
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use barleyspar_callers::Fingerprint;
 use barleyspar_catalog::{AnswerFacts, Forward, Runner, RunnerLimit};
 use barleyspar_dispatch::{Failure, LimitWord, Outcome};
 use barleyspar_domain::Verdict;
@@ -28,6 +29,8 @@
     pub body: Bytes,
     /// Id of the client's attempt.
     pub request_id: Option<String>,
+    /// What it has in common with the caller's other tries.
+    pub fingerprint: Fingerprint,
     /// The memory set aside for the body.
     pub _memory: OwnedSemaphorePermit,
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
+use crate::crashes::CrashHandle;
 use crate::dispatch::DispatchHandle;
 use crate::inflight::InFlight;
 use crate::lifecycle::Lifecycle;
@@ -53,6 +54,8 @@
     pub quota: QuotaHandle,
     /// The dispatcher.
     pub dispatch: DispatchHandle,
+    /// What becomes known of requests whose connections to runners broke.
+    pub crashes: CrashHandle,
     /// Connections to runners.
     pub pool: Arc<Pool>,
     /// Whether the process is being stopped.
@@ -116,6 +119,18 @@
         Connection::open(&*self.network, runner.address, timeout, Some(slot)).await
     }
 
+    /// A new connection to `runner` within `timeout`, whatever rests.
+    pub async fn connect_anew(
+        &self,
+        runner: &Runner,
+        timeout: Duration,
+    ) -> Result<Connection, ConnectError> {
+        let share = self.connection_share(&runner.service);
+        let slot = self.pool.reserve(&runner.id, share);
+        let slot = slot.ok_or(ConnectError::NoShareLeft)?;
+        Connection::open(&*self.network, runner.address, timeout, Some(slot)).await
+    }
+
     /// Connections that this node may have to one runner of `service`.
     fn connection_share(&self, service: &str) -> u32 {
         /// The rest covers nodes that do not know of each other yet.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,12 +8,13 @@
 use barleyspar_catalog::{
     Forward, Homes, ModelReference, RequestFacts, RequestKind, Route, Runner, Tenant,
 };
-use barleyspar_dispatch::{AttemptKind, Query};
+use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query};
 use barleyspar_domain::Verdict;
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptError, Outgoing};
 use crate::context::Context;
+use crate::crashes::{Broken, Progress};
 use crate::inflight::InFlightGuard;
 use crate::journal;
 use crate::quota::Charge;
@@ -284,19 +285,41 @@
     /// Takes in an attempt that failed: the next one's kind, if there is one.
     pub fn after_failure(
         &mut self,
-        runner: &Arc<str>,
+        runner: &Arc<Runner>,
         error: &AttemptError,
     ) -> Option<AttemptKind> {
-        journal::attempt_failed(self.id(), runner, error);
-        self.excluded.push(runner.clone());
+        journal::attempt_failed(self.id(), &runner.id, error);
+        self.excluded.push(runner.id.clone());
         if !error.sent {
             self.unsent += 1;
             return (self.unsent <= MOST_UNSENT).then_some(AttemptKind::Unsent);
         }
-        self.ran_at(runner, error.verdict);
+        if error.outcome == Outcome::Failed(Failure::Broken) {
+            self.connection_broke(runner, self.progress_without_head());
+        }
+        self.ran_at(&runner.id, error.verdict);
         self.may_run_again().then_some(AttemptKind::Retry)
     }
 
+    /// How far the request has come at a runner that sent no head of an answer: a
+    /// stream's head comes when its runner begins to run it, others' with the answer.
+    fn progress_without_head(&self) -> Progress {
+        match self.route.kind {
+            RequestKind::Streaming => Progress::Queued,
+            RequestKind::Idempotent | RequestKind::NonIdempotent => Progress::Started,
+        }
+    }
+
+    /// The connection to `runner` broke, when the request had come so far there.
+    pub fn connection_broke(&self, runner: &Arc<Runner>, progress: Progress) {
+        let broken = Broken {
+            request: self.id().into(),
+            fingerprint: self.outgoing.fingerprint,
+            progress,
+        };
+        self.context.crashes.broke(runner.clone(), broken);
+    }
+
     /// Takes in that the request may have run at `runner`.
     pub fn ran_at(&mut self, runner: &Arc<str>, verdict: Verdict) {
         self.verdict = self.verdict.and(verdict);
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::AttemptError;
 use crate::context::Context;
+use crate::crashes::Broken;
 use crate::dispatch::Permit;
 
 /// Reason of an end with the runner's whole answer.
@@ -133,6 +134,17 @@
     tracing::warn!(event = "runner_failed", request, runner, status);
 }
 
+/// A runner crashed while a request was there.
+pub fn runner_crashed(runner: &str, broken: &Broken) {
+    tracing::warn!(
+        event = "runner_crashed",
+        request = &*broken.request,
+        fingerprint = %broken.fingerprint,
+        runner,
+        progress = broken.progress.name()
+    );
+}
+
 /// The limit that a runner is known to name has changed; `source` is who said so.
 pub fn runner_limit(change: &LimitChange, source: &'static str) {
     let per_second = |limit: Option<RunnerLimit>| limit.map(RunnerLimit::per_second);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod body;
 mod context;
+mod crashes;
 mod discovery;
 mod dispatch;
 mod events;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,13 @@
     outcome: &'static str,
 }
 
+/// Labels of a connection to a runner that broke under a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BrokenLabels {
+    progress: &'static str,
+    cause: &'static str,
+}
+
 /// The figures.
 #[derive(Debug)]
 pub struct Metrics {
@@ -54,6 +61,7 @@
     request_seconds: Family<KindLabels, Histogram>,
     attempts: Family<CallLabels, Counter>,
     limited_answers: Family<CallLabels, Counter>,
+    broken: Family<BrokenLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
     store_seconds: Histogram,
     orders: Family<CallLabels, Counter>,
@@ -77,6 +85,7 @@
             request_seconds: Family::new_with_constructor(times),
             attempts: Family::default(),
             limited_answers: Family::default(),
+            broken: Family::default(),
             store_calls: Family::default(),
             store_seconds: times(),
             orders: Family::default(),
@@ -116,6 +125,11 @@
             "Answers that named the runner's limit, or were expected to",
             self.limited_answers.clone(),
         );
+        registry.register(
+            "broken_attempts",
+            "Attempts whose connection broke, by the runner's crash or without one",
+            self.broken.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -195,6 +209,12 @@
         self.limited_answers.get_or_create(&labels).inc();
     }
 
+    /// A connection to a runner broke under a request that had come so far.
+    pub fn attempt_broke(&self, progress: &'static str, cause: &'static str) {
+        let labels = BrokenLabels { progress, cause };
+        self.broken.get_or_create(&labels).inc();
+    }
+
     /// A call to the store ended.
     pub fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
         let labels = CallLabels { call, outcome };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
 use crate::arrivals::Arrivals;
 use crate::body::AnswerBody;
 use crate::context::{Context, body_memory};
+use crate::crashes::CrashTask;
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
 use crate::feed::{FeedState, FeedTask};
@@ -28,7 +29,7 @@
 use crate::placement::{self, LeaseKeeper, PlacementTask};
 use crate::quota::QuotaTask;
 use crate::store::Store;
-use crate::{dispatch, feed, leaves, peers, quota, readiness, register, request};
+use crate::{crashes, dispatch, feed, leaves, peers, quota, readiness, register, request};
 
 /// Changes of the store that may wait to be taken in.
 const CHANGES: usize = 64;
@@ -177,6 +178,7 @@
     let (routes_sender, routes) = watch::channel(None);
     let (confirmed_sender, confirmed) = watch::channel(None);
     let (quota, quota_inbox) = quota::channel();
+    let (crashes, crash_inbox) = crashes::channel();
     let (leaves, leaves_wanted) = mpsc::unbounded_channel();
     let now = Instant::now().into_std();
     let dispatcher = Dispatcher::new(
@@ -199,6 +201,7 @@
         quota,
         access: AccessBounds::new(&settings.bounds),
         dispatch: dispatch::start(dispatcher, urgent.clone(), leaves),
+        crashes,
         pool: Arc::default(),
         lifecycle,
         requests: Arc::default(),
@@ -293,6 +296,7 @@
     crate::tasks::spawn(peer_task.run());
     crate::tasks::spawn(placement_task.run());
     crate::tasks::spawn(quota_task.run());
+    crate::tasks::spawn(CrashTask::new(context.clone(), crash_inbox).run());
     crate::tasks::spawn(leaves::ask(context.clone(), leaves_wanted));
     crate::tasks::spawn(lease_keeper.run());
     crate::tasks::spawn(sweep(context.clone()));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, cut_off};
+use crate::crashes::Progress;
 use crate::exchange::Exchange;
 use crate::journal;
 use crate::trust;
@@ -34,7 +35,11 @@
         let frame = match timeout_at(exchange.deadline, answered.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => break,
-            Ok(Some(Err(_))) | Err(_) => {
+            broken @ (Ok(Some(Err(_))) | Err(_)) => {
+                if broken.is_ok() {
+                    let runner = answered.permit.runner();
+                    exchange.connection_broke(runner, Progress::Answering);
+                }
                 tracing::info!(
                     event = "answer_broken",
                     request = exchange.id(),
@@ -116,7 +121,11 @@
             next = match timeout_at(exchange.deadline, answered.body.frame()).await {
                 Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
                 Ok(None) => None,
-                Ok(Some(Err(_))) | Err(_) => {
+                broken @ (Ok(Some(Err(_))) | Err(_)) => {
+                    if broken.is_ok() {
+                        let runner = answered.permit.runner();
+                        exchange.connection_broke(runner, Progress::Answering);
+                    }
                     exchange.end(status, "answer_broken");
                     return cut_off(sender);
                 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -154,7 +154,7 @@
     let context = exchange.context.clone();
     match attempt(&context, permit, &exchange.outgoing, forward, patience).await {
         Ok(answered) => after_head(exchange, &runner.id, answered).await,
-        Err(error) => match exchange.after_failure(&runner.id, &error) {
+        Err(error) => match exchange.after_failure(&runner, &error) {
             Some(kind) => Err(Next::Again(kind)),
             None => Err(Next::Answer(give_up(exchange))),
         },
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::{Answered, attempt, misdirected};
 use crate::body::{AnswerBody, Pieces, cut_off};
+use crate::crashes::Progress;
 use crate::dispatch::Permit;
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::Exchange;
@@ -52,6 +53,7 @@
     pieces: Pieces,
     last_id: Option<String>,
     events: u64,
+    events_before_run: u64,
 }
 
 impl StreamRelay {
@@ -62,6 +64,7 @@
             pieces,
             last_id: None,
             events: 0,
+            events_before_run: 0,
         }
     }
 
@@ -86,6 +89,8 @@
                 RunEnd::ClientLeft => return self.exchange.end(0, "client_left"),
                 RunEnd::Deadline => return self.cut("deadline"),
                 RunEnd::Broken(cause) => {
+                    let runner = answered.permit.runner();
+                    self.exchange.connection_broke(runner, self.progress());
                     answered.permit.finish(Outcome::Failed(Failure::Broken));
                     drop(answered.connection);
                     self.resume(None, &cause).await
@@ -109,8 +114,18 @@
         cut_off(self.pieces);
     }
 
+    /// How far the present run has come.
+    fn progress(&self) -> Progress {
+        if self.events == self.events_before_run {
+            Progress::Started
+        } else {
+            Progress::Answering
+        }
+    }
+
     /// Relays one run.
     async fn relay(&mut self, answered: &mut Answered) -> RunEnd {
+        self.events_before_run = self.events;
         let mut splitter = EventSplitter::default();
         let mut heard = Instant::now();
         loop {
@@ -255,7 +270,7 @@
                 Ok(answered) => {
                     kind = self.after_bad_head(&runner.id, answered)?;
                 }
-                Err(error) => kind = self.exchange.after_failure(&runner.id, &error)?,
+                Err(error) => kind = self.exchange.after_failure(&runner, &error)?,
             }
         }
     }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -33,6 +33,17 @@
     open: Arc<AtomicU32>,
 }
 
+impl Entry {
+    /// Leave to open one more connection, if fewer than `share` are open.
+    fn reserve(&self, share: u32) -> Option<OpenSlot> {
+        if self.open.load(Ordering::Relaxed) >= share {
+            return None;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Some(OpenSlot(self.open.clone()))
+    }
+}
+
 /// Connections by runner. The lock is never held across an await.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -53,14 +64,15 @@
             if let Some(index) = entry.idle.iter().rposition(Connection::is_ready) {
                 return Checkout::Idle(Box::new(entry.idle.remove(index)));
             }
-            if entry.open.load(Ordering::Relaxed) >= share {
-                return Checkout::Full;
-            }
-            entry.open.fetch_add(1, Ordering::Relaxed);
-            Checkout::Open(OpenSlot(entry.open.clone()))
+            entry.reserve(share).map_or(Checkout::Full, Checkout::Open)
         })
     }
 
+    /// Leave to open a connection to `runner`, of which `share` may be open.
+    pub fn reserve(&self, runner: &Arc<str>, share: u32) -> Option<OpenSlot> {
+        self.with(|entries| entries.entry(runner.clone()).or_default().reserve(share))
+    }
+
     /// Puts back a connection after a whole answer.
     pub fn put_back(
         &self,
