Failing tests: a request that crashes its runners is sent to more and more of them

Symptom: a request that three runners crashed under was sent to runners four and five times more, three being allowed; ten crashed in all. Brought about in virtual time, six gateways, eight runners that crash when they begin to run one body and are back after three seconds: the caller comes again every 0.3 s at another gateway.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -67,6 +67,8 @@
     pub extra: &'a [(&'a str, &'a str)],
     /// The model asked for.
     pub model: Option<&'a str>,
+    /// The body; the attempt's id for `None`.
+    pub body: Option<&'a str>,
     /// How long the caller waits.
     pub deadline: Duration,
 }
@@ -81,6 +83,7 @@
             id,
             extra: &[],
             model: None,
+            body: None,
             deadline: USUAL_DEADLINE,
         }
     }
@@ -110,7 +113,9 @@
         request = request.header(*name, *value);
     }
     let request = request
-        .body(Full::new(Bytes::from(asked.id.to_owned())))
+        .body(Full::new(Bytes::from(
+            asked.body.unwrap_or(asked.id).to_owned(),
+        )))
         .expect("the request is well formed");
     let answer = match sender.send_request(request).await {
         Ok(response) => read(response).await,
--- a/crates/standin/src/runner/guards.rs
+++ b/crates/standin/src/runner/guards.rs
@@ -1,6 +1,8 @@
 //! Runs and connections that last, counted until they end.
 
+use bytes::Bytes;
 use http::HeaderMap;
+use tokio::time::Instant;
 
 use crate::runner::{Run, RunnerStandIn};
 
@@ -11,12 +13,19 @@
 }
 
 impl RunGuard {
-    pub(super) fn begin(runner: &RunnerStandIn, request_id: &str, headers: &HeaderMap) -> Self {
+    pub(super) fn begin(
+        runner: &RunnerStandIn,
+        request_id: &str,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Self {
         let mut state = runner.lock();
         state.running += 1;
         state.runs.push(Run {
             request_id: request_id.to_owned(),
             headers: headers.clone(),
+            body: body.clone(),
+            begun: Instant::now(),
             whole: false,
         });
         let index = state.runs.len() - 1;
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -30,6 +30,10 @@
 
 use guards::OpenConnection;
 
+/// Time for which a runner runs a request that crashes it.
+const CRASH_AFTER: Duration = Duration::from_millis(40);
+/// Time from such a crash to the runner's next life.
+const BACK_AFTER: Duration = Duration::from_secs(3);
 /// Time that a plain request takes.
 const PLAIN_WORK: Duration = Duration::from_millis(30);
 
@@ -65,6 +69,10 @@
     pub request_id: String,
     /// Headers that came with it.
     pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// When it began.
+    pub begun: Instant,
     /// Whether it ended by itself, and was not cancelled.
     pub whole: bool,
 }
@@ -81,6 +89,8 @@
 struct State {
     record: Runner,
     fault: Option<Fault>,
+    deadly: Option<(MemoryNetwork, &'static str)>,
+    crashes: Vec<Instant>,
     runs: Vec<Run>,
     running: usize,
     connections: usize,
@@ -135,6 +145,8 @@
             state: Arc::new(Mutex::new(State {
                 record,
                 fault: None,
+                deadly: None,
+                crashes: Vec::new(),
                 runs: Vec::new(),
                 running: 0,
                 connections: 0,
@@ -238,6 +250,48 @@
         self.lock().fault = fault;
     }
 
+    /// It crashes when it begins to run a request with this body, and is back after a
+    /// while with the models that it held.
+    pub fn crash_on(&self, network: &MemoryNetwork, body: &'static str) {
+        self.lock().deadly = Some((network.clone(), body));
+    }
+
+    /// When requests crashed it.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.lock().crashes.clone()
+    }
+
+    fn is_deadly(&self, body: &Bytes) -> bool {
+        let state = self.lock();
+        let deadly = state.deadly.as_ref();
+        deadly.is_some_and(|(_, deadly)| **body == *deadly.as_bytes())
+    }
+
+    /// Crashes a little later, if `body` is the one that does it.
+    fn crash_soon(&self, body: &Bytes) {
+        if !self.is_deadly(body) {
+            return;
+        }
+        let Some((network, _)) = self.lock().deadly.clone() else {
+            return;
+        };
+        let runner = self.clone();
+        tokio::spawn(async move {
+            sleep(CRASH_AFTER).await;
+            let models: Vec<Arc<str>> = {
+                let mut state = runner.lock();
+                state.crashes.push(Instant::now());
+                let models = state.record.models.iter();
+                models.map(|held| held.model.clone()).collect()
+            };
+            runner.crash(&network);
+            sleep(BACK_AFTER).await;
+            let models: Vec<&str> = models.iter().map(|model| &**model).collect();
+            runner.start_again(&network, &models);
+            runner.publish();
+        });
+    }
+
     /// Answers to the next `count` orders are lost; they are carried out.
     pub fn lose_order_answers(&self, count: u32) {
         self.lock().lose_order_answers = count;
@@ -347,7 +401,8 @@
         if self.engine.is_some() && lacks_model {
             return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &request_id));
         }
-        let run = RunGuard::begin(&self, &request_id, headers);
+        let run = RunGuard::begin(&self, &request_id, headers, &body);
+        self.crash_soon(&body);
         match fault {
             Some(Fault::ResetAfterRun) => {
                 sleep(PLAIN_WORK).await;
@@ -364,6 +419,9 @@
             return Ok(stream(run, &request_id, after, fault));
         }
         sleep(PLAIN_WORK).await;
+        if self.is_deadly(&body) {
+            std::future::pending::<()>().await;
+        }
         run.end();
         let mut response = status(StatusCode::OK, body);
         sign(&mut response, &request_id);
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -268,6 +268,24 @@
         ask(&self.network, asked).await
     }
 
+    /// Asks gateway `number` with this body, as in each try of the same request.
+    pub async fn ask_body(
+        &self,
+        number: u8,
+        path: &str,
+        id: &str,
+        model: Option<&str>,
+        body: &str,
+    ) -> Answer {
+        let to = SocketAddr::new(Self::host(number), CALLER_PORT);
+        let asked = Asked {
+            model,
+            body: Some(body),
+            ..Asked::plain(CLIENT, to, path, id)
+        };
+        ask(&self.network, asked).await
+    }
+
     /// Asks gateway `number` with headers of the caller's own.
     pub async fn ask_with(
         &self,
