A request that lost its runner is sent on once its crash has been counted

What callers saw: with many tries at once a deadly request took a third runner. Cause: a try went to its next runner within 3 ms of the crash, before the owner's answer. Change: a try that goes on waits for that answer, 0.1 s at most; it takes a connection and an exchange of datagrams. Measured: virtual time, one try that may go to five runners: 3 crashed before, 2 now. Conclusion: two crashes, whatever the number of attempts that a route allows.

--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -13,7 +13,7 @@
 
 use barleyspar_callers::{Fingerprint, Progress, Quarantine, QuarantineNews};
 use barleyspar_catalog::Runner;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::quota::QuotaDecision;
@@ -21,7 +21,7 @@
 pub use task::CrashTask;
 
 /// A request whose connection to its runner broke.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Broken {
     /// Id of the caller's attempt.
     pub request: Arc<str>,
@@ -29,12 +29,34 @@
     pub fingerprint: Fingerprint,
     /// How far it had come.
     pub progress: Progress,
+    /// Told when it is known what that means for the request.
+    settled: Settling,
+}
+
+/// Dropped when it is known whether a request that lost its runner may be sent on.
+type Settling = oneshot::Sender<()>;
+/// Ends when that is known.
+pub type Settled = oneshot::Receiver<()>;
+
+impl Broken {
+    /// A request that lost its runner, and a way to wait until it is known whether it may
+    /// be sent on.
+    pub fn new(request: Arc<str>, fingerprint: Fingerprint, progress: Progress) -> (Self, Settled) {
+        let (settled, known) = oneshot::channel();
+        let broken = Self {
+            request,
+            fingerprint,
+            progress,
+            settled,
+        };
+        (broken, known)
+    }
 }
 
 enum Command {
     Broke(Arc<Runner>, Broken),
     Probed(Arc<Runner>, bool),
-    Counted(Fingerprint, QuotaDecision),
+    Counted(Broken, QuotaDecision),
     Served(Fingerprint),
     Hear(Vec<QuarantineNews>),
 }
--- a/crates/gateway/src/crashes/task.rs
+++ b/crates/gateway/src/crashes/task.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use barleyspar_callers::{Fingerprint, Quarantine, QuarantineNews, RecentlyServed};
 use barleyspar_catalog::Runner;
@@ -42,7 +43,7 @@
             match command {
                 Command::Broke(runner, broken) => self.broke(runner, broken),
                 Command::Probed(runner, crashed) => self.probed(&runner, crashed),
-                Command::Counted(request, decision) => self.counted(request, decision),
+                Command::Counted(broken, decision) => self.counted(broken, decision),
                 Command::Served(request) => self.served.add(request, now()),
                 Command::Hear(news) => self.hear(&news),
             }
@@ -79,10 +80,15 @@
         }
     }
 
-    fn counted(&mut self, request: Fingerprint, decision: QuotaDecision) {
-        let QuotaDecision::Denied(left) = decision else {
-            return;
-        };
+    /// A crash has been counted against a request, which may then be sent on or not.
+    fn counted(&mut self, broken: Broken, decision: QuotaDecision) {
+        if let QuotaDecision::Denied(left) = decision {
+            self.quarantine(broken.fingerprint, left);
+        }
+        drop(broken.settled);
+    }
+
+    fn quarantine(&mut self, request: Fingerprint, left: Duration) {
         let now = now();
         let mut changed = Quarantine::clone(&self.quarantine.borrow());
         if let Some(until) = now.checked_add(left)
@@ -134,7 +140,7 @@
 async fn count(context: Context, broken: Broken, runner: Arc<str>) {
     let (request, weight) = (broken.fingerprint, broken.progress.weight());
     let decision = context.quota.admit_crash(request, weight, runner).await;
-    context.crashes.send(Command::Counted(request, decision));
+    context.crashes.send(Command::Counted(broken, decision));
 }
 
 fn now() -> std::time::Instant {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,11 +10,11 @@
 };
 use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query};
 use barleyspar_domain::Verdict;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::attempt::{AttemptError, Outgoing};
 use crate::context::Context;
-use crate::crashes::Broken;
+use crate::crashes::{Broken, Settled};
 use crate::inflight::InFlightGuard;
 use crate::journal;
 use crate::quota::Charge;
@@ -25,6 +25,9 @@
 const MOST_UNSENT: u32 = 4;
 /// Part of the route's time-out that a client has left at its first try.
 const FIRST_TRY_PART: f64 = 0.95;
+/// Longest wait for what a lost runner says of the request: it takes a connection and an
+/// exchange of datagrams, where all answer.
+const LONGEST_SETTLING: Duration = Duration::from_millis(100);
 /// Shortest time after which a silent runner is left for another one.
 const SHORTEST_STALL: Duration = Duration::from_millis(300);
 /// Shortest time after which a silent stream is left, before its first event.
@@ -82,6 +85,7 @@
     runs: u32,
     rejections: u32,
     unsent: u32,
+    unsettled: Option<Settled>,
     ended: bool,
     _in_flight: InFlightGuard,
 }
@@ -130,6 +134,7 @@
             runs: 0,
             rejections: 0,
             unsent: 0,
+            unsettled: None,
             ended: false,
             _in_flight: in_flight,
         }
@@ -329,15 +334,22 @@
     }
 
     /// The connection to `runner` broke, when the request had come so far there.
-    pub fn connection_broke(&self, runner: &Arc<Runner>, progress: Progress) {
-        let broken = Broken {
-            request: self.id().into(),
-            fingerprint: self.outgoing.fingerprint,
-            progress,
-        };
+    pub fn connection_broke(&mut self, runner: &Arc<Runner>, progress: Progress) {
+        let fingerprint = self.outgoing.fingerprint;
+        let (broken, settled) = Broken::new(self.id().into(), fingerprint, progress);
+        self.unsettled = Some(settled);
         self.context.crashes.broke(runner.clone(), broken);
     }
 
+    /// Waits, not for long, until it is known whether the runner that it lost last crashed
+    /// by it: sent on at once, it would take one more.
+    pub async fn settle(&mut self) {
+        if let Some(settled) = self.unsettled.take() {
+            // The answer, if there is one, is that it is or is not in quarantine.
+            let _ = timeout(LONGEST_SETTLING, settled).await;
+        }
+    }
+
     /// Takes in that the request may have run at `runner`.
     pub fn ran_at(&mut self, runner: &Arc<str>, verdict: Verdict) {
         self.verdict = self.verdict.and(verdict);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -118,6 +118,7 @@
     fallback: Option<Response<AnswerBody>>,
 ) -> Result<Answered, Next> {
     let may_wait = fallback.is_none();
+    exchange.settle().await;
     let asked = Instant::now();
     let query = exchange.query(kind, may_wait);
     let lifecycle = exchange.context.lifecycle.clone();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -89,8 +89,9 @@
                 RunEnd::ClientLeft => return self.exchange.end(0, "client_left"),
                 RunEnd::Deadline => return self.cut("deadline"),
                 RunEnd::Broken(cause) => {
+                    let progress = self.progress();
                     let runner = answered.permit.runner();
-                    self.exchange.connection_broke(runner, self.progress());
+                    self.exchange.connection_broke(runner, progress);
                     answered.permit.finish(Outcome::Failed(Failure::Broken));
                     drop(answered.connection);
                     self.resume(None, &cause).await
@@ -241,6 +242,7 @@
         let mut permit = permit;
         let mut kind = AttemptKind::Retry;
         loop {
+            self.exchange.settle().await;
             let chosen = match permit.take() {
                 Some(permit) => permit,
                 None => self.next_permit(kind).await?,
--- a/crates/standin/tests/crashing_request.rs
+++ b/crates/standin/tests/crashing_request.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use barleyspar_catalog::RequestKind;
+use barleyspar_catalog::{RequestKind, Route};
 use barleyspar_standin::{Answer, World, engine_service, plain_service, route};
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
@@ -40,15 +40,25 @@
 
 /// Runners of both kinds that a request can crash, and six gateways.
 async fn world() -> World {
+    world_with(2).await
+}
+
+/// The same, where a try may go to so many runners.
+async fn world_with(maximum_attempts: u32) -> World {
+    let routes = [
+        route("/plain/", "plain", RequestKind::Idempotent),
+        route("/stream/", "engine", RequestKind::Streaming),
+    ];
+    let routes = routes.map(|route| Route {
+        maximum_attempts,
+        ..route
+    });
     let mut world = World::new(
         vec![
             plain_service("plain"),
             engine_service("engine", &["a", "b"]),
         ],
-        vec![
-            route("/plain/", "plain", RequestKind::Idempotent),
-            route("/stream/", "engine", RequestKind::Streaming),
-        ],
+        routes.into(),
     );
     for number in 1..=RUNNERS {
         world.start_runner(&format!("plain-{number}"), "plain", &[]);
@@ -132,6 +142,18 @@
     assert!(sent <= MOST_SENT, "sent {sent} times more");
 }
 
+/// A try goes to the next runner at once, sooner than the crash of the one before has been
+/// counted, and took one more.
+#[tokio::test(start_paused = true)]
+async fn one_try_crashes_no_third_runner() {
+    for (path, model) in [STREAM, PLAIN] {
+        let world = world_with(5).await;
+        world.ask_body(1, path, "once", model, DEADLY).await;
+        world.pass(SECOND).await;
+        assert_eq!(crashes(&world).len(), 2, "{path}");
+    }
+}
+
 /// What crashes with it waits and is sent on beside it, and is served in the end; so is
 /// what has nothing but the route in common with it.
 #[tokio::test(start_paused = true)]
