--- a/crates/barleyspar/src/trace.rs
+++ b/crates/barleyspar/src/trace.rs
@@ -2,7 +2,8 @@
 //!
 //! Prints every decision that names the request, and beside them the changes
 //! of belief that a decision rests on: the configuration put in force, entries
-//! and reports of the runners that the request went to, who led the placement.
+//! and reports of the runners that the request went to, who led the placement,
+//! and the crashes that other tries of the same request were at.
 
 use std::collections::BTreeSet;
 use std::fs::File;
@@ -15,15 +16,18 @@
 use crate::errors::CommandError;
 
 /// Beliefs about a runner.
-const RUNNER_BELIEFS: [&str; 7] = [
+const RUNNER_BELIEFS: [&str; 8] = [
     "runner_entry",
     "runner_gone",
+    "runner_limit",
     "report",
     "report_failed",
     "order",
     "order_answered",
     "order_unanswered",
 ];
+/// What is known of the caller's request over all its tries, also before this one.
+const REQUEST_BELIEFS: [&str; 2] = ["runner_crashed", "quarantined"];
 /// Beliefs about everything.
 const COMMON_BELIEFS: [&str; 8] = [
     "configuration_in_force",
@@ -116,27 +120,30 @@
         return Vec::new();
     };
     let last = lines.iter().rposition(own).unwrap_or(first);
-    let runners: BTreeSet<String> = lines
-        .iter()
-        .filter(|line| own(line))
-        .map(|line| line.text("runner").to_owned())
-        .filter(|runner| !runner.is_empty())
-        .collect();
-    let nodes: BTreeSet<String> = lines
-        .iter()
-        .filter(|line| own(line))
-        .map(|line| line.text("node").to_owned())
-        .collect();
+    let named = |field: &str| -> BTreeSet<String> {
+        let own_lines = lines.iter().filter(|line| own(line));
+        let named = own_lines.map(|line| line.text(field).to_owned());
+        named.filter(|name| !name.is_empty()).collect()
+    };
+    let (runners, nodes) = (named("runner"), named("node"));
+    let fingerprints = named("fingerprint");
     lines
         .into_iter()
         .enumerate()
         .filter(|(index, line)| {
-            own(line) || ((first..=last).contains(index) && is_belief(line, &runners, &nodes))
+            let meanwhile = (first..=last).contains(index);
+            own(line)
+                || is_of_request(line, &fingerprints)
+                || (meanwhile && is_belief(line, &runners, &nodes))
         })
         .map(|(_, line)| line)
         .collect()
 }
 
+fn is_of_request(line: &Line, fingerprints: &BTreeSet<String>) -> bool {
+    REQUEST_BELIEFS.contains(&line.text("event")) && fingerprints.contains(line.text("fingerprint"))
+}
+
 fn is_belief(line: &Line, runners: &BTreeSet<String>, nodes: &BTreeSet<String>) -> bool {
     let event = line.text("event");
     let about_runner = RUNNER_BELIEFS.contains(&event) && runners.contains(line.text("runner"));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,18 +28,36 @@
     Broken,
 }
 
+/// What comes next of an answer's body.
+enum Piece {
+    /// Some of it.
+    Data(Bytes),
+    /// Its end.
+    End,
+    /// The connection broke, or the request's time is up.
+    Broken,
+}
+
+async fn next_piece(exchange: &mut Exchange, answered: &mut Answered) -> Piece {
+    match timeout_at(exchange.deadline, answered.body.frame()).await {
+        Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
+        Ok(None) => Piece::End,
+        Ok(Some(Err(_))) => {
+            exchange.connection_broke(answered.permit.runner(), Progress::Answering);
+            Piece::Broken
+        }
+        Err(_) => Piece::Broken,
+    }
+}
+
 /// Collects an answer and passes it on whole.
 pub async fn whole(exchange: &mut Exchange, mut answered: Answered) -> Relayed {
     let mut collected = BytesMut::new();
     loop {
-        let frame = match timeout_at(exchange.deadline, answered.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => break,
-            broken @ (Ok(Some(Err(_))) | Err(_)) => {
-                if broken.is_ok() {
-                    let runner = answered.permit.runner();
-                    exchange.connection_broke(runner, Progress::Answering);
-                }
+        match next_piece(exchange, &mut answered).await {
+            Piece::Data(data) => collected.extend_from_slice(&data),
+            Piece::End => break,
+            Piece::Broken => {
                 tracing::info!(
                     event = "answer_broken",
                     request = exchange.id(),
@@ -48,9 +66,6 @@
                 answered.permit.finish(Outcome::Failed(Failure::Broken));
                 return Relayed::Broken;
             }
-        };
-        if let Ok(data) = frame.into_data() {
-            collected.extend_from_slice(&data);
         }
         if collected.len() > WHOLE_ANSWER_BYTES {
             return Relayed::Pieces(collected.freeze(), Box::new(answered));
@@ -118,14 +133,10 @@
                     return cut_off(sender);
                 }
             }
-            next = match timeout_at(exchange.deadline, answered.body.frame()).await {
-                Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
-                Ok(None) => None,
-                broken @ (Ok(Some(Err(_))) | Err(_)) => {
-                    if broken.is_ok() {
-                        let runner = answered.permit.runner();
-                        exchange.connection_broke(runner, Progress::Answering);
-                    }
+            next = match next_piece(&mut exchange, &mut answered).await {
+                Piece::Data(data) => Some(data),
+                Piece::End => None,
+                Piece::Broken => {
                     exchange.end(status, "answer_broken");
                     return cut_off(sender);
                 }
