Sight: what runners say of themselves in their answers

A runner's answer may say that it leaves, or that it wants nothing of this node for a time. Both are read now, with its limit, into one value, heard in one place for requests, orders and reports; `runner_leaves` and `runner_pauses` lines and a counter by call tell of them. Nothing is decided by it yet. A check of who answers stood in two places, now in one.

--- a/crates/barleyspar/src/trace.rs
+++ b/crates/barleyspar/src/trace.rs
@@ -16,10 +16,12 @@
 use crate::errors::CommandError;
 
 /// Beliefs about a runner.
-const RUNNER_BELIEFS: [&str; 8] = [
+const RUNNER_BELIEFS: [&str; 10] = [
     "runner_entry",
     "runner_gone",
     "runner_limit",
+    "runner_leaves",
+    "runner_pauses",
     "report",
     "report_failed",
     "order",
--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -1,6 +1,6 @@
 //! What a runner's answer says about itself.
 
-use crate::RunnerLimit;
+use crate::RunnerNotice;
 
 /// Facts read from the head of a runner's answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -20,6 +20,6 @@
     pub event_stream: bool,
     /// Whether the body is encoded, which a runner's body never is.
     pub encoded: bool,
-    /// The limit that the runner names.
-    pub limit: Option<RunnerLimit>,
+    /// What the runner says of itself.
+    pub notice: RunnerNotice,
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod homes;
 mod limit;
+mod notice;
 mod order;
 mod request;
 mod routes;
@@ -25,6 +26,7 @@
 pub use dialect::{Dialect, DialectError, HeaderOwner, StoredObject};
 pub use homes::Homes;
 pub use limit::RunnerLimit;
+pub use notice::RunnerNotice;
 pub use order::{Order, OrderAction, OrderAnswer, Report};
 pub use request::{Forward, ModelReference, RequestFacts};
 pub use routes::RouteTable;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use barleyspar_callers::Fingerprint;
-use barleyspar_catalog::{AnswerFacts, Forward, Runner, RunnerLimit};
-use barleyspar_dispatch::{AdvertisedLimit, Failure, Outcome};
+use barleyspar_catalog::{AnswerFacts, Forward, Runner};
+use barleyspar_dispatch::{Failure, Outcome};
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -14,6 +14,7 @@
 
 use crate::context::{CONNECT_TIMEOUT, Context};
 use crate::dispatch::Permit;
+use crate::notices::{self, Heard};
 use crate::upstream::{ConnectError, Connection};
 
 /// A request as it is sent to runners.
@@ -161,39 +162,14 @@
     let (head, body) = response.into_parts();
     let facts = context.dialect.read_answer(&head);
     check_head(&head, &facts, outgoing)?;
-    if answers_itself(permit.runner(), head.status, &facts) {
-        hear_limit(context, permit, facts.limit, sent_at);
-    }
-    Ok((connection, head, facts, body, waited))
-}
-
-/// Whether the answer comes from the runner that was asked: a misdirected request may be
-/// answered by another one, at an address that has changed hands.
-pub fn answers_itself(asked: &Runner, status: StatusCode, facts: &AnswerFacts) -> bool {
-    match &facts.runner {
-        Some(answering) => **answering == *asked.name,
-        None => status != StatusCode::MISDIRECTED_REQUEST,
-    }
-}
-
-/// Takes in what an answer says of its runner's limit. One without a limit speaks for
-/// the moment at which the request was sent: an answer that names one may have
-/// overtaken it.
-fn hear_limit(context: &Context, permit: &Permit, limit: Option<RunnerLimit>, sent_at: Instant) {
-    if limit.is_none() && !permit.is_limited() {
-        return;
-    }
-    context.metrics.limited_answer("request", limit.is_some());
-    let at = if limit.is_some() {
-        Instant::now()
-    } else {
-        sent_at
+    let heard = Heard {
+        asked: permit.runner(),
+        call: "request",
+        sent_at,
+        always_limited: permit.is_limited(),
     };
-    let at = at.into_std();
-    let runner = permit.runner().id.clone();
-    context
-        .dispatch
-        .hear_limit(runner, AdvertisedLimit { limit, at });
+    notices::hear(context, &heard, head.status, &facts);
+    Ok((connection, head, facts, body, waited))
 }
 
 /// Refuses a head that cannot be the answer to this request.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -179,6 +179,17 @@
     );
 }
 
+/// A runner said in its answer to a `call` that it leaves.
+pub fn runner_leaves(runner: &str, call: &'static str) {
+    tracing::warn!(event = "runner_leaves", runner, call);
+}
+
+/// A runner said in its answer to a `call` that it wants nothing of this node for a time.
+pub fn runner_pauses(runner: &str, call: &'static str, pause: Duration) {
+    let pause_ms = milliseconds(pause);
+    tracing::warn!(event = "runner_pauses", runner, call, pause_ms);
+}
+
 /// The request was refused by the dispatcher.
 pub fn refused(request: &str, refusal: Refusal, verdict: Verdict) {
     tracing::warn!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod names;
 mod network;
 mod node;
+mod notices;
 mod peers;
 mod placement;
 mod quota;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,7 @@
     request_seconds: Family<KindLabels, Histogram>,
     attempts: Family<CallLabels, Counter>,
     limited_answers: Family<CallLabels, Counter>,
+    runner_notices: Family<CallLabels, Counter>,
     broken: Family<BrokenLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
     store_seconds: Histogram,
@@ -85,6 +86,7 @@
             request_seconds: Family::new_with_constructor(times),
             attempts: Family::default(),
             limited_answers: Family::default(),
+            runner_notices: Family::default(),
             broken: Family::default(),
             store_calls: Family::default(),
             store_seconds: times(),
@@ -125,6 +127,11 @@
             "Answers that named the runner's limit, or were expected to",
             self.limited_answers.clone(),
         );
+        registry.register(
+            "runner_notices",
+            "Answers in which a runner said that it leaves, or wants a pause",
+            self.runner_notices.clone(),
+        );
         registry.register(
             "broken_attempts",
             "Attempts whose connection broke, by the runner's crash or without one",
@@ -209,6 +216,12 @@
         self.limited_answers.get_or_create(&labels).inc();
     }
 
+    /// A runner said in its answer to a `call` that it leaves, or that it wants a pause.
+    pub fn runner_notice(&self, call: &'static str, outcome: &'static str) {
+        let labels = CallLabels { call, outcome };
+        self.runner_notices.get_or_create(&labels).inc();
+    }
+
     /// A connection to a runner broke under a request that had come so far.
     pub fn attempt_broke(&self, progress: &'static str, cause: &'static str) {
         let labels = BrokenLabels { progress, cause };
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{DialectError, Order, OrderAnswer, Report, Runner, RunnerLimit};
-use barleyspar_dispatch::{AdvertisedLimit, RatePermitAnswer};
+use barleyspar_catalog::{DialectError, Order, OrderAnswer, Report, Runner};
+use barleyspar_dispatch::RatePermitAnswer;
 use barleyspar_loading::Lease;
 use bytes::Bytes;
 use http::header::HOST;
@@ -14,8 +14,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::answers_itself;
 use crate::context::{CONNECT_TIMEOUT, Context};
+use crate::notices::{self, Heard};
 use crate::rate_permits;
 
 /// Time for an answer.
@@ -140,7 +140,8 @@
     if !allowed() {
         return Err(CallError::NotSent("the lease does not last".to_owned()));
     }
-    let until = Instant::now() + ANSWER_TIMEOUT;
+    let sent_at = Instant::now();
+    let until = sent_at + ANSWER_TIMEOUT;
     let unanswered = |cause: String| CallError::Unanswered(cause);
     let response = timeout_at(until, connection.send(request))
         .await
@@ -154,9 +155,13 @@
         })?;
     let (head, body) = response.into_parts();
     let facts = context.dialect.read_answer(&head);
-    if facts.limit.is_some() && answers_itself(runner, head.status, &facts) {
-        hear_limit(context, runner, name, facts.limit);
-    }
+    let heard = Heard {
+        asked: runner,
+        call: name,
+        sent_at,
+        always_limited: false,
+    };
+    notices::hear(context, &heard, head.status, &facts);
     let body = timeout_at(until, Limited::new(body, ANSWER_BYTES).collect())
         .await
         .map_err(|_| unanswered("time is up".to_owned()))?
@@ -180,12 +185,3 @@
         RatePermitAnswer::Denied(wait) => Err(CallError::Limited(wait)),
     }
 }
-
-/// Takes in the limit that a runner named in its answer to a call of the leader's.
-fn hear_limit(context: &Context, runner: &Runner, name: &'static str, limit: Option<RunnerLimit>) {
-    context.metrics.limited_answer(name, true);
-    let at = Instant::now().into_std();
-    context
-        .dispatch
-        .hear_limit(runner.id.clone(), AdvertisedLimit { limit, at });
-}
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -1,9 +1,11 @@
 //! The product's own wire: typed values in MessagePack, plain header names.
 
+use std::time::Duration;
+
 use barleyspar_catalog::{
     AnswerFacts, Configuration, Credential, Dialect, DialectError, Forward, HeaderOwner,
-    ModelReference, Order, OrderAnswer, Report, RequestFacts, Runner, RunnerLimit, StoreAnswer,
-    StoreCall, StoreError, StoredObject,
+    ModelReference, Order, OrderAnswer, Report, RequestFacts, Runner, RunnerLimit, RunnerNotice,
+    StoreAnswer, StoreCall, StoreError, StoredObject,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, request, response};
@@ -34,6 +36,10 @@
     pub const SIGNATURE: &str = "signature";
     /// Requests a second that a runner takes from all nodes together.
     pub const LIMIT: &str = "limit";
+    /// Says that a runner leaves.
+    pub const LEAVING: &str = "leaving";
+    /// Milliseconds for which a runner wants nothing from the node that it answers.
+    pub const PAUSE: &str = "pause";
     /// Key of the configuration.
     pub const CONFIGURATION_KEY: &str = "configuration";
     /// Prefix of the keys by which zones are evacuated.
@@ -98,7 +104,7 @@
             request_id: text(headers, names::REQUEST_ID),
             deadline: text(headers, names::DEADLINE)
                 .and_then(|value| value.parse().ok())
-                .map(std::time::Duration::from_millis),
+                .map(Duration::from_millis),
             model: text(headers, names::MODEL).map(|model| ModelReference {
                 model: model.into(),
                 adapter: text(headers, names::ADAPTER).map(Into::into),
@@ -116,7 +122,9 @@
     fn header_owner(&self, name: &HeaderName) -> HeaderOwner {
         match name.as_str() {
             names::RUNNER | names::TENANT | names::CREDENTIAL => HeaderOwner::System,
-            names::NOT_RUN | names::SIGNATURE | names::LIMIT => HeaderOwner::Runner,
+            names::NOT_RUN | names::SIGNATURE | names::LIMIT | names::LEAVING | names::PAUSE => {
+                HeaderOwner::Runner
+            }
             "content-length" | "transfer-encoding" | "connection" => HeaderOwner::Hop,
             _ => HeaderOwner::Caller,
         }
@@ -148,9 +156,15 @@
             keep_alive_seconds: Some(10),
             event_stream: text(headers, "content-type").as_deref() == Some("text/event-stream"),
             encoded: false,
-            limit: text(headers, names::LIMIT)
-                .and_then(|value| value.parse().ok())
-                .and_then(RunnerLimit::new),
+            notice: RunnerNotice {
+                limit: text(headers, names::LIMIT)
+                    .and_then(|value| value.parse().ok())
+                    .and_then(RunnerLimit::new),
+                leaves: headers.contains_key(names::LEAVING),
+                pause: text(headers, names::PAUSE)
+                    .and_then(|value| value.parse().ok())
+                    .map(Duration::from_millis),
+            },
         }
     }
 
