Failing tests: what runners say in their answers is not heard

Symptoms: requests reached a runner up to 2.6 s after one of its answers had said, to the node that sent them, that it leaves; a runner that had asked a node for 3 s of rest got three and four requests from it in that time. Brought about in virtual time, six gateways: a runner that says that it leaves in its answers only (its entry in the store does not change) gets 12 requests more from one gateway, 32 and 44 from all, and is given what it alone holds as long as it answers. A runner that turns one request in eight away and asks for 3 s of pause gets 213 calls in its pauses; an engine 163, the leader's included; a caller whose runners all want 5 s is told to come back after 0.3 s; one whose only runner wants 1 s is refused; after a pause a runner gets 3 of 60 requests.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,6 @@
 pub use client::Answer;
 pub use dialect::{NativeDialect, encode, names};
 pub use network::MemoryNetwork;
-pub use runner::{Call, Fault, Run, RunnerStandIn};
+pub use runner::{AskedPause, Call, Fault, Run, RunnerStandIn};
 pub use store::StoreStandIn;
 pub use world::{World, engine_service, model, plain_service, route, tenant};
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -2,9 +2,10 @@
 //! history of what it ran, and fails on request.
 
 mod guards;
+mod notices;
 mod orders;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,12 +24,14 @@
 
 use crate::dialect::{encode, names};
 use crate::network::MemoryNetwork;
-use crate::runner_body::{Broken, RunnerBody, not_run, sign, status, stream};
+use crate::runner_body::{Broken, RunnerBody, not_now, not_run, sign, status, stream};
 use crate::store::StoreStandIn;
 
 pub use guards::RunGuard;
+pub use notices::AskedPause;
 
 use guards::OpenConnection;
+use notices::Notices;
 
 /// Time for which a runner runs a request that crashes it.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
@@ -82,6 +85,8 @@
 pub struct Call {
     /// When it came.
     pub at: Instant,
+    /// The node that it came from.
+    pub node: IpAddr,
     /// Whether it was a request.
     pub is_request: bool,
 }
@@ -96,8 +101,7 @@
     connections: usize,
     arrivals: u64,
     calls: Vec<Call>,
-    limit: Option<f64>,
-    names_limit_to_leader: bool,
+    notices: Notices,
     orders: Vec<Order>,
     lose_order_answers: u32,
     sequence: u64,
@@ -152,8 +156,7 @@
                 connections: 0,
                 arrivals: 0,
                 calls: Vec::new(),
-                limit: None,
-                names_limit_to_leader: true,
+                notices: Notices::default(),
                 orders: Vec::new(),
                 lose_order_answers: 0,
                 sequence: 0,
@@ -179,12 +182,12 @@
         let mut connections = network.listen(address);
         let runner = self.clone();
         let accepting = tokio::spawn(async move {
-            while let Some((stream, _)) = connections.recv().await {
+            while let Some((stream, node)) = connections.recv().await {
                 let served = runner.clone();
                 let open = OpenConnection::new(&runner);
                 let serving = tokio::spawn(async move {
                     let _open = open;
-                    let service = service_fn(|request| served.clone().answer(request));
+                    let service = service_fn(|request| served.clone().answer(request, node));
                     let connection = Builder::new().serve_connection(TokioIo::new(stream), service);
                     // A caller may leave at any time.
                     let _ = connection.await;
@@ -236,6 +239,7 @@
             state.record.heartbeat = 0;
             state.record.models = models.iter().map(held).collect();
             state.record.copies = WeightCopies::default();
+            state.notices = Notices::default();
             state.sequence = 0;
             state.fence = 0;
             state.busy = false;
@@ -327,16 +331,6 @@
         self.lock().calls.clone()
     }
 
-    /// Names a limit in all its answers from now on, in requests a second.
-    pub fn name_limit(&self, per_second: Option<f64>) {
-        self.lock().limit = per_second;
-    }
-
-    /// Whether its answers to the leader's calls name its limit, too.
-    pub fn name_limit_to_leader(&self, names: bool) {
-        self.lock().names_limit_to_leader = names;
-    }
-
     /// Orders that arrived.
     pub fn orders(&self) -> Vec<Order> {
         self.lock().orders.clone()
@@ -353,7 +347,11 @@
         self.lock().overcommitted
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Result<Response<RunnerBody>, Broken> {
+    async fn answer(
+        self,
+        request: Request<Incoming>,
+        node: IpAddr,
+    ) -> Result<Response<RunnerBody>, Broken> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
         let meant = head
@@ -366,26 +364,27 @@
         let path = head.uri.path();
         let is_request = ![names::REPORT_PATH, names::ORDER_PATH].contains(&path);
         let at = Instant::now();
-        self.lock().calls.push(Call { at, is_request });
+        self.lock().calls.push(Call {
+            at,
+            node,
+            is_request,
+        });
         let mut response = match path {
             names::REPORT_PATH => status(StatusCode::OK, encode(&self.report())),
             names::ORDER_PATH => self.clone().order(&body).await?,
-            _ => self.clone().run(&head.headers, body).await?,
+            _ => self.clone().run(&head.headers, body, node).await?,
         };
-        if let Some(limit) = self.limit_in_answer(is_request) {
-            let value = HeaderValue::from_str(&limit.to_string()).expect("it is plain text");
-            response.headers_mut().insert(names::LIMIT, value);
-        }
+        let notices = &self.lock().notices;
+        notices.add_to(response.headers_mut(), is_request);
         Ok(response)
     }
 
-    fn limit_in_answer(&self, is_request: bool) -> Option<f64> {
-        let state = self.lock();
-        let names = is_request || state.names_limit_to_leader;
-        state.limit.filter(|_| names)
-    }
-
-    async fn run(self, headers: &HeaderMap, body: Bytes) -> Result<Response<RunnerBody>, Broken> {
+    async fn run(
+        self,
+        headers: &HeaderMap,
+        body: Bytes,
+        node: IpAddr,
+    ) -> Result<Response<RunnerBody>, Broken> {
         let value = |name| {
             headers
                 .get(name)
@@ -397,6 +396,10 @@
         if fault == Some(Fault::Reject) {
             return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE, &request_id));
         }
+        let pause = self.lock().notices.turn_away(node);
+        if let Some(pause) = pause {
+            return Ok(not_now(&request_id, pause));
+        }
         let lacks_model = value(names::MODEL).is_some_and(|model| !self.holds(model));
         if self.engine.is_some() && lacks_model {
             return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &request_id));
--- a/crates/standin/src/runner_body.rs
+++ b/crates/standin/src/runner_body.rs
@@ -80,6 +80,14 @@
     response
 }
 
+/// The runner did not run it, and wants nothing of the node for `pause`.
+pub fn not_now(request_id: &str, pause: Duration) -> Response<RunnerBody> {
+    let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE, request_id);
+    let value = HeaderValue::from(pause.as_millis() as u64);
+    response.headers_mut().insert(names::PAUSE, value);
+    response
+}
+
 pub fn stream(
     run: RunGuard,
     request_id: &str,
