Sight: the store's era

Each answer of a store may name its era, which rises by one when the store comes back from a copy. It is read at the boundary and noted by the client; a `store_era` line tells of a new one. Nothing is decided by it yet.

--- a/crates/catalog/src/dialect.rs
+++ b/crates/catalog/src/dialect.rs
@@ -70,6 +70,9 @@
     fn read_order_answer(&self, status: StatusCode) -> OrderAnswer;
     /// Makes a call to the store.
     fn store_call(&self, call: &StoreCall) -> Request<Bytes>;
+    /// The era of the store that an answer of it belongs to: it rises by one each time
+    /// that the store comes back from a copy. 0 for a store that has none.
+    fn store_era(&self, headers: &HeaderMap) -> u32;
     /// Reads the store's answer to a call.
     fn read_store_answer(
         &self,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -7,9 +7,10 @@
 use barleyspar_catalog::{Dialect, StoreAnswer, StoreCall, StoreError};
 use bytes::{Bytes, BytesMut};
 use http::header::HOST;
-use http::{HeaderValue, Response};
+use http::{HeaderMap, HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
 use crate::journal::milliseconds;
@@ -34,6 +35,8 @@
     metrics: Arc<Metrics>,
     idle: Arc<Mutex<Vec<Connection>>>,
     heard: Arc<Mutex<Option<Instant>>>,
+    /// The newest era of the store that an answer showed; 0 before the first.
+    era: watch::Sender<u32>,
 }
 
 impl Store {
@@ -52,6 +55,7 @@
             metrics,
             idle: Arc::default(),
             heard: Arc::default(),
+            era: watch::Sender::new(0),
         }
     }
 
@@ -75,6 +79,19 @@
         *heard = Some(Instant::now());
     }
 
+    /// Takes in the era that an answer belongs to.
+    fn note_era(&self, headers: &HeaderMap) {
+        let era = self.dialect.store_era(headers);
+        self.era.send_if_modified(|known| {
+            let rises = era > *known;
+            if rises {
+                tracing::warn!(event = "store_era", era, before = *known);
+                *known = era;
+            }
+            rises
+        });
+    }
+
     /// Makes one call. Waits for `patience` for its answer to begin, and as long
     /// for each further part of it: a long answer that keeps coming is not given
     /// up, since the next one would be no shorter.
@@ -111,6 +128,7 @@
             .await
             .unwrap_or_else(|_| Err(time_is_up()))?;
         self.note_heard();
+        self.note_era(response.headers());
         let status = response.status();
         let body = self.read_body(response.into_body(), patience).await?;
         connection.rest(Some(KEEP_ALIVE_SECONDS));
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -40,6 +40,8 @@
     pub const LEAVING: &str = "leaving";
     /// Milliseconds for which a runner wants nothing from the node that it answers.
     pub const PAUSE: &str = "pause";
+    /// Era of the store.
+    pub const STORE_ERA: &str = "store-era";
     /// Key of the configuration.
     pub const CONFIGURATION_KEY: &str = "configuration";
     /// Prefix of the keys by which zones are evacuated.
@@ -214,6 +216,11 @@
         post("/", encode(call))
     }
 
+    fn store_era(&self, headers: &HeaderMap) -> u32 {
+        let era = text(headers, names::STORE_ERA);
+        era.and_then(|value| value.parse().ok()).unwrap_or(0)
+    }
+
     fn read_store_answer(
         &self,
         _call: &StoreCall,
