Failing tests: a store that comes back from a copy

Symptoms: a configuration was served for more than 2 s after a newer one had been acknowledged; a runner got requests 2.3 s after the store had acknowledged that it leaves. Brought about in virtual time, six gateways, a stand-in of the store that goes back to a copy, loses 40 changes and gives their numbers out again: a change made after that is in force nowhere in time; one of six gateways that heard the store again only when its numbers were beyond what it knew missed for good what stood under them; 1,145 readings within 3 s; a gateway that starts meanwhile serves by the copy's configuration; a runner that the copy lacks is used for ever; no model is loaded after the leader's entry is lost.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,5 @@
 pub use dialect::{NativeDialect, encode, names};
 pub use network::MemoryNetwork;
 pub use runner::{AskedPause, Call, Fault, Run, RunnerStandIn};
-pub use store::StoreStandIn;
+pub use store::{Data, StoreStandIn};
 pub use world::{World, engine_service, model, plain_service, route, tenant};
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+#[derive(Clone)]
 struct Stored {
     item: Item,
     lease: u64,
@@ -16,8 +17,9 @@
 const PAGE_ITEMS: usize = 500;
 
 /// The store's data; its clock is tokio's.
-#[derive(Default)]
-pub(super) struct Data {
+#[derive(Clone, Default)]
+pub struct Data {
+    era: u32,
     revision: u64,
     items: BTreeMap<String, Stored>,
     history: Vec<Event>,
@@ -26,6 +28,18 @@
 }
 
 impl Data {
+    /// The era.
+    pub(super) fn era(&self) -> u32 {
+        self.era
+    }
+
+    /// Goes back to `copy`, in a new era.
+    pub(super) fn restore(&mut self, copy: &Data) {
+        let era = self.era + 1;
+        *self = copy.clone();
+        self.era = era;
+    }
+
     /// The revision of the last change.
     pub(super) fn revision(&self) -> u64 {
         self.revision
@@ -109,7 +123,7 @@
 
     /// Changes of keys under `prefix` after a revision.
     pub(super) fn events(&self, prefix: &str, after: u64) -> Result<StoreAnswer, StoreError> {
-        if after < self.forgotten_up_to {
+        if after < self.forgotten_up_to || after > self.revision {
             return Err(StoreError::HistoryLost);
         }
         let events = self
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -12,7 +12,7 @@
 use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -22,9 +22,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::dialect::{decode, encode, error_status};
+use crate::dialect::{decode, encode, error_status, names};
 use crate::network::MemoryNetwork;
-use crate::store::data::Data;
+pub use crate::store::data::Data;
 
 /// Pieces in which a slow answer is sent.
 const PIECES: usize = 20;
@@ -170,6 +170,18 @@
         of("read") + of("read_stale") + of("watch")
     }
 
+    /// A copy of what it holds now.
+    pub fn copy(&self) -> Data {
+        self.lock().data.clone()
+    }
+
+    /// Comes back from `copy`: what was written since is gone, and its revisions are given
+    /// out again.
+    pub fn restore(&self, copy: &Data) {
+        self.lock().data.restore(copy);
+        self.notify();
+    }
+
     /// Forgets its history.
     pub fn forget_history(&self) {
         self.lock().data.forget_history();
@@ -233,6 +245,11 @@
         };
         let mut response = Response::new(self.body(bytes));
         *response.status_mut() = status;
+        let era = self.lock().data.era();
+        if era > 0 {
+            let headers = response.headers_mut();
+            headers.insert(names::STORE_ERA, HeaderValue::from(era));
+        }
         Ok(response)
     }
 
--- /dev/null
+++ b/crates/standin/tests/restored_store.rs
@@ -0,0 +1,239 @@
+//! A store that comes back from a copy: what it acknowledged since is gone, and its
+//! revisions are given out again.
+
+use std::time::Duration;
+
+use barleyspar_catalog::{Bounds, RequestKind};
+use barleyspar_standin::{Data, World, engine_service, plain_service, route};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time within which a change must be in force.
+const BOUND: Duration = Duration::from_secs(2);
+const GATEWAYS: u8 = 6;
+
+async fn world_with(change: impl Fn(&mut Bounds)) -> World {
+    let mut world = World::new(
+        vec![
+            plain_service("plain"),
+            engine_service("engine", &["a", "b", "c"]),
+        ],
+        vec![
+            route("/plain/", "plain", RequestKind::Idempotent),
+            route("/stream/", "engine", RequestKind::Streaming),
+        ],
+    );
+    for number in 1..=3 {
+        world.start_runner(&format!("plain-{number}"), "plain", &[]);
+    }
+    world.start_runner("engine-1", "engine", &["a"]);
+    for number in 1..=GATEWAYS {
+        world.start_gateway_with(number, &change).await;
+    }
+    world.pass(12 * SECOND).await;
+    world
+}
+
+async fn world() -> World {
+    world_with(|_| {}).await
+}
+
+/// Changes in number, of no consequence.
+fn write_much(world: &World, changes: usize) {
+    for number in 0..changes {
+        let value = number.to_string().into_bytes();
+        world.store.put("elsewhere", value.into());
+    }
+}
+
+/// The operators and the runners write again what they had written last.
+fn write_again(world: &mut World) {
+    world.configure(|_| {});
+    world.runners.values().for_each(|runner| runner.publish());
+}
+
+/// A copy, and then `changes` that the store gives out and loses.
+async fn lose(world: &World, changes: usize) -> Data {
+    let copy = world.store.copy();
+    write_much(world, changes);
+    world.pass(SECOND).await;
+    copy
+}
+
+/// Asks all gateways; how many serve the request.
+async fn serving(world: &World, path: &str, id: &str, model: Option<&str>) -> u8 {
+    let mut serving = 0;
+    for number in 1..=GATEWAYS {
+        let id = format!("{id}-{number}");
+        let answer = world.ask(number, path, &id, model).await;
+        serving += u8::from(answer.code() == 200);
+    }
+    serving
+}
+
+fn add_route(world: &mut World, path: &str) {
+    let added = route(path, "plain", RequestKind::Idempotent);
+    world.configure(|configuration| configuration.routes.push(added.into()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_after_the_store_went_back_is_in_force_in_time() {
+    let mut world = world().await;
+    for restore in 1..=2 {
+        let copy = lose(&world, 40).await;
+        world.store.restore(&copy);
+        write_again(&mut world);
+        let path = format!("/added-{restore}/");
+        add_route(&mut world, &path);
+        world.pass(BOUND).await;
+        let served = serving(&world, &path, &path, None).await;
+        assert_eq!(served, GATEWAYS, "restore {restore}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_written_under_numbers_given_out_before_is_not_missed() {
+    let mut world = world().await;
+    let copy = lose(&world, 40).await;
+    for number in 1..=GATEWAYS {
+        world.network.cut(World::host(number), World::store_host());
+    }
+    world.pass(SECOND).await;
+    world.store.restore(&copy);
+    write_again(&mut world);
+    add_route(&mut world, "/added/");
+    world.runners["plain-1"].drain();
+    // The numbers are beyond what the gateways know when they hear the store again.
+    write_much(&world, 80);
+    world.network.heal();
+    world.pass(BOUND).await;
+    let before = world.runners["plain-1"].arrivals();
+    for time in 0..10 {
+        let id = format!("added-{time}");
+        assert_eq!(serving(&world, "/added/x", &id, None).await, GATEWAYS);
+    }
+    assert_eq!(world.runners["plain-1"].arrivals(), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_went_back_is_read_few_times() {
+    let mut world = world().await;
+    let copy = lose(&world, 40).await;
+    let before = world.store.readings();
+    world.store.restore(&copy);
+    write_again(&mut world);
+    world.pass(3 * SECOND).await;
+    let readings = world.store.readings() - before;
+    assert!(readings <= 12 * u64::from(GATEWAYS), "{readings} readings");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_starts_serves_by_what_the_store_lost() {
+    let mut world = world().await;
+    let copy = world.store.copy();
+    add_route(&mut world, "/added/");
+    world.pass(BOUND).await;
+    world.store.restore(&copy);
+    world.pass(SECOND / 2).await;
+    assert_eq!(serving(&world, "/added/x", "kept", None).await, GATEWAYS);
+    world.kill_gateway(1);
+    world.start_gateway(1).await;
+    world.pass(SECOND).await;
+    assert_eq!(serving(&world, "/added/x", "started", None).await, GATEWAYS);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_left_before_the_store_went_back_gets_nothing_more() {
+    for drains in [true, false] {
+        let world = world().await;
+        let copy = world.store.copy();
+        let runner = &world.runners["plain-1"];
+        if drains {
+            runner.drain();
+            world.pass(SECOND).await;
+        }
+        world.store.remove("runner/plain-1");
+        world.pass(SECOND).await;
+        world.store.restore(&copy);
+        world.pass(SECOND / 2).await;
+        let before = runner.arrivals();
+        for time in 0..10 {
+            let id = format!("after-{time}");
+            assert_eq!(serving(&world, "/plain/x", &id, None).await, GATEWAYS);
+        }
+        assert_eq!(runner.arrivals(), before, "drains: {drains}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_the_copy_lacks_is_used_on_while_it_writes_again() {
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/plain/", "plain", RequestKind::Idempotent)],
+    );
+    world.start_gateways(1..=GATEWAYS).await;
+    world.pass(12 * SECOND).await;
+    let copy = world.store.copy();
+    world.start_runner("plain-1", "plain", &[]);
+    world.pass(SECOND).await;
+    world.store.restore(&copy);
+    world.pass(SECOND).await;
+    assert_eq!(serving(&world, "/plain/x", "lacked", None).await, GATEWAYS);
+    world.runners["plain-1"].publish();
+    world.pass(3 * SECOND).await;
+    assert_eq!(serving(&world, "/plain/x", "back", None).await, GATEWAYS);
+    // One that does not write again is gone.
+    world.store.restore(&Data::default());
+    world.pass(4 * SECOND).await;
+    assert_eq!(serving(&world, "/plain/x", "gone", None).await, 0);
+}
+
+/// No two holders gave orders under one token.
+fn assert_one_holder_a_token(world: &World) {
+    let orders: Vec<_> = world
+        .runners
+        .values()
+        .flat_map(|runner| runner.orders())
+        .collect();
+    for order in &orders {
+        let same_token = orders
+            .iter()
+            .filter(|other| other.fencing_token == order.fencing_token);
+        for other in same_token {
+            assert_eq!(other.holder, order.holder, "token {}", order.fencing_token);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn models_are_loaded_soon_after_the_store_lost_the_leader() {
+    for fenced in [true, false] {
+        let mut world = world_with(|bounds| bounds.fencing_enforced = fenced).await;
+        // The copy knows no leader: it is of before the site was there.
+        let copy = Data::default();
+        assert_eq!(
+            serving(&world, "/stream/x", "before", Some("b")).await,
+            GATEWAYS
+        );
+        write_much(&world, 40);
+        world.pass(SECOND).await;
+        world.store.restore(&copy);
+        write_again(&mut world);
+        world.pass(6 * SECOND).await;
+        let answer = world.ask(1, "/stream/x", "after", Some("c")).await;
+        assert_eq!(answer.code(), 200, "fenced: {fenced}");
+        assert_one_holder_a_token(&world);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn members_whose_entries_the_store_lost_are_entered_again() {
+    let mut world = world().await;
+    let copy = Data::default();
+    world.store.restore(&copy);
+    write_again(&mut world);
+    world.pass(2 * SECOND).await;
+    for number in 1..=GATEWAYS {
+        let key = format!("barleyspar/node/gateway-{number}");
+        assert!(world.store.get(&key).is_some(), "gateway {number}");
+    }
+}
