--- a/crates/catalog/src/dialect.rs
+++ b/crates/catalog/src/dialect.rs
@@ -73,10 +73,11 @@
     /// The era of the store that an answer of it belongs to: it rises by one each time
     /// that the store comes back from a copy. 0 for a store that has none.
     fn store_era(&self, headers: &HeaderMap) -> u32;
-    /// Reads the store's answer to a call.
+    /// Reads the store's answer to a call, which belongs to `era`.
     fn read_store_answer(
         &self,
         call: &StoreCall,
+        era: u32,
         status: StatusCode,
         body: &[u8],
     ) -> Result<StoreAnswer, StoreError>;
--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use thiserror::Error;
 
+use crate::Revision;
+
 /// A value under a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -14,7 +16,7 @@
     /// The value.
     pub value: Bytes,
     /// Revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A change that a watch shows.
@@ -27,7 +29,7 @@
         /// The key.
         key: String,
         /// Revision of the removal.
-        revision: u64,
+        revision: Revision,
     },
 }
 
@@ -45,8 +47,8 @@
 /// A change of several keys under conditions: all of it or nothing.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
-    /// Keys with the revision that each must have; 0 for absent.
-    pub conditions: Vec<(String, u64)>,
+    /// Keys with the revision that each must have; `None` for absent.
+    pub conditions: Vec<(String, Option<Revision>)>,
     /// Keys to write.
     pub writes: Vec<Write>,
     /// Keys to remove.
@@ -70,7 +72,7 @@
         /// Beginning of the keys.
         prefix: String,
         /// The last revision known.
-        after: u64,
+        after: Revision,
         /// Longest time to wait for a change.
         wait: Duration,
     },
@@ -117,19 +119,19 @@
         /// Whether more pages follow.
         more: bool,
         /// The store's revision.
-        revision: u64,
+        revision: Revision,
     },
     /// Changes up to `revision`.
     Events {
         /// The changes, in order.
         events: Vec<Event>,
         /// The store's revision.
-        revision: u64,
+        revision: Revision,
     },
     /// The transaction was done at `revision`.
     Committed {
         /// The revision.
-        revision: u64,
+        revision: Revision,
     },
     /// A condition did not hold; nothing was done.
     Conflict,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-use barleyspar_catalog::{Event, Item, RouteTable, Runner, RunnerState, StoredObject};
+use barleyspar_catalog::{Event, Item, Revision, RouteTable, Runner, RunnerState, StoredObject};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -12,7 +12,7 @@
 use crate::feed::Change;
 use crate::names::Names;
 use crate::peers::PeerHandle;
-use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle};
+use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle, SETTLED_ERA_KEY, decode_era};
 use crate::register::MEMBER_PREFIX;
 
 /// Part of its bound within which an evacuation is in force; the rest covers what was
@@ -33,6 +33,8 @@
     pub peers: PeerHandle,
     /// Who leads the placement.
     pub leader: watch::Sender<Option<LeaderRecord>>,
+    /// The store's era in which a lease of the leader was taken last.
+    pub settled_era: watch::Sender<u32>,
     /// When the routes in force were known to be the operators' latest.
     pub confirmed: watch::Sender<Option<Instant>>,
     /// Whether the latest configuration could not be read.
@@ -78,6 +80,9 @@
         if !items.iter().any(|item| item.key == LEADER_KEY) {
             self.leader.send_replace(None);
         }
+        if !items.iter().any(|item| item.key == SETTLED_ERA_KEY) {
+            self.settled_era.send_replace(0);
+        }
         let dialect = self.context.dialect.clone();
         let evacuated: Vec<&str> = items
             .iter()
@@ -112,6 +117,10 @@
     }
 
     fn written(&mut self, item: &Item, whole_reading: bool) {
+        if item.key == SETTLED_ERA_KEY {
+            self.settled_era.send_replace(decode_era(&item.value));
+            return;
+        }
         if item.key == LEADER_KEY {
             let record = LeaderRecord::decode(&item.value, item.revision);
             if let Some(record) = &record {
@@ -234,7 +243,7 @@
         tracing::info!(event = "configuration_in_force", version, routes);
     }
 
-    fn runner(&mut self, mut runner: Runner, revision: u64, whole_reading: bool) {
+    fn runner(&mut self, mut runner: Runner, revision: Revision, whole_reading: bool) {
         if !self.follow_life(&runner) {
             return;
         }
@@ -270,7 +279,7 @@
     /// of all changes, and the leader tells of them by its orders and reports.
     /// Nor is one of a `whole_reading` that shows what is usual: `store_known`
     /// counts these.
-    fn tell(&mut self, runner: &Arc<Runner>, revision: u64, whole_reading: bool) {
+    fn tell(&mut self, runner: &Arc<Runner>, revision: Revision, whole_reading: bool) {
         let known = self.runners.insert(runner.name.clone(), runner.clone());
         let told = known.map(|known| known.state);
         let expected = told.unwrap_or(RunnerState::Available);
@@ -288,7 +297,8 @@
             state = ?runner.state,
             heartbeat = runner.heartbeat,
             models = runner.models.len(),
-            revision
+            era = revision.era,
+            revision = revision.number
         );
     }
 }
--- a/crates/gateway/src/feed/age.rs
+++ b/crates/gateway/src/feed/age.rs
@@ -28,7 +28,8 @@
         metrics.knowledge_current(lasted);
         tracing::info!(
             event = "knowledge_current",
-            revision = now_current.revision(),
+            era = now_current.revision().era,
+            revision = now_current.revision().number,
             steps_from_store = now_current.depth(),
             lasted_ms = milliseconds(lasted)
         );
@@ -58,7 +59,8 @@
 fn tell_old(state: &FeedState, now: Instant) {
     tracing::info!(
         event = "knowledge_old",
-        revision = state.revision(),
+        era = state.revision().era,
+        revision = state.revision().number,
         steps_from_store = state.depth(),
         age_ms = state.age(now).map(milliseconds)
     );
--- a/crates/gateway/src/feed/asker.rs
+++ b/crates/gateway/src/feed/asker.rs
@@ -2,11 +2,11 @@
 //! missed. Peers are asked at the same time, elsewhere: waiting for a silent store
 //! must not keep a node from what its peers know, nor the other way round.
 
-use std::future::{Future, pending};
+use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
 
-use barleyspar_catalog::StoreError;
+use barleyspar_catalog::{Revision, StoreError};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
@@ -17,6 +17,7 @@
 use crate::feed::poll::{Reading, read_changes, read_everything};
 use crate::feed::state::{FeedState, News};
 use crate::store::Store;
+use crate::tasks::sleep_until_some;
 
 /// Time after a whole reading until the next call: with what it has read a node finds
 /// whom to follow, and most need not ask again.
@@ -218,7 +219,8 @@
         self.start_anew();
         let pause = match &reading.news {
             News::Everything(_) => {
-                tracing::info!(event = "store_read", revision = reading.revision);
+                let Revision { era, number } = reading.revision;
+                tracing::info!(event = "store_read", era, revision = number);
                 PARENT_FOUND_IN
             }
             // Changes come in batches.
@@ -239,10 +241,3 @@
         }
     }
 }
-
-async fn sleep_until_some(at: Option<Instant>) {
-    match at {
-        Some(at) => sleep_until(at).await,
-        None => pending().await,
-    }
-}
--- a/crates/gateway/src/feed/copy.rs
+++ b/crates/gateway/src/feed/copy.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use barleyspar_catalog::{Event, Item};
+use barleyspar_catalog::{Event, Item, Revision};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -12,6 +12,7 @@
 use crate::feed::poll::Reading;
 use crate::feed::state::{Change, FeedState, News};
 use crate::feed::times::FeedTimes;
+use crate::store::Store;
 
 /// Time from its start within which a node learns everything from a peer rather
 /// than from the store: 295 nodes that all read half a megabyte at once keep the
@@ -20,6 +21,7 @@
 
 /// The copy, with the way to the parts of the node that it concerns.
 pub struct FeedCopy {
+    store: Store,
     state: watch::Sender<FeedState>,
     changes: mpsc::Sender<Change>,
     /// How old the copy may grow.
@@ -28,13 +30,15 @@
 }
 
 impl FeedCopy {
-    /// A copy in `state`; `changes` are told what is new.
+    /// A copy of `store` in `state`; `changes` are told what is new.
     pub fn new(
         context: &Context,
+        store: &Store,
         state: watch::Sender<FeedState>,
         changes: mpsc::Sender<Change>,
     ) -> Self {
         Self {
+            store: store.clone(),
             state,
             changes,
             times: FeedTimes::new(&context.settings.bounds),
@@ -53,7 +57,7 @@
     }
 
     /// The revision that the copy shows.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.state.borrow().revision()
     }
 
@@ -88,6 +92,7 @@
     /// Takes in a parent's frame.
     pub async fn take_frame(&self, arrived: Arrived) -> io::Result<()> {
         let Arrived { frame, complete_at } = arrived;
+        self.store.note_era(frame.revision.era);
         let news = frame.content.news()?;
         self.take(news, frame.revision, complete_at, frame.depth + 1)
             .await;
@@ -104,7 +109,7 @@
 
     /// Takes in `news` up to `revision`, complete at `complete_at`, as known over
     /// `depth` steps.
-    async fn take(&self, news: News, revision: u64, complete_at: Instant, depth: u32) {
+    async fn take(&self, news: News, revision: Revision, complete_at: Instant, depth: u32) {
         let mut changes = Vec::new();
         let mut confirmed = false;
         // Only what is new goes on: two nodes that follow each other while the
@@ -130,7 +135,7 @@
 }
 
 /// Takes `news` into `state`; what was not known before.
-fn changes_by(state: &mut FeedState, news: News, revision: u64) -> Vec<Change> {
+fn changes_by(state: &mut FeedState, news: News, revision: Revision) -> Vec<Change> {
     match news {
         News::Everything(items) => {
             let newer = state.take_everything(&items, revision);
--- a/crates/gateway/src/feed/follow.rs
+++ b/crates/gateway/src/feed/follow.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use barleyspar_catalog::Revision;
 use tokio::time::{Instant, timeout};
 
 use crate::feed::frame::{Frame, Hello, read, write};
@@ -29,7 +30,11 @@
 
 impl Following {
     /// Connects to `parent` and says that this node knows `revision`.
-    pub async fn begin(network: &dyn Network, parent: &Parent, revision: u64) -> io::Result<Self> {
+    pub async fn begin(
+        network: &dyn Network,
+        parent: &Parent,
+        revision: Revision,
+    ) -> io::Result<Self> {
         let connect = network.connect(parent.address);
         let mut stream = timeout(CONNECT_TIMEOUT, connect).await??;
         let hello_at = Instant::now();
--- a/crates/gateway/src/feed/follow_tests.rs
+++ b/crates/gateway/src/feed/follow_tests.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use barleyspar_catalog::Revision;
 use tokio::time::{Instant, advance};
 
 use super::complete_at;
@@ -12,7 +13,7 @@
         since_hello_ms,
         age_ms,
         depth: 0,
-        revision: 1,
+        revision: Revision::new(0, 1),
         content: Content::Events(Vec::new()),
     }
 }
--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -181,7 +181,12 @@
             Ok(following) => following,
             Err(error) => return self.leave(name, Fault::Broken, &error.to_string()),
         };
-        tracing::info!(event = "feed_followed", parent = &*name, revision);
+        tracing::info!(
+            event = "feed_followed",
+            parent = &*name,
+            era = revision.era,
+            revision = revision.number
+        );
         let mut unsettled_since = None;
         loop {
             let arrived = tokio::select! {
--- a/crates/gateway/src/feed/frame.rs
+++ b/crates/gateway/src/feed/frame.rs
@@ -3,7 +3,7 @@
 
 use std::io::{self, Read, Write};
 
-use barleyspar_catalog::{Event, Item};
+use barleyspar_catalog::{Event, Item, Revision};
 use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -24,8 +24,8 @@
 /// A follower's first and only words.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Hello {
-    /// The store's revision that it knows; 0 if it knows nothing.
-    pub revision: u64,
+    /// The store's revision that it knows; the first of all if it knows nothing.
+    pub revision: Revision,
 }
 
 /// Changes, or everything, ready for the wire.
@@ -71,7 +71,7 @@
     /// Steps between the sender and the store's watcher.
     pub depth: u32,
     /// The store's revision that the follower knows after this frame.
-    pub revision: u64,
+    pub revision: Revision,
     /// What is new.
     pub content: Content,
 }
--- a/crates/gateway/src/feed/poll.rs
+++ b/crates/gateway/src/feed/poll.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use barleyspar_catalog::{Item, StoreAnswer, StoreCall, StoreError};
+use barleyspar_catalog::{Item, Revision, StoreAnswer, StoreCall, StoreError};
 use tokio::time::Instant;
 
 use crate::feed::state::News;
@@ -15,12 +15,13 @@
     /// Everything that it holds, or what has changed.
     pub news: News,
     /// The store's revision; of a whole reading, one from which to follow changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// When the first call was sent.
     pub asked: Instant,
 }
 
-/// Reads all items, waiting for each page for `patience` at most.
+/// Reads all items, waiting for each page for `patience` at most. A reading over which the
+/// store came back from a copy shows neither what was nor what is.
 pub async fn read_everything(store: &Store, patience: Duration) -> Result<Reading, StoreError> {
     let asked = Instant::now();
     let mut items: BTreeMap<String, Item> = BTreeMap::new();
@@ -41,13 +42,16 @@
             return Err(StoreError::Malformed("no page".to_owned()));
         };
         // Pages form no snapshot: what changed meanwhile comes again as an event.
-        let revision = *first_revision.get_or_insert(revision);
+        let first = *first_revision.get_or_insert(revision);
+        if first.era != revision.era {
+            return Err(StoreError::HistoryLost);
+        }
         after = page.last().map(|item| item.key.clone());
         items.extend(page.into_iter().map(|item| (item.key.clone(), item)));
         if !more || after.is_none() {
             return Ok(Reading {
                 news: News::Everything(items.into_values().collect()),
-                revision,
+                revision: first,
                 asked,
             });
         }
@@ -69,10 +73,10 @@
 }
 
 /// Waits up to `wait` for changes after `revision`, and `patience` longer for
-/// the answer to arrive.
+/// the answer to arrive. The history is lost once the store is in another era.
 pub async fn read_changes(
     store: &Store,
-    revision: u64,
+    revision: Revision,
     wait: Duration,
     patience: Duration,
 ) -> Result<Reading, StoreError> {
@@ -83,6 +87,10 @@
         wait,
     };
     match store.call(&call, wait + patience).await? {
+        // A later era gave out the same numbers for other changes.
+        StoreAnswer::Events { revision: now, .. } if now.era != revision.era => {
+            Err(StoreError::HistoryLost)
+        }
         StoreAnswer::Events { events, revision } => Ok(Reading {
             news: News::Events(events),
             revision,
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use barleyspar_catalog::Revision;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
@@ -70,7 +71,7 @@
 
 /// What a follower with `revision`, whose hello came at `hello_at`, is told; nothing
 /// while nothing is known.
-fn next_frame(state: &FeedState, revision: u64, hello_at: Instant) -> Option<Frame> {
+fn next_frame(state: &FeedState, revision: Revision, hello_at: Instant) -> Option<Frame> {
     let now = Instant::now();
     let age = state.age(now)?;
     let content = match state.missing(revision) {
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use barleyspar_catalog::{Event, Item};
+use barleyspar_catalog::{Event, Item, Revision};
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub struct Batch {
     /// The store's revision after the last of them.
-    pub to: u64,
+    pub to: Revision,
     events: Vec<Event>,
     packed: OnceLock<Packed>,
 }
@@ -72,7 +72,7 @@
 #[derive(Debug)]
 struct Kept {
     value: Box<[u8]>,
-    revision: u64,
+    revision: Revision,
 }
 
 impl Kept {
@@ -90,7 +90,7 @@
     key: &'a str,
     #[serde(with = "serde_bytes")]
     value: &'a [u8],
-    revision: u64,
+    revision: Revision,
 }
 
 /// A copy of the store, complete up to a revision and as of a moment.
@@ -101,21 +101,26 @@
     whole: OnceLock<Packed>,
     batches: VecDeque<Arc<Batch>>,
     /// The revision from which the batches show all changes.
-    batches_from: u64,
-    revision: u64,
+    batches_from: Revision,
+    revision: Revision,
     complete_at: Option<Instant>,
     depth: u32,
 }
 
 impl FeedState {
-    /// The store's revision that the copy shows; 0 while nothing is known.
-    pub fn revision(&self) -> u64 {
+    /// The store's revision that the copy shows; the first of all while nothing is known.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
+    /// Whether there is an item under `key`.
+    pub fn has(&self, key: &str) -> bool {
+        self.items.contains_key(key)
+    }
+
     /// Whether anything is known.
     pub fn is_known(&self) -> bool {
-        self.revision > 0
+        self.revision > Revision::default()
     }
 
     /// Steps between this node and the store's watcher.
@@ -143,7 +148,7 @@
 
     /// Takes in a whole copy, complete at `complete_at`. Whether it is newer
     /// than what was known.
-    pub fn take_everything(&mut self, items: &[Item], revision: u64) -> bool {
+    pub fn take_everything(&mut self, items: &[Item], revision: Revision) -> bool {
         if revision <= self.revision {
             return false;
         }
@@ -159,7 +164,7 @@
     }
 
     /// Takes in changes up to `revision`; those that were not known before.
-    pub fn take_events(&mut self, events: Vec<Event>, revision: u64) -> Vec<Event> {
+    pub fn take_events(&mut self, events: Vec<Event>, revision: Revision) -> Vec<Event> {
         let news: Vec<Event> = events
             .into_iter()
             .filter(|event| self.is_news(event))
@@ -197,13 +202,13 @@
             Event::Written(item) => (&item.key, item.revision),
             Event::Removed { key, revision } => (key, *revision),
         };
-        let known = self.items.get(key.as_str()).map_or(0, |item| item.revision);
-        revision > self.revision && revision > known
+        let known = self.items.get(key.as_str()).map(|item| item.revision);
+        revision > self.revision && Some(revision) > known
     }
 
     /// Notes that the copy with `revision` was complete at `at`, as known over
     /// `depth` steps. Whether that is newer than what was known.
-    pub fn confirm(&mut self, revision: u64, at: Instant, depth: u32) -> bool {
+    pub fn confirm(&mut self, revision: Revision, at: Instant, depth: u32) -> bool {
         let older = self.complete_at.is_some_and(|known| known >= at);
         if revision < self.revision || older || depth > DEEPEST {
             return false;
@@ -214,7 +219,7 @@
     }
 
     /// What a copy with `revision` lacks of this one.
-    pub fn missing(&self, revision: u64) -> Missing {
+    pub fn missing(&self, revision: Revision) -> Missing {
         if revision < self.batches_from {
             let pack_all = || pack(&self.packed_items());
             return Missing::Everything(self.whole.get_or_init(pack_all).clone());
--- a/crates/gateway/src/feed/state_tests.rs
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -1,16 +1,21 @@
 use std::time::Duration;
 
-use barleyspar_catalog::{Bounds, ColdBounds, Event, Item, QuotaBounds};
+use barleyspar_catalog::{Bounds, ColdBounds, Event, Item, QuotaBounds, Revision};
 use tokio::time::Instant;
 
 use super::state::{FeedState, Missing};
 use super::times::FeedTimes;
 
-fn item(key: &str, revision: u64) -> Item {
+/// A revision of the era that most tests are in.
+fn at(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
+fn item(key: &str, number: u64) -> Item {
     Item {
         key: key.to_owned(),
-        value: format!("{key}{revision}").into(),
-        revision,
+        value: format!("{key}{number}").into(),
+        revision: at(number),
     }
 }
 
@@ -47,15 +52,15 @@
 
 fn state() -> FeedState {
     let mut state = FeedState::default();
-    assert!(state.take_everything(&[item("a", 3), item("b", 12)], 10));
+    assert!(state.take_everything(&[item("a", 3), item("b", 12)], at(10)));
     state
 }
 
 #[test]
 fn an_older_copy_changes_nothing() {
     let mut state = state();
-    assert!(!state.take_everything(&[], 9));
-    assert_eq!(state.revision(), 10);
+    assert!(!state.take_everything(&[], at(9)));
+    assert_eq!(state.revision(), at(10));
 }
 
 #[test]
@@ -63,16 +68,16 @@
     let mut state = state();
     let events = vec![written("a", 9), written("a", 11), written("b", 11)];
     // The page of `b` was read later than the revision says.
-    assert_eq!(state.take_events(events, 13), vec![written("a", 11)]);
-    assert_eq!(state.revision(), 13);
+    assert_eq!(state.take_events(events, at(13)), vec![written("a", 11)]);
+    assert_eq!(state.revision(), at(13));
 }
 
 #[test]
 fn a_follower_gets_the_batches_that_it_lacks() {
     let mut state = state();
-    state.take_events(vec![written("a", 14)], 15);
-    state.take_events(vec![written("a", 18)], 18);
-    let Missing::Batches(batches) = state.missing(15) else {
+    state.take_events(vec![written("a", 14)], at(15));
+    state.take_events(vec![written("a", 18)], at(18));
+    let Missing::Batches(batches) = state.missing(at(15)) else {
         panic!("batches reach back to 15");
     };
     assert_eq!(batches.len(), 1);
@@ -80,20 +85,20 @@
         batches[0].packed().events().unwrap(),
         vec![written("a", 18)]
     );
-    assert!(matches!(state.missing(20), Missing::Batches(none) if none.is_empty()));
+    assert!(matches!(state.missing(at(20)), Missing::Batches(none) if none.is_empty()));
 }
 
 #[test]
 fn a_follower_far_behind_gets_everything() {
     let mut state = state();
     assert!(
-        matches!(state.missing(9), Missing::Everything(packed) if packed.items().unwrap().len() == 2)
+        matches!(state.missing(at(9)), Missing::Everything(packed) if packed.items().unwrap().len() == 2)
     );
     for revision in 20..200 {
-        state.take_events(vec![written("a", revision)], revision);
+        state.take_events(vec![written("a", revision)], at(revision));
     }
-    assert!(matches!(state.missing(20), Missing::Everything(_)));
-    assert!(matches!(state.missing(190), Missing::Batches(batches) if batches.len() == 9));
+    assert!(matches!(state.missing(at(20)), Missing::Everything(_)));
+    assert!(matches!(state.missing(at(190)), Missing::Batches(batches) if batches.len() == 9));
 }
 
 #[tokio::test(start_paused = true)]
@@ -101,8 +106,8 @@
     let mut state = state();
     let began = Instant::now();
     assert_eq!(state.age(began), None);
-    assert!(state.confirm(10, began, 0));
-    assert!(!state.confirm(9, began + Duration::from_secs(1), 0));
+    assert!(state.confirm(at(10), began, 0));
+    assert!(!state.confirm(at(9), began + Duration::from_secs(1), 0));
     let now = began + Duration::from_secs(2);
     assert_eq!(state.age(now), Some(Duration::from_secs(2)));
 }
@@ -110,12 +115,11 @@
 #[tokio::test(start_paused = true)]
 async fn knowledge_that_goes_round_is_not_kept_young() {
     let mut state = state();
-    let mut at = Instant::now();
+    let mut now = Instant::now();
     for depth in 0..100 {
-        at += Duration::from_millis(1);
-        state.confirm(10, at, depth);
+        now += Duration::from_millis(1);
+        state.confirm(at(10), now, depth);
     }
-    let now = at;
     assert!(state.age(now).unwrap() > Duration::from_millis(90));
 }
 
@@ -125,7 +129,7 @@
     let mut state = state();
     let complete_at = Instant::now();
     assert!(state.is_overdue(&times, complete_at), "never confirmed");
-    state.confirm(10, complete_at, 1);
+    state.confirm(at(10), complete_at, 1);
     let deadline = state.deadline(&times, complete_at);
     let moment = Duration::from_nanos(1);
     assert!(!state.is_overdue(&times, deadline - moment));
@@ -140,8 +144,8 @@
 fn everything_that_a_copy_packs_is_a_list_of_items() {
     let items = vec![item("a", 3), item("b", 4)];
     let mut state = FeedState::default();
-    state.take_everything(&items, 4);
-    let Missing::Everything(packed) = state.missing(0) else {
+    state.take_everything(&items, at(4));
+    let Missing::Everything(packed) = state.missing(at(0)) else {
         panic!("it knows nothing yet");
     };
     assert_eq!(packed.items().expect("it is a list of items"), items);
@@ -150,16 +154,48 @@
 #[test]
 fn what_is_kept_for_followers_is_bounded_by_changes_too() {
     let mut state = FeedState::default();
-    state.take_everything(&[item("a", 1)], 1);
+    state.take_everything(&[item("a", 1)], at(1));
     for batch in 0..8 {
         let from = 1 + 1000 * batch;
         let events =
             (from + 1..=from + 1000).map(|revision| written(&format!("k{revision}"), revision));
-        state.take_events(events.collect(), from + 1000);
+        state.take_events(events.collect(), at(from + 1000));
     }
-    assert!(matches!(state.missing(1), Missing::Everything(_)));
-    let Missing::Batches(batches) = state.missing(7001) else {
+    assert!(matches!(state.missing(at(1)), Missing::Everything(_)));
+    let Missing::Batches(batches) = state.missing(at(7001)) else {
         panic!("the last batch is kept");
     };
     assert_eq!(batches.len(), 1);
 }
+
+/// Everything, as a store in its second era shows it that has gone back to change 5.
+fn state_of_next_era() -> FeedState {
+    let mut state = state();
+    let items = [Item {
+        revision: Revision::new(2, 3),
+        ..item("a", 3)
+    }];
+    assert!(state.take_everything(&items, Revision::new(2, 5)));
+    state
+}
+
+#[test]
+fn a_later_era_counts_whatever_its_numbers() {
+    let mut state = state_of_next_era();
+    assert!(!state.has("b"));
+    assert!(!state.take_everything(&[], at(20)));
+    let late = vec![written("a", 21)];
+    assert!(state.take_events(late, at(21)).is_empty());
+    let event = Event::Written(Item {
+        revision: Revision::new(2, 6),
+        ..item("a", 6)
+    });
+    let news = state.take_events(vec![event.clone()], Revision::new(2, 6));
+    assert_eq!(news, vec![event]);
+}
+
+#[test]
+fn a_follower_of_an_earlier_era_gets_everything() {
+    let state = state_of_next_era();
+    assert!(matches!(state.missing(at(20)), Missing::Everything(_)));
+}
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -41,7 +41,7 @@
         state: watch::Sender<FeedState>,
         changes: mpsc::Sender<Change>,
     ) -> Self {
-        let copy = FeedCopy::new(&context, state, changes);
+        let copy = FeedCopy::new(&context, &store, state, changes);
         Self {
             context,
             store,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod stream;
 mod tasks;
 mod trust;
+mod turns;
 mod upstream;
 
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -217,6 +217,7 @@
     let (placement_handle, placement_inbox) = placement::channel();
     let (peer_handle, peer_inbox) = peers::channel();
     let (leader_sender, leader) = watch::channel(None);
+    let (settled_era_sender, settled_era) = watch::channel(0);
     let (held, lease) = watch::channel(None);
     let (changes_sender, changes) = mpsc::channel(CHANGES);
 
@@ -243,6 +244,7 @@
         placement: placement_handle.clone(),
         peers: peer_handle.clone(),
         leader: leader_sender,
+        settled_era: settled_era_sender,
         confirmed: confirmed_sender,
         unreadable: false,
         names: Names::default(),
@@ -278,6 +280,7 @@
         context: context.clone(),
         store: store.clone(),
         leader,
+        settled_era,
         heard,
         held,
     };
@@ -290,9 +293,13 @@
         feed_state,
         changes_sender,
     );
-    crate::tasks::spawn(feed::serve(followers, feed_seen));
+    crate::tasks::spawn(feed::serve(followers, feed_seen.clone()));
     crate::tasks::spawn(feed_task.run());
-    crate::tasks::spawn(register::register(store, context.clone()));
+    crate::tasks::spawn(register::register(
+        store,
+        context.clone(),
+        feed_seen.clone(),
+    ));
     crate::tasks::spawn(peer_task.run());
     crate::tasks::spawn(placement_task.run());
     crate::tasks::spawn(quota_task.run());
--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -4,17 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError, Transaction, Write};
+use barleyspar_catalog::{Revision, StoreAnswer, StoreCall, StoreError, Transaction, Write};
 use barleyspar_loading::{Lease, LeaseSettings};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::context::Context;
-use crate::feed::{Myself, position};
 use crate::lifecycle::Stage;
 use crate::peers::{Heard, longest_silence};
-use crate::placement::{LEADER_KEY, LeaderRecord};
+use crate::placement::{LEADER_KEY, LeaderRecord, SETTLED_ERA_KEY};
 use crate::store::Store;
+use crate::turns::pause_until_turn;
 
 /// The lease's time to live without fences at the runners, as a part of the
 /// time within which only one node may order a runner. A successor waits for
@@ -31,20 +31,11 @@
 const FENCED_QUIET: Duration = Duration::from_millis(300);
 /// Time taken off the lease.
 const MARGIN: Duration = Duration::from_millis(200);
-/// Pause for each better placed candidate before the lease is tried for.
-const RANK_PAUSE: Duration = Duration::from_millis(120);
 /// Pause at the start, to learn from the members' entries of larger machines.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Part of the time within which only one node may order a runner that a vacancy
 /// may be old: nobody else can have taken the lease in it and ordered.
 const VACANCY_PART: f64 = 0.5;
-/// Best places that wait for each other in full: one of these leads unless all are
-/// gone at once.
-const FIRST_RANKS: usize = 12;
-/// Pause for each further place. Among hundreds of nodes a new leader is known to all
-/// a second later; of those that may try within it each makes three calls in vain.
-/// With one pause for all of them 89 of 100 did, in virtual time.
-const LATER_RANK_PAUSE: Duration = Duration::from_millis(40);
 /// Time for one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a failed try.
@@ -58,6 +49,8 @@
     pub store: Store,
     /// Who leads, as the store shows it.
     pub leader: watch::Receiver<Option<LeaderRecord>>,
+    /// The store's era in which a lease was taken last, as the store shows it.
+    pub settled_era: watch::Receiver<u32>,
     /// When each peer was last heard.
     pub heard: watch::Receiver<HashMap<Arc<str>, Heard>>,
     /// The lease while this node holds it.
@@ -85,13 +78,14 @@
         loop {
             let predecessor = self.vacancy().await;
             let vacant_since = Instant::now();
-            sleep(self.rank_pause()).await;
-            let changed = self.leader.borrow().as_ref().map(|leader| leader.token);
-            if changed != predecessor || self.context.routes.borrow().is_none() {
+            let turn = pause_until_turn(&self.context, &self.heard.borrow());
+            sleep(turn).await;
+            let leader = self.leader.borrow().as_ref().map(|leader| leader.revision);
+            if leader != predecessor || self.context.routes.borrow().is_none() {
                 sleep(RETRY_PAUSE).await;
                 continue;
             }
-            match self.take(predecessor.unwrap_or(0), vacant_since).await {
+            match self.take(predecessor, vacant_since).await {
                 Some(lease) => self.keep(lease).await,
                 None => sleep(RETRY_PAUSE).await,
             }
@@ -99,8 +93,8 @@
     }
 
     /// Waits until nobody leads, or the leader is silent where runners check
-    /// fences; the silent leader's token.
-    async fn vacancy(&mut self) -> Option<u64> {
+    /// fences; the revision of the silent leader's entry.
+    async fn vacancy(&mut self) -> Option<Revision> {
         loop {
             let leader = self.leader.borrow_and_update().clone()?;
             if self.is_silent(&leader) {
@@ -109,7 +103,7 @@
                     leader = &*leader.node,
                     token = leader.token
                 );
-                return Some(leader.token);
+                return Some(leader.revision);
             }
             let _ = timeout(SILENCE_STEP, self.leader.changed()).await;
         }
@@ -129,15 +123,6 @@
         since.elapsed() > longest
     }
 
-    /// Nodes try one after the other, those on larger machines first.
-    fn rank_pause(&self) -> Duration {
-        let silence = longest_silence(self.context.dispatch.nodes());
-        let myself = Myself::of(&self.context.settings);
-        let place = position(&myself, &self.heard.borrow(), silence);
-        let later = place.saturating_sub(FIRST_RANKS) as u32;
-        RANK_PAUSE * place.min(FIRST_RANKS) as u32 + LATER_RANK_PAUSE * later
-    }
-
     fn time_to_live(&self) -> Duration {
         let settings = &self.context.settings;
         let part = if settings.bounds.fencing_enforced {
@@ -152,9 +137,9 @@
             .max(settings.minimum_lease)
     }
 
-    /// Takes the lease in place of the leader with token `predecessor`; 0 for none.
-    /// Nobody has led since `vacant_since`.
-    async fn take(&self, predecessor: u64, vacant_since: Instant) -> Option<Lease> {
+    /// Takes the lease in place of the leader whose entry has the revision `predecessor`;
+    /// `None` for none. Nobody has led since `vacant_since`.
+    async fn take(&self, predecessor: Option<Revision>, vacant_since: Instant) -> Option<Lease> {
         let granted_call = Instant::now().into_std();
         let call = StoreCall::GrantLease {
             time_to_live: self.time_to_live(),
@@ -167,23 +152,16 @@
         else {
             return None;
         };
-        let settings = &self.context.settings;
-        let call = StoreCall::Commit(Transaction {
-            conditions: vec![(LEADER_KEY.to_owned(), predecessor)],
-            writes: vec![Write {
-                key: LEADER_KEY.to_owned(),
-                value: LeaderRecord::encode(&settings.name, settings.peer_address).into(),
-                lease,
-            }],
-            removes: Vec::new(),
-        });
+        let era = self.store.era().borrow().number;
+        let quiet_from = self.quiet_from(vacant_since);
+        let call = self.entry(predecessor, lease, era);
         match self.store.call(&call, CALL_TIMEOUT).await {
-            Ok(StoreAnswer::Committed { revision }) => Some(Lease::new(
+            Ok(StoreAnswer::Committed { revision }) if revision.era == era => Some(Lease::new(
                 lease,
-                revision,
+                revision.token(),
                 granted_call,
                 time_to_live,
-                self.quiet_from(vacant_since).into_std(),
+                quiet_from.into_std(),
                 LeaseSettings {
                     margin: MARGIN,
                     quiet: self.quiet(),
@@ -198,6 +176,27 @@
         }
     }
 
+    /// Writes this node's entry as the leader, in place of `predecessor`'s.
+    fn entry(&self, predecessor: Option<Revision>, lease: u64, era: u32) -> StoreCall {
+        let settings = &self.context.settings;
+        let leader = Write {
+            key: LEADER_KEY.to_owned(),
+            value: LeaderRecord::encode(&settings.name, settings.peer_address, era).into(),
+            lease,
+        };
+        let settled_era = Write {
+            key: SETTLED_ERA_KEY.to_owned(),
+            value: encode_era(era).into(),
+            lease: 0,
+        };
+        let settled = (era > 0).then_some(settled_era);
+        StoreCall::Commit(Transaction {
+            conditions: vec![(LEADER_KEY.to_owned(), predecessor)],
+            writes: [leader].into_iter().chain(settled).collect(),
+            removes: Vec::new(),
+        })
+    }
+
     /// When the time without orders begins for a lease that is taken now.
     fn quiet_from(&self, vacant_since: Instant) -> Instant {
         let bounds = &self.context.settings.bounds;
@@ -205,7 +204,13 @@
             return Instant::now();
         }
         let oldest = Instant::now() - bounds.lease_duration.mul_f64(VACANCY_PART);
-        vacant_since.max(oldest)
+        let vacant_since = vacant_since.max(oldest);
+        let era = *self.store.era().borrow();
+        if *self.settled_era.borrow() == era.number {
+            return vacant_since;
+        }
+        // A holder whose lease the store has lost had renewed it before it came back.
+        vacant_since.max(era.since + self.time_to_live())
     }
 
     /// Time without orders after the lease fell vacant or, with fences, was
@@ -220,17 +225,22 @@
         }
     }
 
-    /// Renews until the store says that the lease is over. A lease that lapsed
-    /// by this node's clock stays unused until a renewal shows that it lasted.
+    /// Renews until the store says that the lease is over, or shows no longer that this
+    /// node leads. A lease that lapsed by this node's clock, or was taken in an earlier era
+    /// of the store, stays unused until a renewal shows that it lasts.
     async fn keep(&self, mut lease: Lease) {
         tracing::info!(event = "lease_taken", token = lease.token);
         self.held.send_replace(Some(lease));
         let pause = self.time_to_live() / RENEWALS;
-        let mut leader = self.leader.clone();
+        let mut era = self.store.era();
+        let mut shown = Shown::new(self.leader.clone(), lease.token);
         loop {
-            let replaced = leader.wait_for(|leader| is_later(leader, lease.token));
-            if timeout(pause, replaced).await.is_ok() {
-                break;
+            tokio::select! {
+                () = shown.replaced() => break,
+                Ok(()) = era.changed() => {
+                    self.held.send_replace(None);
+                }
+                () = sleep(pause) => {}
             }
             let sent = Instant::now().into_std();
             let call = StoreCall::RenewLease { lease: lease.id };
@@ -248,9 +258,51 @@
     }
 }
 
-/// Whether `leader` came after the one with `token`.
-fn is_later(leader: &Option<LeaderRecord>, token: u64) -> bool {
-    leader.as_ref().is_some_and(|leader| leader.token > token)
+/// Follows whether the store shows that the leader with `token` leads.
+struct Shown {
+    leader: watch::Receiver<Option<LeaderRecord>>,
+    token: u64,
+    /// Whether it has shown that once.
+    once: bool,
+}
+
+impl Shown {
+    fn new(leader: watch::Receiver<Option<LeaderRecord>>, token: u64) -> Self {
+        Self {
+            leader,
+            token,
+            once: false,
+        }
+    }
+
+    /// Waits until the store shows a later leader, or another one or none after this one.
+    async fn replaced(&mut self) {
+        loop {
+            let token = self
+                .leader
+                .borrow_and_update()
+                .as_ref()
+                .map(|leader| leader.token);
+            if token == Some(self.token) {
+                self.once = true;
+            } else if self.once || token > Some(self.token) {
+                return;
+            }
+            if self.leader.changed().await.is_err() {
+                // Discovery ends only with the process.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+fn encode_era(era: u32) -> Vec<u8> {
+    rmp_serde::to_vec(&era).expect("a number is plain data")
+}
+
+/// The era that stands under [`SETTLED_ERA_KEY`]; the first of all if it cannot be read.
+pub fn decode_era(value: &[u8]) -> u32 {
+    rmp_serde::from_slice(value).unwrap_or(0)
 }
 
 /// Name of the node for orders.
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -12,19 +12,22 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use barleyspar_catalog::{Configuration, Runner};
+use barleyspar_catalog::{Configuration, Revision, Runner};
 use barleyspar_dispatch::{DemandItem, RunnerKey};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-pub use lease::LeaseKeeper;
+pub use lease::{LeaseKeeper, decode_era};
 pub use task::PlacementTask;
 
 use order::{OrderResult, ReportResult};
 
 /// Key under which the leader stands in the store.
 pub const LEADER_KEY: &str = "barleyspar/placement/leader";
+/// Key of the store's era in which a lease was taken last: no lease of an earlier era that
+/// the store has lost can last any more.
+pub const SETTLED_ERA_KEY: &str = "barleyspar/placement/era";
 
 /// Who leads the placement.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,6 +38,8 @@
     pub address: SocketAddr,
     /// Its fencing token.
     pub token: u64,
+    /// The revision of its entry as the store shows it in its present era.
+    pub revision: Revision,
     /// Since when this node knows of it.
     pub known_since: Instant,
 }
@@ -43,25 +48,30 @@
 struct LeaderValue {
     node: Arc<str>,
     address: SocketAddr,
+    /// The store's era in which it took the lease.
+    era: u32,
 }
 
 impl LeaderRecord {
-    /// Reads the leader's value, written at `revision`.
-    pub fn decode(value: &[u8], revision: u64) -> Option<Self> {
+    /// Reads the leader's value, which the store shows with `revision`. A copy shows what
+    /// was written in an earlier era.
+    pub fn decode(value: &[u8], revision: Revision) -> Option<Self> {
         let value: LeaderValue = rmp_serde::from_slice(value).ok()?;
         Some(Self {
             node: value.node,
             address: value.address,
-            token: revision,
+            token: Revision::new(value.era, revision.number).token(),
+            revision,
             known_since: Instant::now(),
         })
     }
 
-    /// The value of a leader.
-    pub fn encode(node: &Arc<str>, address: SocketAddr) -> Vec<u8> {
+    /// The value of a leader that takes the lease in `era`.
+    pub fn encode(node: &Arc<str>, address: SocketAddr, era: u32) -> Vec<u8> {
         let value = LeaderValue {
             node: node.clone(),
             address,
+            era,
         };
         rmp_serde::to_vec(&value).expect("a leader is plain data")
     }
--- a/crates/gateway/src/register.rs
+++ b/crates/gateway/src/register.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError, Transaction, Write};
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use crate::context::Context;
+use crate::feed::FeedState;
 use crate::peers::MemberRecord;
 use crate::store::Store;
 
@@ -25,11 +27,16 @@
     rmp_serde::to_vec(record).expect("a record is plain data")
 }
 
-/// Registers this node under a lease, and keeps it there.
-pub async fn register(store: Store, context: Context) {
+fn member_key(context: &Context) -> String {
+    format!("{MEMBER_PREFIX}{}", context.settings.name)
+}
+
+/// Registers this node under a lease, and keeps it there; `seen` is what the store shows.
+pub async fn register(store: Store, context: Context, seen: watch::Receiver<FeedState>) {
+    let key = member_key(&context);
     loop {
         match enter(&store, &context).await {
-            Some(lease) => renew(&store, lease).await,
+            Some(lease) => renew(&store, lease, &key, seen.clone()).await,
             None => sleep(RETRY_PAUSE).await,
         }
     }
@@ -46,7 +53,7 @@
     };
     let put = StoreCall::Commit(Transaction {
         writes: vec![Write {
-            key: format!("{MEMBER_PREFIX}{}", context.settings.name),
+            key: member_key(context),
             value: member_value(&MemberRecord::of(&context.settings)).into(),
             lease,
         }],
@@ -65,13 +72,32 @@
     None
 }
 
-/// Renews until the store says that the lease is over.
-async fn renew(store: &Store, lease: u64) {
+/// Renews until the store says that the lease is over, or has lost the entry.
+async fn renew(store: &Store, lease: u64, key: &str, mut seen: watch::Receiver<FeedState>) {
+    let mut eras = store.era();
+    let mut era = eras.borrow_and_update().number;
     loop {
-        sleep(RENEWAL).await;
+        // A store that comes back from a copy may have lost lease and entry.
+        let _ = timeout(RENEWAL, eras.changed()).await;
         let call = StoreCall::RenewLease { lease };
         if let Err(StoreError::LeaseGone) = store.call(&call, CALL_TIMEOUT).await {
             return;
         }
+        let now = eras.borrow_and_update().number;
+        if now > era {
+            era = now;
+            if !is_shown(&mut seen, key, era).await {
+                return;
+            }
+        }
     }
 }
+
+/// Whether the store shows an entry under `key` in `era`.
+async fn is_shown(seen: &mut watch::Receiver<FeedState>, key: &str, era: u32) -> bool {
+    let of_era = |state: &FeedState| state.revision().era >= era;
+    // The feed ends only with the process.
+    seen.wait_for(of_era)
+        .await
+        .is_ok_and(|state| state.has(key))
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use barleyspar_catalog::{Dialect, StoreAnswer, StoreCall, StoreError};
+use barleyspar_catalog::{Dialect, Revision, StoreAnswer, StoreCall, StoreError, Transaction};
 use bytes::{Bytes, BytesMut};
 use http::header::HOST;
-use http::{HeaderMap, HeaderValue, Response};
+use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::watch;
@@ -35,8 +35,16 @@
     metrics: Arc<Metrics>,
     idle: Arc<Mutex<Vec<Connection>>>,
     heard: Arc<Mutex<Option<Instant>>>,
-    /// The newest era of the store that an answer showed; 0 before the first.
-    era: watch::Sender<u32>,
+    era: watch::Sender<Era>,
+}
+
+/// The newest era of the store that this node knows of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Era {
+    /// Its number; 0 before the first answer.
+    pub number: u32,
+    /// When this node learnt of it.
+    pub since: Instant,
 }
 
 impl Store {
@@ -55,7 +63,10 @@
             metrics,
             idle: Arc::default(),
             heard: Arc::default(),
-            era: watch::Sender::new(0),
+            era: watch::Sender::new(Era {
+                number: 0,
+                since: Instant::now(),
+            }),
         }
     }
 
@@ -79,19 +90,36 @@
         *heard = Some(Instant::now());
     }
 
-    /// Takes in the era that an answer belongs to.
-    fn note_era(&self, headers: &HeaderMap) {
-        let era = self.dialect.store_era(headers);
+    /// The newest era that this node knows of, and its changes.
+    pub fn era(&self) -> watch::Receiver<Era> {
+        self.era.subscribe()
+    }
+
+    /// Takes in that the store is, or was, in the era `number`.
+    pub fn note_era(&self, number: u32) {
         self.era.send_if_modified(|known| {
-            let rises = era > *known;
+            let rises = number > known.number;
             if rises {
-                tracing::warn!(event = "store_era", era, before = *known);
-                *known = era;
+                tracing::warn!(event = "store_era", era = number, before = known.number);
+                let since = Instant::now();
+                *known = Era { number, since };
             }
             rises
         });
     }
 
+    /// Whether a condition names a change of an earlier era: the store would compare its
+    /// number with that of another change.
+    fn is_outdated(&self, call: &StoreCall) -> bool {
+        let StoreCall::Commit(Transaction { conditions, .. }) = call else {
+            return false;
+        };
+        let era = self.era.borrow().number;
+        let of_earlier_era = |revision: &Revision| revision.era < era;
+        let mut named = conditions.iter().filter_map(|(_, revision)| *revision);
+        named.any(|revision| of_earlier_era(&revision))
+    }
+
     /// Makes one call. Waits for `patience` for its answer to begin, and as long
     /// for each further part of it: a long answer that keeps coming is not given
     /// up, since the next one would be no shorter.
@@ -124,16 +152,25 @@
         call: &StoreCall,
         patience: Duration,
     ) -> Result<StoreAnswer, StoreError> {
+        if self.is_outdated(call) {
+            return Ok(StoreAnswer::Conflict);
+        }
         let (mut connection, response) = timeout(patience, self.send(call))
             .await
             .unwrap_or_else(|_| Err(time_is_up()))?;
         self.note_heard();
-        self.note_era(response.headers());
+        let era = self.dialect.store_era(response.headers());
+        self.note_era(era);
         let status = response.status();
         let body = self.read_body(response.into_body(), patience).await?;
         connection.rest(Some(KEEP_ALIVE_SECONDS));
         self.lock().push(connection);
-        self.dialect.read_store_answer(call, status, &body)
+        if era < self.era.borrow().number {
+            return Err(StoreError::Unanswered(
+                "the store has come back from a copy since".to_owned(),
+            ));
+        }
+        self.dialect.read_store_answer(call, era, status, &body)
     }
 
     async fn send(&self, call: &StoreCall) -> Result<(Connection, Response<Incoming>), StoreError> {
--- a/crates/gateway/src/tasks.rs
+++ b/crates/gateway/src/tasks.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::{Instant, sleep_until};
 
 tokio::task_local! {
     static GROUP: TaskGroup;
@@ -54,3 +55,11 @@
         Err(_) => tokio::spawn(future),
     }
 }
+
+/// Waits until `at`; for ever if there is no such time.
+pub async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -224,6 +224,7 @@
     fn read_store_answer(
         &self,
         _call: &StoreCall,
+        _era: u32,
         status: StatusCode,
         body: &[u8],
     ) -> Result<StoreAnswer, StoreError> {
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use barleyspar_catalog::{Event, Item, StoreAnswer, StoreCall, StoreError, Transaction};
+use barleyspar_catalog::{Event, Item, Revision, StoreAnswer, StoreCall, StoreError, Transaction};
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -20,7 +20,7 @@
 #[derive(Clone, Default)]
 pub struct Data {
     era: u32,
-    revision: u64,
+    number: u64,
     items: BTreeMap<String, Stored>,
     history: Vec<Event>,
     forgotten_up_to: u64,
@@ -41,8 +41,8 @@
     }
 
     /// The revision of the last change.
-    pub(super) fn revision(&self) -> u64 {
-        self.revision
+    pub(super) fn revision(&self) -> Revision {
+        Revision::new(self.era, self.number)
     }
 
     fn page(&self, prefix: &str, after: Option<&str>) -> StoreAnswer {
@@ -52,11 +52,20 @@
             .map(|stored| &stored.item)
             .filter(|item| item.key.starts_with(prefix))
             .filter(|item| after.is_none_or(|after| *item.key > *after));
-        let items: Vec<Item> = found.by_ref().take(PAGE_ITEMS).cloned().collect();
+        let items = found.by_ref().take(PAGE_ITEMS).cloned();
+        let items = items.map(|item| self.in_this_era(item)).collect();
         StoreAnswer::Page {
             items,
             more: found.next().is_some(),
-            revision: self.revision,
+            revision: self.revision(),
+        }
+    }
+
+    /// An answer names one era, whenever what it shows was written.
+    fn in_this_era(&self, item: Item) -> Item {
+        Item {
+            revision: Revision::new(self.era, item.revision.number),
+            ..item
         }
     }
 
@@ -67,17 +76,17 @@
 
     /// Forgets all changes so far, but not what they led to.
     pub(super) fn forget_history(&mut self) {
-        self.forgotten_up_to = self.revision;
+        self.forgotten_up_to = self.number;
         self.history.clear();
     }
 
     /// Writes `key`; it goes with `lease` unless that is 0.
     pub(super) fn write(&mut self, key: &str, value: Bytes, lease: u64) {
-        self.revision += 1;
+        self.number += 1;
         let item = Item {
             key: key.to_owned(),
             value,
-            revision: self.revision,
+            revision: self.revision(),
         };
         self.history.push(Event::Written(item.clone()));
         self.items.insert(key.to_owned(), Stored { item, lease });
@@ -86,10 +95,10 @@
     /// Removes `key` if it is there.
     pub(super) fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
-            self.revision += 1;
+            self.number += 1;
             self.history.push(Event::Removed {
                 key: key.to_owned(),
-                revision: self.revision,
+                revision: self.revision(),
             });
         }
     }
@@ -122,22 +131,35 @@
     }
 
     /// Changes of keys under `prefix` after a revision.
-    pub(super) fn events(&self, prefix: &str, after: u64) -> Result<StoreAnswer, StoreError> {
-        if after < self.forgotten_up_to || after > self.revision {
+    pub(super) fn events(&self, prefix: &str, after: Revision) -> Result<StoreAnswer, StoreError> {
+        // Like a store, it goes by numbers alone.
+        let after = after.number;
+        if after < self.forgotten_up_to || after > self.number {
             return Err(StoreError::HistoryLost);
         }
         let events = self
             .history
             .iter()
             .filter(|event| match event {
-                Event::Written(item) => item.revision > after && item.key.starts_with(prefix),
-                Event::Removed { key, revision } => *revision > after && key.starts_with(prefix),
+                Event::Written(item) => {
+                    item.revision.number > after && item.key.starts_with(prefix)
+                }
+                Event::Removed { key, revision } => {
+                    revision.number > after && key.starts_with(prefix)
+                }
             })
             .cloned()
+            .map(|event| match event {
+                Event::Written(item) => Event::Written(self.in_this_era(item)),
+                Event::Removed { key, revision } => Event::Removed {
+                    key,
+                    revision: Revision::new(self.era, revision.number),
+                },
+            })
             .collect();
         Ok(StoreAnswer::Events {
             events,
-            revision: self.revision,
+            revision: self.revision(),
         })
     }
 
@@ -148,8 +170,8 @@
             StoreCall::Watch { .. } => unreachable!("watches wait"),
             StoreCall::Commit(transaction) => self.commit(transaction),
             StoreCall::GrantLease { time_to_live } => {
-                self.revision += 1;
-                let lease = self.revision;
+                self.number += 1;
+                let lease = self.number;
                 self.leases
                     .insert(lease, (*time_to_live, Instant::now() + *time_to_live));
                 Ok(StoreAnswer::Lease {
@@ -174,8 +196,11 @@
 
     fn commit(&mut self, transaction: &Transaction) -> Result<StoreAnswer, StoreError> {
         let holds = transaction.conditions.iter().all(|(key, revision)| {
-            let known = self.items.get(key).map_or(0, |stored| stored.item.revision);
-            known == *revision
+            let known = self
+                .items
+                .get(key)
+                .map(|stored| stored.item.revision.number);
+            known == revision.map(|revision| revision.number)
         });
         if !holds {
             return Ok(StoreAnswer::Conflict);
@@ -194,7 +219,7 @@
             self.remove(key);
         }
         Ok(StoreAnswer::Committed {
-            revision: self.revision,
+            revision: self.revision(),
         })
     }
 }
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use barleyspar_catalog::{StoreAnswer, StoreCall, StoreError};
+use barleyspar_catalog::{Revision, StoreAnswer, StoreCall, StoreError};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -65,14 +65,14 @@
 #[derive(Clone)]
 pub struct StoreStandIn {
     state: Arc<Mutex<State>>,
-    changed: watch::Sender<u64>,
+    changed: watch::Sender<Revision>,
 }
 
 impl Default for StoreStandIn {
     fn default() -> Self {
         Self {
             state: Arc::default(),
-            changed: watch::Sender::new(0),
+            changed: watch::Sender::new(Revision::default()),
         }
     }
 }
@@ -308,7 +308,7 @@
     async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<StoreAnswer, StoreError> {
         const EXPIRY_STEP: Duration = Duration::from_millis(50);
