What a copy of the store lacks or shows wrongly is not believed at once

Cause: with the order over eras alone, a node takes in the copy as it is. Runners and evacuations written since are dropped until they are written again, up to a heartbeat later (no gateway served a service whose only runner the copy lacked); a runner that had drained and gone is there again as available (18 requests to it). Change: what this node knew and the copy lacks is kept for two seconds, the time within which entries are written again. A life of a runner that drained, by its entry too, is remembered as leaving. One whose entry had gone is used again once it shows a later heartbeat, or has stood there for ten seconds.

--- a/crates/dispatch/src/knowledge.rs
+++ b/crates/dispatch/src/knowledge.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::Runner;
+use barleyspar_catalog::{Runner, RunnerState};
 
 use crate::dispatcher::Dispatcher;
 use crate::inventory::Inventory;
@@ -27,10 +27,11 @@
         self.evacuated = zones;
     }
 
-    /// Takes in a runner's entry.
-    pub fn update_runner(&mut self, runner: impl Into<Arc<Runner>>, now: Instant) {
+    /// Takes in a runner's entry. Whether it says as the first that the runner leaves.
+    pub fn update_runner(&mut self, runner: impl Into<Arc<Runner>>, now: Instant) -> bool {
         let runner = runner.into();
         let id = runner.id.clone();
+        let leaves = runner.state == RunnerState::Draining && self.see_leaving(&id, now);
         let before = self.possible_models(&id);
         match self.runners.get_mut(&runner.id) {
             Some(entry) => entry.update(runner, now),
@@ -38,6 +39,7 @@
         }
         self.index(&id, &before);
         self.end_cold_starts(&id, now);
+        leaves
     }
 
     fn insert_runner(&mut self, runner: Arc<Runner>, now: Instant) {
--- a/crates/dispatch/src/leaving.rs
+++ b/crates/dispatch/src/leaving.rs
@@ -1,8 +1,9 @@
-//! Runners that said themselves that they leave.
+//! Runners that said that they leave, in their answers or by their entries.
 //!
 //! The store may hear of it much later than callers' requests do, and may show an older
-//! entry again afterwards: what a runner said holds for as long as this life of it. Nodes
-//! tell each other, so that those that it has not answered send it nothing either.
+//! entry again afterwards: what a runner said holds for as long as this life of it. What it
+//! said in an answer nodes tell each other, so that those that it has not answered send it
+//! nothing either.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -29,40 +30,48 @@
     pub age_ms: u32,
 }
 
-/// The runners that said that they leave, and when each said so first.
+/// The runners that said that they leave, and how each said so first.
 #[derive(Debug, Default)]
 pub struct Leaving {
-    since: BTreeMap<Arc<str>, Instant>,
+    said: BTreeMap<Arc<str>, Said>,
+}
+
+/// How a runner said that it leaves.
+#[derive(Debug, Clone, Copy)]
+struct Said {
+    at: Instant,
+    /// Whether by its entry in the store, which every node reads.
+    in_store: bool,
 }
 
 impl Leaving {
-    /// The runner `id` said so at `at`; whether that is news.
-    fn add(&mut self, id: &Arc<str>, at: Instant, now: Instant) -> bool {
-        self.since
-            .retain(|_, since| now.saturating_duration_since(*since) < REMEMBERED_FOR);
+    /// The runner `id` said so; whether that is news.
+    fn add(&mut self, id: &Arc<str>, said: Said, now: Instant) -> bool {
+        self.said
+            .retain(|_, said| now.saturating_duration_since(said.at) < REMEMBERED_FOR);
         if self.contains(id) {
             return false;
         }
-        self.since.insert(id.clone(), at);
+        self.said.insert(id.clone(), said);
         true
     }
 
     /// Whether the runner `id` leaves.
     pub fn contains(&self, id: &str) -> bool {
-        self.since.contains_key(id)
+        self.said.contains_key(id)
     }
 
     /// What others are to be told: what became known last, if there is much.
     fn news(&self, now: Instant) -> Vec<LeavingNews> {
-        let age = |since: Instant| now.saturating_duration_since(since);
+        let age = |said: &Said| now.saturating_duration_since(said.at);
         let told = self
-            .since
+            .said
             .iter()
-            .filter(|(_, since)| age(**since) < TOLD_FOR);
+            .filter(|(_, said)| !said.in_store && age(said) < TOLD_FOR);
         let mut news: Vec<LeavingNews> = told
-            .map(|(runner, since)| LeavingNews {
+            .map(|(runner, said)| LeavingNews {
                 runner: runner.clone(),
-                age_ms: u32::try_from(age(*since).as_millis()).unwrap_or(u32::MAX),
+                age_ms: u32::try_from(age(said).as_millis()).unwrap_or(u32::MAX),
             })
             .collect();
         news.sort_by_key(|news| news.age_ms);
@@ -72,9 +81,17 @@
 }
 
 impl Dispatcher {
+    /// Takes in that the entry of the runner `id` says that it leaves; whether that is
+    /// news.
+    pub(crate) fn see_leaving(&mut self, id: &Arc<str>, now: Instant) -> bool {
+        let in_store = true;
+        self.leaving.add(id, Said { at: now, in_store }, now)
+    }
+
     /// Takes in that the runner `id` said at `at` that it leaves; whether that is news.
     pub fn hear_leaving(&mut self, id: &Arc<str>, at: Instant, now: Instant) -> bool {
-        let is_news = self.leaving.add(id, at, now);
+        let in_store = false;
+        let is_news = self.leaving.add(id, Said { at, in_store }, now);
         if let Some(entry) = self.runners.get_mut(id) {
             entry.leave();
         }
@@ -93,7 +110,7 @@
 
     /// The runners that said that they leave.
     pub fn leaving(&self) -> BTreeSet<Arc<str>> {
-        self.leaving.since.keys().cloned().collect()
+        self.leaving.said.keys().cloned().collect()
     }
 
     /// What other nodes are to be told of leaving runners.
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -14,6 +14,8 @@
 use crate::peers::PeerHandle;
 use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle, SETTLED_ERA_KEY, decode_era};
 use crate::register::MEMBER_PREFIX;
+use crate::restored::{Restored, Settled};
+use crate::tasks::sleep_until_some;
 
 /// Part of its bound within which an evacuation is in force; the rest covers what was
 /// granted a runner at the end of it, connections (0.3 s) and links besides.
@@ -45,6 +47,8 @@
     pub names: Names,
     /// Runners that stand in the store, by their own ids.
     pub runners: HashMap<Arc<str>, Arc<Runner>>,
+    /// What is believed of a store that came back from a copy.
+    pub restored: Restored,
     /// Zones that the operators evacuate, and until when the runners of each still
     /// serve what no others can.
     pub evacuated: BTreeMap<Arc<str>, Instant>,
@@ -53,12 +57,36 @@
 impl Discovery {
     /// Passes changes on until they end.
     pub async fn run(mut self, mut changes: mpsc::Receiver<Change>) {
-        while let Some(change) = changes.recv().await {
-            match change {
-                Change::Everything(items) => self.everything(items),
-                Change::Event(Event::Written(item)) => self.written(&item, false),
-                Change::Event(Event::Removed { key, .. }) => self.removed(&key),
-                Change::CompleteAt(at) => self.complete_at(at),
+        loop {
+            let settles_at = self.restored.next();
+            tokio::select! {
+                change = changes.recv() => match change {
+                    Some(change) => self.change(change),
+                    None => return,
+                },
+                () = sleep_until_some(settles_at) => self.settle(),
+            }
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::Everything(items, era) => self.everything(items, era),
+            Change::Event(Event::Written(item)) => self.written(&item, false),
+            Change::Event(Event::Removed { key, .. }) => self.removed(&key),
+            Change::CompleteAt(at) => self.complete_at(at),
+        }
+    }
+
+    /// Takes in what has become certain since the store came back from a copy.
+    fn settle(&mut self) {
+        for settled in self.restored.settle() {
+            match settled {
+                Settled::RunnerGone(name) => self.runner_gone(&name),
+                Settled::NotEvacuated(zone) => self.evacuate(|zones| {
+                    zones.remove(&zone);
+                }),
+                Settled::RunnerLives(runner, revision) => self.runner(*runner, revision, false),
             }
         }
     }
@@ -71,7 +99,8 @@
         }
     }
 
-    fn everything(&mut self, items: Vec<Item>) {
+    fn everything(&mut self, items: Vec<Item>, era: u32) {
+        let is_restored = self.restored.begins(era);
         let members: Vec<&str> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(MEMBER_PREFIX))
@@ -84,11 +113,16 @@
             self.settled_era.send_replace(0);
         }
         let dialect = self.context.dialect.clone();
+        if is_restored {
+            self.note_lacking(&items);
+        }
         let evacuated: Vec<&str> = items
             .iter()
             .filter_map(|item| dialect.evacuation_of_key(&item.key))
             .collect();
-        self.evacuate(|zones| zones.retain(|zone, _| evacuated.contains(&&**zone)));
+        let mut zones = self.evacuated.clone();
+        zones.retain(|zone, _| evacuated.contains(&&**zone) || self.restored.is_zone_lacking(zone));
+        self.evacuate(|known| *known = zones);
         // Evacuations and the configuration first: no runner may be used before them.
         let (first, runners): (Vec<&Item>, Vec<&Item>) = items
             .iter()
@@ -100,7 +134,8 @@
             .iter()
             .filter_map(|item| dialect.runner_of_key(&item.key))
             .collect();
-        self.runners.retain(|name, _| named.contains(&**name));
+        self.runners
+            .retain(|name, _| named.contains(&**name) || self.restored.is_lacking(name));
         tracing::info!(
             event = "store_known",
             runners = self.runners.len(),
@@ -116,6 +151,24 @@
         self.placement.retain_runners(kept);
     }
 
+    /// Notes what this node knew and the copy that the store came back from lacks.
+    fn note_lacking(&mut self, items: &[Item]) {
+        let dialect = self.context.dialect.clone();
+        let runners: HashSet<&str> = items
+            .iter()
+            .filter_map(|item| dialect.runner_of_key(&item.key))
+            .collect();
+        let zones: HashSet<&str> = items
+            .iter()
+            .filter_map(|item| dialect.evacuation_of_key(&item.key))
+            .collect();
+        let lacks_runner = |name: &&Arc<str>| !runners.contains(&***name);
+        let lacks_zone = |zone: &&Arc<str>| !zones.contains(&***zone);
+        let lacking = self.runners.keys().filter(lacks_runner).cloned();
+        let lacking_zones = self.evacuated.keys().filter(lacks_zone).cloned();
+        self.restored.lacks(lacking, lacking_zones);
+    }
+
     fn written(&mut self, item: &Item, whole_reading: bool) {
         if item.key == SETTLED_ERA_KEY {
             self.settled_era.send_replace(decode_era(&item.value));
@@ -144,6 +197,7 @@
             }
             Ok(StoredObject::Runner(runner)) => self.runner(*runner, item.revision, whole_reading),
             Ok(StoredObject::Evacuation(zone)) => {
+                self.restored.zone_written(&zone);
                 let last = self.last_of_evacuated();
                 self.evacuate(|zones| {
                     zones.entry(zone).or_insert(last);
@@ -173,6 +227,7 @@
                 zones.remove(zone);
             });
         } else if let Some(name) = dialect.runner_of_key(key) {
+            self.restored.removed(name);
             self.runner_gone(name);
         }
     }
@@ -183,6 +238,7 @@
             return;
         };
         tracing::info!(event = "runner_gone", runner = &*known.id);
+        self.restored.gone(&known);
         self.context.dispatch.remove_runner(known.id.clone());
         self.placement.remove_runner(known.id.clone());
     }
@@ -244,6 +300,11 @@
     }
 
     fn runner(&mut self, mut runner: Runner, revision: Revision, whole_reading: bool) {
+        if !self.restored.believes(&runner, revision) {
+            let runner = &*runner.id;
+            tracing::info!(event = "runner_doubted", runner, era = revision.era);
+            return;
+        }
         if !self.follow_life(&runner) {
             return;
         }
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -135,6 +135,10 @@
         for runner in added {
             journal::runner_leaves(runner, source);
         }
+        self.show_leaving();
+    }
+
+    fn show_leaving(&self) {
         let leaving = Arc::new(self.dispatcher.leaving());
         self.leaving.send_replace(leaving);
     }
@@ -157,7 +161,11 @@
                 self.splitter.retain(&configuration.routes);
                 self.dispatcher.set_configuration(configuration);
             }
-            Command::UpdateRunner(runner) => self.dispatcher.update_runner(runner, now()),
+            Command::UpdateRunner(runner) => {
+                if self.dispatcher.update_runner(runner, now()) {
+                    self.show_leaving();
+                }
+            }
             Command::RemoveRunner(id) => self.dispatcher.remove_runner(&id),
             Command::RetainRunners(kept) => self.dispatcher.retain_runners(&kept),
             Command::UpdateModels(inventory) => self.dispatcher.update_models(inventory, now()),
--- a/crates/gateway/src/feed/copy.rs
+++ b/crates/gateway/src/feed/copy.rs
@@ -140,7 +140,7 @@
         News::Everything(items) => {
             let newer = state.take_everything(&items, revision);
             newer
-                .then_some(Change::Everything(items))
+                .then_some(Change::Everything(items, revision.era))
                 .into_iter()
                 .collect()
         }
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -34,8 +34,8 @@
 /// What the feed tells the node's other parts.
 #[derive(Debug, PartialEq)]
 pub enum Change {
-    /// Everything there is, read anew.
-    Everything(Vec<Item>),
+    /// Everything there is, read anew in this era of the store.
+    Everything(Vec<Item>, u32),
     /// One change.
     Event(Event),
     /// All changes before this moment have been told.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod register;
 mod relay;
 mod request;
+mod restored;
 mod store;
 mod stream;
 mod tasks;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,6 +28,7 @@
 use crate::network::{Listener, Network, Sockets};
 use crate::placement::{self, LeaseKeeper, PlacementTask};
 use crate::quota::QuotaTask;
+use crate::restored::Restored;
 use crate::store::Store;
 use crate::{crashes, dispatch, feed, peers, quota, rate_permits, readiness, register, request};
 
@@ -250,6 +251,7 @@
         names: Names::default(),
         arrivals: Arrivals::default(),
         runners: HashMap::new(),
+        restored: Restored::default(),
         evacuated: BTreeMap::new(),
     };
     let heard = peer_handle.heard();
--- a/crates/standin/tests/restored_store.rs
+++ b/crates/standin/tests/restored_store.rs
@@ -237,3 +237,52 @@
         assert!(world.store.get(&key).is_some(), "gateway {number}");
     }
 }
+
+/// Asks all gateways four times, for 0.8 s; the requests that the runner got.
+async fn asked_of(world: &World, runner: &str, id: &str) -> u64 {
+    let before = world.runners[runner].arrivals();
+    for time in 0..4 {
+        serving(world, "/plain/x", &format!("{id}-{time}"), None).await;
+    }
+    world.runners[runner].arrivals() - before
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_lives_is_used_again_though_its_entry_had_gone() {
+    for writes in [true, false] {
+        let world = world().await;
+        let copy = world.store.copy();
+        world.store.remove("runner/plain-1");
+        world.pass(SECOND).await;
+        world.store.restore(&copy);
+        world.pass(SECOND).await;
+        assert_eq!(asked_of(&world, "plain-1", "at first").await, 0);
+        if writes {
+            world.runners["plain-1"].publish();
+            world.pass(SECOND).await;
+        } else {
+            world.pass(10 * SECOND).await;
+        }
+        let used = asked_of(&world, "plain-1", "later").await;
+        assert!(used > 0, "writes: {writes}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_zone_stays_evacuated_while_the_operators_write_that_again() {
+    let mut world = world().await;
+    world.start_runner_in("far", "far-1", "plain", &[]);
+    world.pass(SECOND).await;
+    let copy = world.store.copy();
+    world.evacuate("zone", true);
+    world.pass(BOUND).await;
+    world.store.restore(&copy);
+    world.pass(SECOND / 2).await;
+    assert_eq!(asked_of(&world, "plain-1", "evacuated").await, 0);
+    world.evacuate("zone", true);
+    world.pass(3 * SECOND).await;
+    assert_eq!(asked_of(&world, "plain-1", "written again").await, 0);
+    world.store.restore(&copy);
+    world.pass(4 * SECOND).await;
+    assert!(asked_of(&world, "plain-1", "taken back").await > 0);
+}
