A configuration that the store has lost is kept there until it is written again

What callers would see: a node that starts after the store has come back from a copy, and before the operators have written again, serves by the copy's older configuration. Cause: running nodes go by the newest that they know, which stands nowhere for others: one that starts reads the store, which takes 4 ms, before any peer. Ruled out: telling it along the feed (built first): a node that has read the store itself, or follows nobody, is told nothing. Change: the first node in turn that knows a newer configuration than the copy shows writes it under a key of the system's own, on condition that nobody has; every reader takes the newest of both.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -10,6 +10,7 @@
 use crate::arrivals::Arrivals;
 use crate::context::Context;
 use crate::feed::Change;
+use crate::kept_configuration::{self, ConfigurationKeeper, KEPT_CONFIGURATION_KEY};
 use crate::names::Names;
 use crate::peers::PeerHandle;
 use crate::placement::{LEADER_KEY, LeaderRecord, PlacementHandle, SETTLED_ERA_KEY, decode_era};
@@ -39,6 +40,12 @@
     pub settled_era: watch::Sender<u32>,
     /// When the routes in force were known to be the operators' latest.
     pub confirmed: watch::Sender<Option<Instant>>,
+    /// Keeps the configuration in force in a store that shows an older one.
+    pub keeper: ConfigurationKeeper,
+    /// The configuration in force as it stands, or stood, in the store.
+    pub in_force: Option<Item>,
+    /// The revision of the configuration that is kept in the store.
+    pub kept: Option<Revision>,
     /// Whether the latest configuration could not be read.
     pub unreadable: bool,
     /// Which arrivals the log tells of.
@@ -101,6 +108,8 @@
 
     fn everything(&mut self, items: Vec<Item>, era: u32) {
         let is_restored = self.restored.begins(era);
+        self.keeper.begin_reading();
+        self.kept = None;
         let members: Vec<&str> = items
             .iter()
             .filter_map(|item| item.key.strip_prefix(MEMBER_PREFIX))
@@ -149,6 +158,9 @@
             .collect();
         self.context.dispatch.retain_runners(kept.clone());
         self.placement.retain_runners(kept);
+        if is_restored {
+            self.keep_configuration();
+        }
     }
 
     /// Notes what this node knew and the copy that the store came back from lacks.
@@ -174,6 +186,13 @@
             self.settled_era.send_replace(decode_era(&item.value));
             return;
         }
+        if item.key == KEPT_CONFIGURATION_KEY {
+            self.kept = Some(item.revision);
+            if let Some(kept) = kept_configuration::decode(&item.value) {
+                self.written(&kept, whole_reading);
+            }
+            return;
+        }
         if item.key == LEADER_KEY {
             let record = LeaderRecord::decode(&item.value, item.revision);
             if let Some(record) = &record {
@@ -193,7 +212,10 @@
         match self.context.dialect.read_object(&item.key, &item.value) {
             Ok(StoredObject::Configuration(configuration)) => {
                 self.unreadable = false;
-                self.configure(*configuration);
+                self.keeper.shows(configuration.version);
+                if self.configure(*configuration) {
+                    self.in_force = Some(item.clone());
+                }
             }
             Ok(StoredObject::Runner(runner)) => self.runner(*runner, item.revision, whole_reading),
             Ok(StoredObject::Evacuation(zone)) => {
@@ -268,16 +290,23 @@
             .map_or(now, |(asked, bound)| asked + bound.mul_f64(EVACUATION_PART))
     }
 
-    /// Puts a configuration in force, unless a newer one is.
-    fn configure(&self, configuration: barleyspar_catalog::Configuration) {
-        let known = self
-            .context
-            .routes
-            .borrow()
-            .as_ref()
-            .map(|table| table.configuration().version);
-        if known.is_some_and(|version| version >= configuration.version) {
-            return;
+    /// Has the configuration in force kept, if the store shows an older one.
+    fn keep_configuration(&self) {
+        if let (Some(version), Some(item)) = (self.version(), &self.in_force) {
+            self.keeper.keep(item.clone(), version, self.kept);
+        }
+    }
+
+    /// The version in force.
+    fn version(&self) -> Option<u64> {
+        let routes = self.context.routes.borrow();
+        routes.as_ref().map(|table| table.configuration().version)
+    }
+
+    /// Puts a configuration in force, unless a newer one is; whether it did.
+    fn configure(&self, configuration: barleyspar_catalog::Configuration) -> bool {
+        if self.version() >= Some(configuration.version) {
+            return false;
         }
         let version = configuration.version;
         let configuration = Arc::new(configuration);
@@ -297,6 +326,7 @@
         }
         self.routes.send_replace(Some(Arc::new(table)));
         tracing::info!(event = "configuration_in_force", version, routes);
+        true
     }
 
     fn runner(&mut self, mut runner: Runner, revision: Revision, whole_reading: bool) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod feed;
 mod inflight;
 mod journal;
+mod kept_configuration;
 mod lifecycle;
 mod listener;
 mod messages;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,6 +22,7 @@
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
 use crate::feed::{FeedState, FeedTask};
+use crate::kept_configuration::ConfigurationKeeper;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::listener::{self, ListenerLimits};
 use crate::names::Names;
@@ -247,6 +248,14 @@
         leader: leader_sender,
         settled_era: settled_era_sender,
         confirmed: confirmed_sender,
+        keeper: ConfigurationKeeper {
+            context: context.clone(),
+            store: store.clone(),
+            heard: peer_handle.heard(),
+            shown: watch::Sender::new(0),
+        },
+        in_force: None,
+        kept: None,
         unreadable: false,
         names: Names::default(),
         arrivals: Arrivals::default(),
