Failing test: an order that was given up reaches its runner when a cut ends

Brought about in virtual time: the stand-in of the network now takes what is written during a cut and delivers it when the cut ends, also if the connection was closed meanwhile, as a kernel does; before, a cut kept it from being written at all. The leader is cut off from its runner, gives up its order after 0.4 s and is killed; the order arrives as the cut ends.

--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,7 +1,9 @@
-//! A network in memory. Hosts can be cut off from each other: what was sent
-//! then waits, and connections hang, as on a real network without power.
+//! A network in memory. Hosts can be cut off from each other: connections hang, and what
+//! was sent waits at its sender and is delivered when the cut ends, also if the sender has
+//! closed the connection meanwhile, as on a real network without power.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
@@ -13,6 +15,7 @@
 use barleyspar_gateway::{ByteStream, Datagrams, Listener, Network};
 use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
 use tokio::sync::{Mutex as AsyncMutex, mpsc};
+use tokio::time::{Sleep, sleep};
 
 /// Bytes that a stream holds on its way.
 const STREAM_BYTES: usize = 256 * 1024;
@@ -137,6 +140,8 @@
             number,
             ends: pair(self.ip, address.ip()),
             stream,
+            has_waited: false,
+            end: None,
         };
         let accepted: Accepted = (Box::new(wrap(far)), self.ip);
         listener.send(accepted).await.map_err(|_| refused())?;
@@ -203,24 +208,32 @@
     }
 }
 
-/// A stream that stands still while its ends are cut off from each other, or for
-/// good.
+/// A stream on which nothing arrives while its ends are cut off from each other, and
+/// which may stand still for good.
 struct MemoryStream {
     network: MemoryNetwork,
     number: u64,
     ends: (IpAddr, IpAddr),
     stream: DuplexStream,
+    /// Whether something waited for the end of a cut.
+    has_waited: bool,
+    /// Runs out when the end of the stream arrives.
+    end: Option<Pin<Box<Sleep>>>,
 }
 
 impl MemoryStream {
-    fn stands_still(&self, context: &Context<'_>) -> bool {
+    fn is_cut(&self, context: &Context<'_>) -> bool {
         let mut state = self.network.lock();
         let cut = state.cuts.contains(&self.ends);
         if cut {
             state.wakers.push(context.waker().clone());
         }
-        let last_silent = state.silent.get(&self.ends).copied();
-        cut || last_silent.is_some_and(|last| self.number <= last)
+        cut
+    }
+
+    fn is_silent(&self) -> bool {
+        let last_silent = self.network.lock().silent.get(&self.ends).copied();
+        last_silent.is_some_and(|last| self.number <= last)
     }
 }
 
@@ -230,10 +243,22 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.stands_still(context) {
+        if self.is_cut(context) {
+            self.has_waited = true;
             return Poll::Pending;
         }
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        if self.is_silent() {
+            return Poll::Pending;
+        }
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let is_end = matches!(&read, Poll::Ready(Ok(()))) && buffer.filled().len() == before;
+        if !is_end || buffer.remaining() == 0 || !self.has_waited {
+            return read;
+        }
+        // What waited comes in several packets, the end in the last one.
+        let end = self.end.get_or_insert_with(|| Box::pin(sleep(DELAY)));
+        end.as_mut().poll(context).map(Ok)
     }
 }
 
@@ -243,7 +268,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.stands_still(context) {
+        if self.is_silent() {
             return Poll::Pending;
         }
         Pin::new(&mut self.stream).poll_write(context, bytes)
--- /dev/null
+++ b/crates/standin/tests/given_up_orders.rs
@@ -0,0 +1,50 @@
+//! Orders that their leader gave up while it was cut off from the runner.
+
+use std::time::Duration;
+
+use barleyspar_catalog::{Bounds, RequestKind};
+use barleyspar_standin::{World, engine_service, route};
+
+const SECOND: Duration = Duration::from_secs(1);
+const GATEWAYS: u8 = 3;
+
+/// The gateway that orders runners.
+async fn leader(world: &World) -> u8 {
+    for number in 1..=GATEWAYS {
+        if world.figure(number, "barleyspar_leading ").await == Some(1.0) {
+            return number;
+        }
+    }
+    panic!("nobody leads");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_order_that_was_given_up_does_not_reach_its_runner_when_a_cut_ends() {
+    let mut world = World::new(
+        vec![engine_service("engine", &["a", "b", "c"])],
+        vec![route("/stream/", "engine", RequestKind::Streaming)],
+    );
+    let engine = world.start_runner("engine-1", "engine", &[]);
+    for number in 1..=GATEWAYS {
+        let unfenced = |bounds: &mut Bounds| bounds.fencing_enforced = false;
+        world.start_gateway_with(number, unfenced).await;
+    }
+    world.pass(12 * SECOND).await;
+    let leader = leader(&world).await;
+    let other = leader % GATEWAYS + 1;
+    // The leader has a connection to the runner.
+    assert_eq!(
+        world.ask(other, "/stream/x", "b", Some("b")).await.code(),
+        200
+    );
+    let orders = engine.orders().len();
+    let host = World::host(leader);
+    world.network.cut(host, engine.address().ip());
+    world
+        .ask_within(other, "/stream/x", "c", Some("c"), 2 * SECOND)
+        .await;
+    world.kill_gateway(leader);
+    world.network.heal();
+    world.pass(SECOND / 10).await;
+    assert_eq!(engine.orders().len(), orders);
+}
