A call to a runner that was given up is thrown away with its connection

Cause: a connection is closed in order; what its kernel had not delivered goes out when a cut heals, seconds after the order was given up and the lease has passed on. Change: the leader's calls that get no answer have their connection reset (linger of zero), so that the kernel drops what is left. Callers' requests are closed in order as before: a reset is not sent twice, and a runner must learn that its caller has left. The leader's call is in two functions, the exchange apart.

--- a/crates/gateway/src/network.rs
+++ b/crates/gateway/src/network.rs
@@ -20,9 +20,20 @@
 const KEEP_ALIVE_PROBES: u32 = 2;
 
 /// A stream of bytes in both directions.
-pub trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {}
+pub trait ByteStream: AsyncRead + AsyncWrite + Send + Unpin {
+    /// Has what was written and is not delivered yet thrown away when the stream is
+    /// dropped. Without this it goes out later, however long a link was cut.
+    fn discard_on_drop(&mut self);
+}
 
-impl<Stream: AsyncRead + AsyncWrite + Send + Unpin> ByteStream for Stream {}
+impl ByteStream for TcpStream {
+    fn discard_on_drop(&mut self) {
+        let set = SockRef::from(&*self).set_linger(Some(Duration::ZERO));
+        if let Err(error) = set {
+            tracing::warn!(event = "socket_option_refused", option = "linger", %error);
+        }
+    }
+}
 
 /// Takes connections.
 #[async_trait]
--- a/crates/gateway/src/network_tests.rs
+++ b/crates/gateway/src/network_tests.rs
@@ -1,7 +1,10 @@
+use std::io::ErrorKind;
+
 use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{KEEP_ALIVE_PROBES, KEEP_ALIVE_TIME, USER_TIMEOUT, prepare};
+use super::{ByteStream, KEEP_ALIVE_PROBES, KEEP_ALIVE_TIME, USER_TIMEOUT, prepare};
 
 /// A connection that goes silent without a reset shows it only by these.
 #[tokio::test]
@@ -29,3 +32,20 @@
     let user_timeout = socket.tcp_user_timeout().expect("it is known");
     assert_eq!(user_timeout, Some(USER_TIMEOUT));
 }
+
+#[tokio::test]
+async fn a_socket_that_discards_is_reset_and_not_closed_in_order() {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let (mut accepted, _) = listener.accept().await.expect("one has come");
+    stream.write_all(b"order").await.expect("it is open");
+    stream.discard_on_drop();
+    drop(stream);
+    let mut read = Vec::new();
+    let end = accepted.read_to_end(&mut read).await;
+    let error = end.expect_err("it is reset");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -8,7 +8,7 @@
 use barleyspar_loading::Lease;
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Request, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -17,6 +17,7 @@
 use crate::context::{CONNECT_TIMEOUT, Context};
 use crate::notices::{self, Heard};
 use crate::rate_permits;
+use crate::upstream::Connection;
 
 /// Time for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -144,6 +145,28 @@
     if !allowed() {
         return Err(CallError::NotSent("the lease does not last".to_owned()));
     }
+    match exchange(context, runner, name, &mut connection, request).await {
+        Ok((head, body)) => {
+            let keep_alive = context.dialect.read_answer(&head).keep_alive_seconds;
+            context.pool.put_back(&runner.id, connection, keep_alive);
+            Ok((head.status, body))
+        }
+        Err(error) => {
+            // After a cut it could reach the runner behind the orders of a successor.
+            connection.give_up();
+            Err(error)
+        }
+    }
+}
+
+/// Sends `request` and reads its answer.
+async fn exchange(
+    context: &Context,
+    runner: &Runner,
+    name: &'static str,
+    connection: &mut Connection,
+    request: Request<Bytes>,
+) -> Result<(response::Parts, Bytes), CallError> {
     let sent_at = Instant::now();
     let until = sent_at + ANSWER_TIMEOUT;
     let unanswered = |cause: String| CallError::Unanswered(cause);
@@ -171,10 +194,7 @@
         .map_err(|_| unanswered("time is up".to_owned()))?
         .map_err(|error| unanswered(error.to_string()))?
         .to_bytes();
-    context
-        .pool
-        .put_back(&runner.id, connection, facts.keep_alive_seconds);
-    Ok((head.status, body))
+    Ok((head, body))
 }
 
 /// Asks for a permit to call `runner`, if it is rate-limited: the leader's calls are part
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -14,13 +14,12 @@
 use tokio::time::Instant;
 
 use crate::network::Network;
+use crate::upstream::pool::OpenSlot;
+use crate::upstream::tracked::{Tracked, TrackedStream};
 
 /// Bytes of an answer that are read at once: a few of these are kept for a caller that
 /// reads slowly.
 const READ_BYTES: usize = 32 * 1024;
-use crate::upstream::pool::OpenSlot;
-use crate::upstream::tracked::{BytesWritten, TrackedStream};
-
 /// Time that a connection rests before it is used again: a peer that sends
 /// more than its answer does so right behind it.
 const REST_BEFORE_REUSE: Duration = Duration::from_millis(8);
@@ -58,7 +57,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    written: BytesWritten,
+    tracked: Tracked,
     rested_since: Instant,
     idle_limit: Duration,
     _slot: Option<OpenSlot>,
@@ -77,7 +76,7 @@
             .await
             .map_err(|_| ConnectError::TimedOut)?
             .map_err(|error| refused(&error))?;
-        let (stream, written) = TrackedStream::new(stream);
+        let (stream, tracked) = TrackedStream::new(stream);
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BYTES)
             .handshake(TokioIo::new(stream))
@@ -91,7 +90,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
-            written,
+            tracked,
             rested_since: Instant::now(),
             idle_limit: USUAL_IDLE_LIMIT,
             _slot: slot,
@@ -100,21 +99,21 @@
 
     /// Sends `request` and waits for the head of its answer.
     pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, SendError> {
-        let before = self.written.get();
+        let before = self.tracked.written();
         let failed = |cause: String, returned: bool, written: u64| SendError {
             sent: !returned || written != before,
             cause,
         };
         let request = request.map(Full::new);
         if let Err(error) = self.sender.ready().await {
-            return Err(failed(error.to_string(), true, self.written.get()));
+            return Err(failed(error.to_string(), true, self.tracked.written()));
         }
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let returned = error.take_message().is_some();
                 let cause = error.into_error().to_string();
-                Err(failed(cause, returned, self.written.get()))
+                Err(failed(cause, returned, self.tracked.written()))
             }
         }
     }
@@ -140,6 +139,12 @@
             && self.rested_since.elapsed() >= REST_BEFORE_REUSE
     }
 
+    /// Closes it so that nothing of the request on it goes out any more. The peer may not
+    /// learn that it is closed: a reset is not sent twice.
+    pub fn give_up(self) {
+        self.tracked.give_up();
+    }
+
     /// Whether the peer has closed it.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/gateway/src/upstream/tracked.rs
+++ b/crates/gateway/src/upstream/tracked.rs
@@ -1,47 +1,69 @@
 //! A socket that counts what was written to it, so that it is known for sure
-//! whether any byte of a request left.
+//! whether any byte of a request left, and that throws away what was given up.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::network::ByteStream;
 
-/// Bytes written to a socket so far.
+/// What is shared with the owner of a socket.
+#[derive(Debug, Default)]
+struct Shared {
+    written: AtomicU64,
+    is_given_up: AtomicBool,
+}
+
+/// What the owner of a socket knows of it while a connection drives it.
 #[derive(Debug, Clone, Default)]
-pub struct BytesWritten(Arc<AtomicU64>);
+pub struct Tracked(Arc<Shared>);
+
+impl Tracked {
+    /// Bytes written to the socket so far.
+    pub fn written(&self) -> u64 {
+        self.0.written.load(Ordering::Relaxed)
+    }
 
-impl BytesWritten {
-    /// The count.
-    pub fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    /// What is not delivered yet is not wanted any more: it is thrown away when the socket
+    /// is dropped.
+    pub fn give_up(&self) {
+        self.0.is_given_up.store(true, Ordering::Relaxed);
     }
 }
 
 /// A stream that counts.
 pub struct TrackedStream {
     stream: Box<dyn ByteStream>,
-    written: BytesWritten,
+    tracked: Tracked,
 }
 
 impl TrackedStream {
     /// Wraps `stream`.
-    pub fn new(stream: Box<dyn ByteStream>) -> (Self, BytesWritten) {
-        let written = BytesWritten::default();
-        let tracked = Self {
+    pub fn new(stream: Box<dyn ByteStream>) -> (Self, Tracked) {
+        let tracked = Tracked::default();
+        let stream = Self {
             stream,
-            written: written.clone(),
+            tracked: tracked.clone(),
         };
-        (tracked, written)
+        (stream, tracked)
     }
 
     fn count(&self, result: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = result {
-            self.written.0.fetch_add(*bytes as u64, Ordering::Relaxed);
+            let written = &self.tracked.0.written;
+            written.fetch_add(*bytes as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for TrackedStream {
+    fn drop(&mut self) {
+        if self.tracked.0.is_given_up.load(Ordering::Relaxed) {
+            self.stream.discard_on_drop();
         }
     }
 }
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -135,11 +136,13 @@
             state.streams += 1;
             state.streams
         };
+        let reset = Arc::new(AtomicBool::new(false));
         let wrap = |stream| MemoryStream {
             network: self.network.clone(),
             number,
             ends: pair(self.ip, address.ip()),
             stream,
+            reset: reset.clone(),
             has_waited: false,
             end: None,
         };
@@ -215,6 +218,8 @@
     number: u64,
     ends: (IpAddr, IpAddr),
     stream: DuplexStream,
+    /// Whether an end has reset the connection; both share it.
+    reset: Arc<AtomicBool>,
     /// Whether something waited for the end of a cut.
     has_waited: bool,
     /// Runs out when the end of the stream arrives.
@@ -237,6 +242,12 @@
     }
 }
 
+impl ByteStream for MemoryStream {
+    fn discard_on_drop(&mut self) {
+        self.reset.store(true, Ordering::Relaxed);
+    }
+}
+
 impl AsyncRead for MemoryStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -250,6 +261,9 @@
         if self.is_silent() {
             return Poll::Pending;
         }
+        if self.reset.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         let is_end = matches!(&read, Poll::Ready(Ok(()))) && buffer.filled().len() == before;
