After a pause a runner gets one request of a node, and the next once it has taken that

Cause: what waited for the end of a pause went out in the same moment, up to all of a runner's places from each node; a runner that asks for pauses is short of just these. Change: the pause is remembered until a request after it was taken (its answer, a stream's first event, or the runner's own failure); meanwhile the runner is no candidate. One that ends without a sign lets the next one try.

--- a/crates/dispatch/src/candidates.rs
+++ b/crates/dispatch/src/candidates.rs
@@ -47,7 +47,7 @@
             .filter(|entry| entry.runner.service == query.service && entry.is_open(now))
             .filter(|entry| !query.excluded.contains(&entry.runner.id))
             .filter(|entry| self.is_home(entry, query))
-            .filter(|entry| self.pause_end(entry, now).is_none())
+            .filter(|entry| self.pauses.allow(&entry.runner.id, now))
             .filter(|entry| can_serve(entry, query, engine, now))
             .collect();
         let healthy: Vec<&RunnerEntry> = usable
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -234,6 +234,7 @@
         entry.sends(now);
         entry.use_rate_permit();
         self.used.insert(id.clone());
+        self.pauses.granted(id, permit);
         entry.tokens += query.tokens;
         entry.unread_tokens += query.prompt_tokens;
         let runner = entry.runner.clone();
@@ -289,9 +290,14 @@
 
     /// Takes back a permit. Whether the runner was still known.
     pub fn finish(&mut self, permit: PermitId, outcome: Outcome, now: Instant) {
-        let Some(permit) = self.permits.remove(&permit) else {
+        let id = permit;
+        let Some(permit) = self.permits.remove(&id) else {
             return;
         };
+        if outcome.is_taken() {
+            self.pauses.taken(&permit.runner, id);
+        }
+        self.pauses.ended(&permit.runner, id);
         if let Some(wanted) = &permit.wanted {
             self.demand.ended(&permit.service, wanted);
         }
@@ -306,9 +312,13 @@
 
     /// Takes in an outcome while the permit stays in use.
     pub fn observe(&mut self, permit: PermitId, outcome: Outcome, now: Instant) {
-        let Some(permit) = self.permits.get_mut(&permit) else {
+        let id = permit;
+        let Some(permit) = self.permits.get_mut(&id) else {
             return;
         };
+        if outcome.is_taken() {
+            self.pauses.taken(&permit.runner, id);
+        }
         let wanted = permit.wanted.clone();
         let read = match outcome {
             Outcome::PromptRead { .. } => std::mem::take(&mut permit.unread_tokens),
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -61,6 +61,19 @@
     Abandoned,
 }
 
+impl Outcome {
+    /// Whether it shows that the runner takes requests.
+    pub fn is_taken(self) -> bool {
+        matches!(
+            self,
+            Self::Success { .. }
+                | Self::Streamed { .. }
+                | Self::PromptRead { .. }
+                | Self::Failed(Failure::Error)
+        )
+    }
+}
+
 /// Behaviour seen, fading with time.
 #[derive(Debug, Default)]
 pub struct Health {
--- a/crates/dispatch/tests/pauses.rs
+++ b/crates/dispatch/tests/pauses.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{HeldModel, Runner};
-use barleyspar_dispatch::{Acquired, Dispatcher, RefusalReason};
+use barleyspar_dispatch::{Acquired, Dispatcher, Outcome, RefusalReason};
 use common::{SECOND, dispatcher_with, query, runner};
 
 const TARGET: Duration = Duration::from_millis(600);
@@ -82,3 +82,26 @@
     let mut dispatcher = paused(Duration::MAX, now);
     assert!(!is_granted(&mut dispatcher, now + 3600 * SECOND));
 }
+
+#[test]
+fn a_runner_gets_one_request_after_its_pause_until_it_has_taken_that() {
+    let now = Instant::now();
+    let mut dispatcher = paused(SECOND, now);
+    let over = now + SECOND;
+    let request = || query(over, TARGET, 5 * SECOND);
+    for outcome in [Outcome::Abandoned, Outcome::Paused] {
+        let Acquired::Granted(first) = dispatcher.acquire(request(), over) else {
+            panic!("the pause is over");
+        };
+        assert!(!is_granted(&mut dispatcher, over));
+        dispatcher.finish(first.permit, outcome, over);
+    }
+    let Acquired::Granted(first) = dispatcher.acquire(request(), over) else {
+        panic!("nothing shows that it takes requests");
+    };
+    assert!(!is_granted(&mut dispatcher, over));
+    let first_byte = SECOND / 10;
+    dispatcher.observe(first.permit, Outcome::PromptRead { first_byte }, over);
+    assert!(is_granted(&mut dispatcher, over));
+    assert!(is_granted(&mut dispatcher, over));
+}
--- a/crates/standin/tests/runner_pauses.rs
+++ b/crates/standin/tests/runner_pauses.rs
@@ -117,11 +117,12 @@
     for runner in world.runners.values() {
         runner.ask_for_pauses(5 * SECOND, 1);
     }
-    for id in ["first", "second"] {
+    // The first one is turned away by both.
+    for (id, within) in [("first", SECOND / 20), ("second", SECOND / 100)] {
         let asked = Instant::now();
         let answer = world.ask(1, "/plain/x", id, None).await;
         assert_eq!(answer.code(), 503, "{id}");
-        assert!(asked.elapsed() < SECOND / 10, "{id}: {:?}", asked.elapsed());
+        assert!(asked.elapsed() < within, "{id}: {:?}", asked.elapsed());
         let value = &answer.headers[RETRY_AFTER];
         let seconds: f64 = value.to_str().expect("text").parse().expect("a number");
         assert!((4.5..=5.0).contains(&seconds), "{id}: {seconds}");
@@ -141,3 +142,29 @@
     let used = runner.arrivals() - before;
     assert!(used >= 10, "{used} of 60 requests");
 }
+
+#[tokio::test(start_paused = true)]
+async fn requests_that_waited_for_the_end_of_a_pause_do_not_come_all_at_once() {
+    let world = engine_world().await;
+    let runner = &world.runners["engine-1"];
+    runner.ask_for_pauses(SECOND, 1);
+    let asked = (0..60_u32).map(|number| {
+        let world = &world;
+        async move {
+            sleep(SECOND / 100 * number).await;
+            let gateway = (number % u32::from(GATEWAYS)) as u8 + 1;
+            let id = format!("stream-{number}");
+            world.ask(gateway, "/stream/x", &id, Some("a")).await
+        }
+    });
+    let end_of_pauses = async {
+        sleep(SECOND * 3 / 4).await;
+        runner.ask_for_no_pauses();
+    };
+    let (answers, ()) = tokio::join!(join_all(asked), end_of_pauses);
+    assert!(answers.iter().all(|answer| answer.code() == 200));
+    let begun: Vec<Instant> = runner.runs().iter().map(|run| run.begun).collect();
+    let first = *begun.iter().min().expect("all were served");
+    let at_once = begun.iter().filter(|at| **at < first + SECOND / 20);
+    assert!(at_once.count() <= usize::from(GATEWAYS));
+}
