A lease that is renewed in a later era holds once the store shows its holder

Cause: found by reading. A store that came back from a copy may give out the number of a lease that it lost to another one; a leader that renews that number would take itself to hold the lease until its feed shows otherwise. No test of its own: leases of the stand-in have numbers that come again, but not of the same holder's making.

--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -231,8 +231,8 @@
     async fn keep(&self, mut lease: Lease) {
         tracing::info!(event = "lease_taken", token = lease.token);
         self.held.send_replace(Some(lease));
-        let pause = self.time_to_live() / RENEWALS;
         let mut era = self.store.era();
+        let taken_in = era.borrow_and_update().number;
         let mut shown = Shown::new(self.leader.clone(), lease.token);
         loop {
             tokio::select! {
@@ -240,14 +240,16 @@
                 Ok(()) = era.changed() => {
                     self.held.send_replace(None);
                 }
-                () = sleep(pause) => {}
+                () = sleep(self.renewal_pause()) => {}
             }
             let sent = Instant::now().into_std();
             let call = StoreCall::RenewLease { lease: lease.id };
             match self.store.call(&call, CALL_TIMEOUT).await {
                 Ok(StoreAnswer::Renewed { time_to_live }) => {
                     lease.renewed(sent, time_to_live);
-                    self.held.send_replace(Some(lease));
+                    let now = era.borrow().number;
+                    let holds = now == taken_in || self.is_shown_in(now, lease.token);
+                    self.held.send_replace(holds.then_some(lease));
                 }
                 Err(StoreError::LeaseGone) => break,
                 _ => {}
@@ -256,6 +258,25 @@
         tracing::info!(event = "lease_lost", token = lease.token);
         self.held.send_replace(None);
     }
+
+    /// Time until the next renewal: short while it is not known whether the lease lasts.
+    fn renewal_pause(&self) -> Duration {
+        let pause = self.time_to_live() / RENEWALS;
+        if self.held.borrow().is_some() {
+            pause
+        } else {
+            pause.min(SILENCE_STEP)
+        }
+    }
+
+    /// Whether the store shows in `era` that the leader with `token` leads: it may have
+    /// given out the number of a lease that it lost to another one.
+    fn is_shown_in(&self, era: u32, token: u64) -> bool {
+        let leader = self.leader.borrow();
+        leader
+            .as_ref()
+            .is_some_and(|leader| leader.token == token && leader.revision.era >= era)
+    }
 }
 
 /// Follows whether the store shows that the leader with `token` leads.
