A leader's entry is the last write of its commit, so that its token is that of the lease

What callers would see: after a store has come back from a copy twice no model is loaded any more; nobody leads, and nobody else tries. Cause: with the settled era written behind it, a leader's entry has a lower revision than the commit says; the leader, who compares both tokens in a new era, waits for ever for the store to show its own. Change: the entry is written last.

--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -190,9 +190,10 @@
             lease: 0,
         };
         let settled = (era > 0).then_some(settled_era);
+        // The entry last: its revision is that of the whole commit.
         StoreCall::Commit(Transaction {
             conditions: vec![(LEADER_KEY.to_owned(), predecessor)],
-            writes: [leader].into_iter().chain(settled).collect(),
+            writes: settled.into_iter().chain([leader]).collect(),
             removes: Vec::new(),
         })
     }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -102,7 +102,7 @@
     arrivals: u64,
     calls: Vec<Call>,
     notices: Notices,
-    orders: Vec<Order>,
+    orders: Vec<(Instant, Order)>,
     lose_order_answers: u32,
     sequence: u64,
     fence: u64,
@@ -333,6 +333,12 @@
 
     /// Orders that arrived.
     pub fn orders(&self) -> Vec<Order> {
+        let orders = self.timed_orders().into_iter();
+        orders.map(|(_, order)| order).collect()
+    }
+
+    /// Orders that arrived, and when.
+    pub fn timed_orders(&self) -> Vec<(Instant, Order)> {
         self.lock().orders.clone()
     }
 
--- a/crates/standin/src/runner/orders.rs
+++ b/crates/standin/src/runner/orders.rs
@@ -6,7 +6,7 @@
 use barleyspar_catalog::{HeldModel, Order, OrderAction};
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::dialect::decode;
 use crate::runner::RunnerStandIn;
@@ -36,7 +36,7 @@
 
     fn take_order(&self, order: &Order) -> StatusCode {
         let mut state = self.lock();
-        state.orders.push(order.clone());
+        state.orders.push((Instant::now(), order.clone()));
         if order.fencing_token < state.fence {
             return StatusCode::PRECONDITION_FAILED;
         }
