The leader's call reads an answer's head once; an unreadable kept configuration is told of

The head of an answer to an order or report was read twice, once to hear the runner and once for its idle time; what was read is handed on. The look for outdated conditions had a closure for one comparison. A kept configuration that cannot be read was passed over without a line. Left: a restored reading's runners and zones are collected twice in discovery (once a restore).

--- a/crates/gateway/src/kept_configuration.rs
+++ b/crates/gateway/src/kept_configuration.rs
@@ -82,7 +82,11 @@
     })
 }
 
-/// The item that is kept as `value`.
+/// The item that is kept as `value`; `None` if that cannot be read, which the log tells.
 pub fn decode(value: &[u8]) -> Option<Item> {
-    rmp_serde::from_slice(value).ok()
+    let item = rmp_serde::from_slice(value);
+    item.inspect_err(|error| {
+        tracing::warn!(event = "object_unreadable", key = KEPT_CONFIGURATION_KEY, %error);
+    })
+    .ok()
 }
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{DialectError, Order, OrderAnswer, Report, Runner};
+use barleyspar_catalog::{AnswerFacts, DialectError, Order, OrderAnswer, Report, Runner};
 use barleyspar_dispatch::RatePermitAnswer;
 use barleyspar_loading::Lease;
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode, response};
+use http::{HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -146,10 +146,10 @@
         return Err(CallError::NotSent("the lease does not last".to_owned()));
     }
     match exchange(context, runner, name, &mut connection, request).await {
-        Ok((head, body)) => {
-            let keep_alive = context.dialect.read_answer(&head).keep_alive_seconds;
+        Ok((status, facts, body)) => {
+            let keep_alive = facts.keep_alive_seconds;
             context.pool.put_back(&runner.id, connection, keep_alive);
-            Ok((head.status, body))
+            Ok((status, body))
         }
         Err(error) => {
             // After a cut it could reach the runner behind the orders of a successor.
@@ -166,7 +166,7 @@
     name: &'static str,
     connection: &mut Connection,
     request: Request<Bytes>,
-) -> Result<(response::Parts, Bytes), CallError> {
+) -> Result<(StatusCode, AnswerFacts, Bytes), CallError> {
     let sent_at = Instant::now();
     let until = sent_at + ANSWER_TIMEOUT;
     let unanswered = |cause: String| CallError::Unanswered(cause);
@@ -194,7 +194,7 @@
         .map_err(|_| unanswered("time is up".to_owned()))?
         .map_err(|error| unanswered(error.to_string()))?
         .to_bytes();
-    Ok((head, body))
+    Ok((head.status, facts, body))
 }
 
 /// Asks for a permit to call `runner`, if it is rate-limited: the leader's calls are part
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use barleyspar_catalog::{Dialect, Revision, StoreAnswer, StoreCall, StoreError, Transaction};
+use barleyspar_catalog::{Dialect, StoreAnswer, StoreCall, StoreError, Transaction};
 use bytes::{Bytes, BytesMut};
 use http::header::HOST;
 use http::{HeaderValue, Response};
@@ -115,9 +115,8 @@
             return false;
         };
         let era = self.era.borrow().number;
-        let of_earlier_era = |revision: &Revision| revision.era < era;
         let mut named = conditions.iter().filter_map(|(_, revision)| *revision);
-        named.any(|revision| of_earlier_era(&revision))
+        named.any(|revision| revision.era < era)
     }
 
     /// Makes one call. Waits for `patience` for its answer to begin, and as long
