Tests of gateways partitioned from all runners, which fail, and stand-in links that reset or refuse

The in-memory network cuts hosts off in three ways now: silently as before, with resets, or so that open connections live on while new ones are refused.

Seen on the current code: three of six gateways partitioned from all runners serve 0 of 720 requests, the others 720 of 720, in each of the three ways; while the leader is among the partitioned, a model that no runner holds is not loaded (503 after 7.4 s); a request that was running at three runners when the links of its gateways were reset is taken for one that crashes runners and is quarantined at all gateways, since a refused probe counts as a crash.

--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -1,8 +1,6 @@
-//! An in-memory network. Two hosts can be cut off from each other: connection attempts hang,
-//! datagrams are lost, and bytes on open streams are delivered when the cut ends, even if the
-//! sender has closed the stream meanwhile, as on a real network that loses its power.
+//! An in-memory network. Two hosts can be cut off from each other ([`Cut`]).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -27,6 +25,19 @@
 /// One-way delay of the network.
 const LINK_DELAY: Duration = Duration::from_millis(1);
 
+/// How two hosts are cut off from each other. Datagrams between them are lost in each way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Connection attempts hang, and bytes on open streams are delivered when the cut ends,
+    /// even if the sender has closed the stream meanwhile, as on a real network that loses its
+    /// power.
+    Silent,
+    /// Connection attempts are refused, and open streams are reset.
+    Reset,
+    /// Connection attempts are refused, while open streams live on.
+    RefusesNew,
+}
+
 /// A connection at its listener, and the host that opened it.
 type Accepted = (Box<dyn ByteStream>, IpAddr);
 
@@ -34,13 +45,18 @@
 struct State {
     listeners: BTreeMap<SocketAddr, mpsc::Sender<Accepted>>,
     inboxes: BTreeMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
-    cuts: BTreeSet<(IpAddr, IpAddr)>,
+    cuts: BTreeMap<(IpAddr, IpAddr), Cut>,
+    /// For each pair of hosts, the number of the last stream opened before the latest reset.
+    last_reset: BTreeMap<(IpAddr, IpAddr), u64>,
     /// Number of streams opened so far; a stream's number is its position among them.
     opened_streams: u64,
     /// For each pair of hosts, the number of the last stream opened before the latest stall.
     /// The streams of the pair up to this number deliver nothing ever again.
     last_stalled: BTreeMap<(IpAddr, IpAddr), u64>,
-    wakers: Vec<Waker>,
+    /// Number of ends of streams so far.
+    stream_ends: u64,
+    /// For each end of a stream that has been read, the waker of its reader.
+    readers: BTreeMap<u64, Waker>,
     refused_connections: u64,
 }
 
@@ -63,9 +79,21 @@
         })
     }
 
-    /// Cuts two hosts off from each other until [`Self::heal`].
+    /// Cuts two hosts off from each other silently until [`Self::heal`].
     pub fn cut(&self, one: IpAddr, other: IpAddr) {
-        self.lock().cuts.insert(host_pair(one, other));
+        self.cut_in_way(one, other, Cut::Silent);
+    }
+
+    /// Cuts two hosts off from each other in this way until [`Self::heal`].
+    pub fn cut_in_way(&self, one: IpAddr, other: IpAddr, way: Cut) {
+        let hosts = host_pair(one, other);
+        let mut state = self.lock();
+        state.cuts.insert(hosts, way);
+        if way == Cut::Reset {
+            let opened = state.opened_streams;
+            state.last_reset.insert(hosts, opened);
+            wake_readers(state);
+        }
     }
 
     /// Stalls the streams that are open between two hosts for good, without a reset. New
@@ -84,12 +112,9 @@
     /// Ends all cuts. Stalled streams stay stalled, and connection attempts made during a cut hang
     /// on.
     pub fn heal(&self) {
-        let wakers = {
-            let mut state = self.lock();
-            state.cuts.clear();
-            std::mem::take(&mut state.wakers)
-        };
-        wakers.into_iter().for_each(Waker::wake);
+        let mut state = self.lock();
+        state.cuts.clear();
+        wake_readers(state);
     }
 
     /// Removes the listeners and datagram inboxes of the host `ip`, as when its process dies.
@@ -99,8 +124,15 @@
         state.inboxes.retain(|address, _| address.ip() != ip);
     }
 
-    fn is_cut(&self, one: IpAddr, other: IpAddr) -> bool {
-        self.lock().cuts.contains(&host_pair(one, other))
+    /// Returns how the two hosts are cut off from each other; `None` if they are not.
+    fn cut_between(&self, one: IpAddr, other: IpAddr) -> Option<Cut> {
+        self.lock().cuts.get(&host_pair(one, other)).copied()
+    }
+
+    fn next_stream_end(&self) -> u64 {
+        let mut state = self.lock();
+        state.stream_ends += 1;
+        state.stream_ends
     }
 
     /// Listens on `address`; the receiver gets each new connection, and the host that opened
@@ -112,6 +144,13 @@
     }
 }
 
+/// Wakes the readers of all streams.
+fn wake_readers(mut state: MutexGuard<'_, State>) {
+    let readers = std::mem::take(&mut state.readers);
+    drop(state);
+    readers.into_values().for_each(Waker::wake);
+}
+
 /// Orders two hosts, so that a pair has the same key in either direction.
 fn host_pair(one: IpAddr, other: IpAddr) -> (IpAddr, IpAddr) {
     (one.min(other), one.max(other))
@@ -126,11 +165,13 @@
 impl Network for Host {
     async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn ByteStream>> {
         tokio::time::sleep(LINK_DELAY).await;
-        if self.network.is_cut(self.ip, address.ip()) {
-            std::future::pending::<()>().await;
+        let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+        match self.network.cut_between(self.ip, address.ip()) {
+            Some(Cut::Silent) => std::future::pending::<()>().await,
+            Some(Cut::Reset | Cut::RefusesNew) => return Err(refused()),
+            None => {}
         }
         let listener = self.network.lock().listeners.get(&address).cloned();
-        let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
         let Some(listener) = listener else {
             self.network.lock().refused_connections += 1;
             return Err(refused());
@@ -145,6 +186,7 @@
         let wrap = |stream| MemoryStream {
             network: self.network.clone(),
             number,
+            end: self.network.next_stream_end(),
             hosts: host_pair(self.ip, address.ip()),
             stream,
             reset: reset.clone(),
@@ -195,7 +237,7 @@
 #[async_trait]
 impl Datagrams for MemoryDatagrams {
     async fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
-        if !self.network.is_cut(self.ip, to.ip()) {
+        if self.network.cut_between(self.ip, to.ip()).is_none() {
             let inbox = self.network.lock().inboxes.get(&to).cloned();
             if let Some(inbox) = inbox {
                 // A full inbox loses datagrams, as on a real network.
@@ -222,6 +264,8 @@
     network: MemoryNetwork,
     /// Position among all streams of the network, in the order of their opening.
     number: u64,
+    /// Identifies this end among the ends of all streams.
+    end: u64,
     /// Hosts of the two ends, as [`host_pair`] orders them.
     hosts: (IpAddr, IpAddr),
     stream: DuplexStream,
@@ -235,15 +279,19 @@
 }
 
 impl MemoryStream {
-    /// Whether the hosts are cut off from each other; if so, `context` is woken when the cut
-    /// ends.
+    /// Whether the hosts are cut off from each other without a sign. `context` is woken when
+    /// the cut ends, and when a cut resets the stream.
     fn is_cut(&self, context: &Context<'_>) -> bool {
         let mut state = self.network.lock();
-        let cut = state.cuts.contains(&self.hosts);
-        if cut {
-            state.wakers.push(context.waker().clone());
-        }
-        cut
+        state.readers.insert(self.end, context.waker().clone());
+        state.cuts.get(&self.hosts) == Some(&Cut::Silent)
+    }
+
+    /// Whether one of the ends, or a cut, has reset the stream.
+    fn is_reset(&self) -> bool {
+        let last_reset = self.network.lock().last_reset.get(&self.hosts).copied();
+        let is_reset_by_cut = last_reset.is_some_and(|last| self.number <= last);
+        is_reset_by_cut || self.reset.load(Ordering::Relaxed)
     }
 
     fn is_stalled(&self) -> bool {
@@ -252,6 +300,12 @@
     }
 }
 
+impl Drop for MemoryStream {
+    fn drop(&mut self) {
+        self.network.lock().readers.remove(&self.end);
+    }
+}
+
 impl ByteStream for MemoryStream {
     fn discard_on_drop(&mut self) {
         self.reset.store(true, Ordering::Relaxed);
@@ -271,7 +325,7 @@
         if self.is_stalled() {
             return Poll::Pending;
         }
-        if self.reset.load(Ordering::Relaxed) {
+        if self.is_reset() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
         let before = buffer.filled().len();
@@ -298,6 +352,9 @@
         if self.is_stalled() {
             return Poll::Pending;
         }
+        if self.is_reset() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
--- /dev/null
+++ b/crates/standin/tests/partitioned_gateways.rs
@@ -0,0 +1,228 @@
+//! Gateways that are partitioned from all runners while callers, the store and the other
+//! gateways still reach them.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use barleyspar_catalog::RequestKind;
+use barleyspar_standin::{Answer, Cut, World, engine_service, plain_service, route};
+use futures_util::future::join_all;
+use tokio::time::{Instant, sleep_until};
+
+const SECOND: Duration = Duration::from_secs(1);
+const GATEWAYS: u8 = 6;
+/// Gateways that are partitioned from all runners.
+const PARTITIONED: RangeInclusive<u8> = 1..=3;
+/// Time from the start of a partition after which its callers must be served.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time from a request to the reset of its connection: its run has begun, and the first event has
+/// not arrived.
+const BEFORE_FIRST_EVENT: Duration = Duration::from_millis(40);
+/// Time for which the runners keep an idle connection open.
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(10);
+/// Requests sent together to each gateway: one of each kind.
+const ROUTES: [(&str, Option<&str>); 3] = [
+    ("/write/x", None),
+    ("/read/x", None),
+    ("/stream/x", Some("a")),
+];
+const CUTS: [Cut; 3] = [Cut::Silent, Cut::Reset, Cut::RefusesNew];
+
+async fn world() -> World {
+    let mut world = World::new(
+        vec![
+            plain_service("plain"),
+            engine_service("engine", &["a", "b", "cold"]),
+        ],
+        vec![
+            route("/write/", "plain", RequestKind::NonIdempotent),
+            route("/read/", "plain", RequestKind::Idempotent),
+            route("/stream/", "engine", RequestKind::Streaming),
+        ],
+    );
+    for number in 1..=3 {
+        world.start_runner(&format!("plain-{number}"), "plain", &[]);
+        world.start_runner(&format!("engine-{number}"), "engine", &["a"]);
+    }
+    world.start_gateways(1..=GATEWAYS).await;
+    world.run_for(8 * SECOND).await;
+    world
+}
+
+/// Cuts these gateways off from all runners.
+fn partition(world: &World, gateways: impl IntoIterator<Item = u8>, cut: Cut) {
+    for number in gateways {
+        for runner in world.runners.values() {
+            let (gateway, runner) = (World::gateway_host(number), runner.address().ip());
+            world.network.cut_in_way(gateway, runner, cut);
+        }
+    }
+}
+
+/// A request of [`send_load`], with its answer.
+struct Served {
+    gateway: u8,
+    id: String,
+    answer: Answer,
+}
+
+impl Served {
+    fn is_served(&self) -> bool {
+        self.answer.code() == 200 && self.answer.complete
+    }
+}
+
+/// Sends one request of each kind to each gateway every tenth of a second, for `time`.
+async fn send_load(world: &World, label: &str, time: Duration) -> Vec<Served> {
+    let started = Instant::now();
+    let rounds = (time.as_secs_f64() * 10.0) as u32;
+    let requests = (0..rounds).flat_map(|round| {
+        (1..=GATEWAYS).flat_map(move |gateway| {
+            ROUTES.map(|(path, model)| async move {
+                sleep_until(started + SECOND / 10 * round).await;
+                let id = format!("{label}-{round}-{gateway}-{path}");
+                let answer = world.request(gateway, path, &id, model).await;
+                Served {
+                    gateway,
+                    id,
+                    answer,
+                }
+            })
+        })
+    });
+    join_all(requests).await
+}
+
+/// Asserts that callers of the partitioned gateways are served as the others are.
+fn assert_served_alike(sent: &[Served], cut: Cut) {
+    let share = |is_partitioned: bool| {
+        let those = sent
+            .iter()
+            .filter(|served| PARTITIONED.contains(&served.gateway) == is_partitioned);
+        let (served, all) = those.fold((0, 0), |(served, all), request| {
+            (served + usize::from(request.is_served()), all + 1)
+        });
+        (served, all)
+    };
+    let ((served, all), (others_served, others)) = (share(true), share(false));
+    assert!(
+        served * others * 3 >= others_served * all * 2,
+        "{cut:?}: {served} of {all} at partitioned gateways, {others_served} of {others} at others"
+    );
+    let failed = all - served;
+    assert!(failed <= 10 + all / 50, "{cut:?}: {failed} of {all} failed");
+}
+
+/// Partitions half of the gateways in this way and asserts that their callers are served.
+async fn assert_callers_served(cut: Cut) {
+    let world = world().await;
+    send_load(&world, "before", SECOND).await;
+    partition(&world, PARTITIONED, cut);
+    if cut == Cut::RefusesNew {
+        // Connections that were open before have reached the end of their keep-alive time.
+        world.run_for(KEEP_ALIVE_TIME).await;
+    } else {
+        send_load(&world, "detecting", CONTACT_TIME).await;
+    }
+    let sent = send_load(&world, "partitioned", 8 * SECOND).await;
+    assert_served_alike(&sent, cut);
+    assert_no_write_ran_twice(&world, &sent);
+}
+
+fn assert_no_write_ran_twice(world: &World, sent: &[Served]) {
+    for write in sent.iter().filter(|request| request.id.contains("/write/")) {
+        let runs = world.run_count(&write.id);
+        assert!(runs <= 1, "{} ran {runs} times", write.id);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_are_served_while_links_to_all_runners_hang() {
+    assert_callers_served(Cut::Silent).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_are_served_while_links_to_all_runners_are_reset() {
+    assert_callers_served(Cut::Reset).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn callers_are_served_while_all_runners_refuse_new_connections() {
+    assert_callers_served(Cut::RefusesNew).await;
+}
+
+/// Number of the gateway that is the placement leader, by the record in the store.
+fn leader(world: &World) -> u8 {
+    let value = world.store.get("barleyspar/placement/leader");
+    let value = value.expect("a gateway is the leader");
+    let is_named = |number: &u8| {
+        let name = format!("gateway-{number}");
+        value
+            .windows(name.len())
+            .any(|bytes| bytes == name.as_bytes())
+    };
+    (1..=GATEWAYS)
+        .find(is_named)
+        .expect("the leader is one of the gateways")
+}
+
+#[tokio::test(start_paused = true)]
+async fn models_are_loaded_while_the_leader_is_partitioned_from_all_runners() {
+    for cut in CUTS {
+        let world = world().await;
+        let former = leader(&world);
+        partition(&world, [former], cut);
+        send_load(&world, "detecting", 2 * CONTACT_TIME).await;
+        let other = former % GATEWAYS + 1;
+        let sent = Instant::now();
+        let answer = world
+            .request(other, "/stream/x", "cold", Some("cold"))
+            .await;
+        let took = sent.elapsed();
+        assert_eq!(
+            (answer.code(), answer.complete),
+            (200, true),
+            "{cut:?} {took:?}"
+        );
+        assert_ne!(leader(&world), former, "{cut:?}");
+    }
+}
+
+/// The same request runs at three runners when the links of its gateways are reset.
+#[tokio::test(start_paused = true)]
+async fn a_request_is_not_quarantined_because_its_gateways_lost_their_links() {
+    let models = ["a", "b", "c"];
+    let mut world = World::new(
+        vec![engine_service("engine", &models)],
+        vec![route("/stream/", "engine", RequestKind::Streaming)],
+    );
+    for model in models {
+        world.start_runner(&format!("engine-{model}"), "engine", &[model]);
+    }
+    world.start_gateways(1..=GATEWAYS).await;
+    world.run_for(8 * SECOND).await;
+    let streams = PARTITIONED.zip(models).map(|(gateway, model)| {
+        let world = &world;
+        async move {
+            let id = format!("before-{gateway}");
+            let model = Some(model);
+            let answer = world.request_with_body(gateway, "/stream/x", &id, model, "same");
+            answer.await
+        }
+    });
+    let cut = async {
+        world.run_for(BEFORE_FIRST_EVENT).await;
+        partition(&world, PARTITIONED, Cut::Reset);
+    };
+    tokio::join!(join_all(streams), cut);
+    for gateway in (1..=GATEWAYS).rev() {
+        let id = format!("after-{gateway}");
+        let answer = world.request_with_body(gateway, "/stream/x", &id, Some("a"), "same");
+        let answer = answer.await;
+        assert_eq!(
+            (answer.code(), answer.complete),
+            (200, true),
+            "gateway {gateway}"
+        );
+    }
+}
