Log and metric: which runners a gateway cannot connect to, and since when

Change: a line when connections to a runner begin to fail (runner_unreachable, with the number of runners in that state) and one when they succeed again (runner_reached, with the time between); the metric barleyspar_unreachable_runners. In a partition this number rises at some gateways and stays 0 at the others, in a crash it rises at all.

Test: a_metric_counts_the_runners_that_a_gateway_cannot_reach (three kinds of cut).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,6 +1,6 @@
 //! The state and handles that all tasks of a gateway share.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use barleyspar_callers::{AccessBounds, ConfigurationView, Denial, authorize};
@@ -11,12 +11,14 @@
 use crate::crashes::CrashHandle;
 use crate::dispatch::DispatchHandle;
 use crate::inflight::InFlight;
+use crate::journal;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::network::Network;
 use crate::prefill::PrefillHandle;
 use crate::quota::QuotaHandle;
-use crate::upstream::{Checkout, ConnectError, Connection, Pool};
+use crate::reachability::Reachability;
+use crate::upstream::{Checkout, ConnectError, Connection, OpenSlot, Pool};
 
 /// Timeout for opening a connection to a runner.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -65,6 +67,9 @@
     pub crashes: CrashHandle,
     /// Idle connections to runners, and the number of open ones.
     pub pool: Arc<Pool>,
+    /// What connection attempts have shown of this node's links to the runners. The lock is
+    /// never held across an await.
+    pub reachability: Arc<Mutex<Reachability>>,
     /// Stage of the process: running, draining or closing.
     pub lifecycle: Lifecycle,
     /// Memory for request bodies, in units of [`BODY_UNIT`] bytes.
@@ -131,7 +136,7 @@
             Checkout::Open(slot) => slot,
             Checkout::Full => return Err(ConnectError::ConnectionLimitReached),
         };
-        Connection::open(&*self.network, runner.address, timeout, Some(slot)).await
+        self.open_directly(runner, timeout, slot).await
     }
 
     /// Opens a new connection to `runner` within `timeout`, even if the pool has an idle
@@ -144,7 +149,44 @@
         let share = self.connection_share(&runner.service);
         let slot = self.pool.reserve(&runner.id, share);
         let slot = slot.ok_or(ConnectError::ConnectionLimitReached)?;
-        Connection::open(&*self.network, runner.address, timeout, Some(slot)).await
+        self.open_directly(runner, timeout, slot).await
+    }
+
+    /// Opens a connection to `runner`, and records and logs whether it can be reached.
+    async fn open_directly(
+        &self,
+        runner: &Runner,
+        timeout: Duration,
+        slot: OpenSlot,
+    ) -> Result<Connection, ConnectError> {
+        let opened = Connection::open(&*self.network, runner.address, timeout, Some(slot)).await;
+        let now = Instant::now();
+        self.with_reachability(|reachability| match &opened {
+            Ok(_) => {
+                if let Some(lasted) = reachability.record_connected(&runner.id, now) {
+                    journal::runner_reached(&runner.id, lasted);
+                }
+            }
+            Err(error) => {
+                if reachability.record_failed(&runner.id, now) {
+                    let unreachable = reachability.unreachable_count();
+                    journal::runner_unreachable(&runner.id, error, unreachable);
+                }
+            }
+        });
+        opened
+    }
+
+    /// Lets `act` read or change what is known of this node's links to the runners.
+    pub fn with_reachability<T>(&self, act: impl FnOnce(&mut Reachability) -> T) -> T {
+        let mut state = self
+            .reachability
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let result = act(&mut state);
+        self.metrics
+            .set_unreachable_runners(state.unreachable_count());
+        result
     }
 
     /// Returns the number of connections that this node may have to one runner of
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::crashes::BrokenRequest;
 use crate::dispatch::Permit;
+use crate::upstream::ConnectError;
 
 /// The `reason` of a request that ended with a runner's complete answer.
 pub const ANSWERED: &str = "answered";
@@ -185,6 +186,21 @@
     );
 }
 
+/// Logs that a runner cannot be connected to any more. `unreachable`: how many runners this
+/// node fails to connect to, this one included.
+pub fn runner_unreachable(runner: &str, error: &ConnectError, unreachable: usize) {
+    tracing::warn!(event = "runner_unreachable", runner, cause = %error, unreachable);
+}
+
+/// Logs that a runner can be connected to again, after `lasted`.
+pub fn runner_reached(runner: &str, lasted: Duration) {
+    tracing::info!(
+        event = "runner_reached",
+        runner,
+        lasted_ms = milliseconds(lasted)
+    );
+}
+
 /// Logs that a runner answered a request with a failure of its own.
 pub fn runner_failed(request: &str, runner: &str, status: u16) {
     tracing::warn!(event = "runner_failed", request, runner, status);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod prefill;
 mod quota;
 mod rate_permits;
+mod reachability;
 mod readiness;
 mod register;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,6 +86,7 @@
     orders: Family<CallLabels, Counter>,
     configuration_version: Gauge<u64, AtomicU64>,
     knowledge_old_seconds: Histogram,
+    unreachable_runners: Gauge,
     leading: Gauge,
     nodes: Gauge,
 }
@@ -114,6 +115,7 @@
             orders: Family::default(),
             configuration_version: Gauge::default(),
             knowledge_old_seconds: time_histogram(),
+            unreachable_runners: Gauge::default(),
             leading: Gauge::default(),
             nodes: Gauge::default(),
         };
@@ -198,6 +200,11 @@
             Unit::Seconds,
             self.knowledge_old_seconds.clone(),
         );
+        registry.register(
+            "unreachable_runners",
+            "Runners to which the last connection attempt failed",
+            self.unreachable_runners.clone(),
+        );
         registry.register(
             "leading",
             "Whether this node orders runners",
@@ -315,6 +322,11 @@
         self.knowledge_old_seconds.observe(lasted.as_secs_f64());
     }
 
+    /// Sets the number of runners to which the last connection attempt failed.
+    pub fn set_unreachable_runners(&self, runners: usize) {
+        self.unreachable_runners.set(runners as i64);
+    }
+
     /// Sets whether this node is the placement leader.
     pub fn set_leading(&self, leads: bool) {
         self.leading.set(i64::from(leads));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -223,6 +223,7 @@
         dispatch: dispatch::start(dispatcher, urgent_demand.clone(), rate_permits),
         crashes,
         pool: Arc::default(),
+        reachability: Arc::default(),
         lifecycle,
         requests_in_flight: Arc::default(),
         metrics: Arc::default(),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -5,4 +5,4 @@
 mod tracked;
 
 pub use connection::{ConnectError, Connection};
-pub use pool::{Checkout, Pool};
+pub use pool::{Checkout, OpenSlot, Pool};
--- a/crates/standin/tests/partitioned_gateways.rs
+++ b/crates/standin/tests/partitioned_gateways.rs
@@ -151,6 +151,30 @@
     assert_callers_served(Cut::RefusesNew).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_metric_counts_the_runners_that_a_gateway_cannot_reach() {
+    for cut in CUTS {
+        let world = world().await;
+        let unreachable = async |gateway| {
+            let value = world
+                .metric(gateway, "barleyspar_unreachable_runners")
+                .await;
+            value.expect("the metric exists")
+        };
+        partition(&world, [1], cut);
+        world.run_for(KEEP_ALIVE_TIME).await;
+        send_load(&world, "partitioned", 3 * SECOND).await;
+        let during = unreachable(1).await;
+        assert!(during >= 3.0, "{cut:?}: {during}");
+        assert_eq!(unreachable(2).await, 0.0, "{cut:?}");
+        world.network.heal();
+        world.run_for(KEEP_ALIVE_TIME).await;
+        send_load(&world, "healed", 3 * SECOND).await;
+        let after = unreachable(1).await;
+        assert!(after < during, "{cut:?}: {after}");
+    }
+}
+
 /// Number of the gateway that is the placement leader, by the record in the store.
 fn leader(world: &World) -> u8 {
     let value = world.store.get("barleyspar/placement/leader");
