Gateways reach runners through peers when their own links are lost

Cause: a gateway had only its own links. Each runner that refused or did not answer the connection counted as failed; then the request waited for a free slot until its patience ended. Evidence: each of the 21 refusals of the first break follows attempt_failed with sent=false at every candidate, while the other gateways used the same runners.

Weighed: to send the caller elsewhere (not ready, or 503 at once) does not help callers with an open connection, nor zones most of whose gateways are partitioned, and counts as failed attempts all the same. To hand the whole request to a peer needs the peer to admit, charge and retry it a second time, under a configuration that may be older. Taken: the peer only connects to the runner and copies bytes. Choice, attempts, verdicts, budgets and deadlines stay where the request is; whether a byte was sent is as certain as before.

Change: gateway/src/tunnel. A new connection to a runner begins directly; refused, or not accepted within 60 ms, it is also asked of up to three peers, those of other zones first. What comes first is used, and remembered by runner (reachability.rs); two runners that only peers reach, and none reached directly since, mean a partition: peers are asked first, idle connections are closed, a direct attempt goes along twice a second. The peer checks for each connection that it may call the runner (draining, requested pause, evacuated, replaced) and has links of its own; a tunnel carries one request. Pauses requested in an answer are passed on to the peer. Bytes to the caller's gateway come in frames, so that a body that ends with its connection is not taken for complete when the peer dies. The leader's calls never go through a peer.

--- a/crates/catalog/src/settings.rs
+++ b/crates/catalog/src/settings.rs
@@ -21,6 +21,9 @@
     pub readiness_address: SocketAddr,
     /// Address on which the node receives other nodes' datagrams.
     pub peer_address: SocketAddr,
+    /// Address on which the node connects other nodes to runners that these do not reach. The
+    /// port is the same at all nodes of a site.
+    pub tunnel_address: SocketAddr,
     /// Address on which the node serves metrics; `None` to serve none.
     pub metrics_address: Option<SocketAddr>,
     /// Address on which the platform's key-value store accepts the node's calls.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, RunnerKey};
+use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, Runner, RunnerKey};
 use barleyspar_domain::rendezvous_weight;
 use barleyspar_prefill::RunnerEstimates;
 
@@ -161,6 +161,16 @@
             .collect()
     }
 
+    /// Returns the runner `id` if this node may call it at `now`, and has not just failed to
+    /// reach it.
+    pub fn callable_runner(&self, id: &str, now: Instant) -> Option<Arc<Runner>> {
+        let entry = self.runners.get(id)?;
+        let is_callable = entry.is_open(now)
+            && self.requested_pauses.allows(id, now)
+            && !entry.health().is_unreachable(now);
+        is_callable.then(|| entry.runner.clone())
+    }
+
     fn used_runners(&self) -> impl Iterator<Item = &RunnerEntry> {
         self.used_runner_ids
             .iter()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 
 use crate::context::{CONNECT_TIMEOUT, Context};
 use crate::dispatch::Permit;
+use crate::journal;
 use crate::signals::{self, SignalledCall};
 use crate::upstream::{ConnectError, Connection};
 
@@ -152,6 +153,10 @@
         let cause = "the runner started to drain".to_owned();
         return Err(AttemptError::unsent(Outcome::Abandoned, cause));
     }
+    if let Some(peer) = connection.peer() {
+        let request = outgoing.request_id.as_deref().unwrap_or("-");
+        journal::sent_through_peer(request, &permit.runner().id, peer);
+    }
     let request = build_request(context, outgoing, forward);
     let sent_at = Instant::now();
     permit.record_sent();
@@ -159,6 +164,8 @@
     let waited = sent_at.elapsed();
     let response = match answer {
         Err(_) => {
+            // The link may be silent, on which other requests would hang as well.
+            context.pool.close_idle(&permit.runner().id);
             let cause = "timed out waiting for the head of the answer".to_owned();
             return Err(AttemptError::may_have_run(Failure::Silent, cause));
         }
@@ -181,6 +188,7 @@
         runner: permit.runner(),
         call: "request",
         sent_at,
+        peer: connection.peer(),
         limit_expected: permit.runner_is_limited(),
     };
     signals::apply_signals(context, &call, head.status, &facts);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -14,11 +14,12 @@
 use crate::journal;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
-use crate::network::Network;
+use crate::network::{ByteStream, Network};
 use crate::prefill::PrefillHandle;
 use crate::quota::QuotaHandle;
 use crate::reachability::Reachability;
-use crate::upstream::{Checkout, ConnectError, Connection, OpenSlot, Pool};
+use crate::tunnel::{self, TunnelPeers};
+use crate::upstream::{Checkout, ConnectError, Connection, Pool, open_stream};
 
 /// Timeout for opening a connection to a runner.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -70,6 +71,8 @@
     /// What connection attempts have shown of this node's links to the runners. The lock is
     /// never held across an await.
     pub reachability: Arc<Mutex<Reachability>>,
+    /// The peers through which this node may reach runners.
+    pub tunnel_peers: TunnelPeers,
     /// Stage of the process: running, draining or closing.
     pub lifecycle: Lifecycle,
     /// Memory for request bodies, in units of [`BODY_UNIT`] bytes.
@@ -124,19 +127,34 @@
     }
 
     /// Returns a connection to `runner`: an idle one from the pool, or else a new one that
-    /// is opened within `timeout`.
+    /// is opened within `timeout`, through a peer if this node has lost its own link.
     pub async fn connect(
         &self,
         runner: &Runner,
         timeout: Duration,
     ) -> Result<Connection, ConnectError> {
-        let share = self.connection_share(&runner.service);
-        let slot = match self.pool.checkout(&runner.id, share) {
-            Checkout::Idle(connection) => return Ok(*connection),
-            Checkout::Open(slot) => slot,
-            Checkout::Full => return Err(ConnectError::ConnectionLimitReached),
-        };
-        self.open_directly(runner, timeout, slot).await
+        match self.checkout(runner) {
+            Checkout::Idle(connection) => Ok(*connection),
+            Checkout::Open(slot) => tunnel::connect(self, runner, timeout, slot).await,
+            Checkout::Full => Err(ConnectError::ConnectionLimitReached),
+        }
+    }
+
+    /// Returns a connection to `runner` that goes through no peer: an idle one from the pool,
+    /// or else a new one that is opened within `timeout`.
+    pub async fn connect_directly(
+        &self,
+        runner: &Runner,
+        timeout: Duration,
+    ) -> Result<Connection, ConnectError> {
+        match self.checkout(runner) {
+            Checkout::Idle(connection) => Ok(*connection),
+            Checkout::Open(slot) => {
+                let stream = self.open_stream(runner, timeout).await?;
+                Connection::over(stream, Some(slot), None).await
+            }
+            Checkout::Full => Err(ConnectError::ConnectionLimitReached),
+        }
     }
 
     /// Opens a new connection to `runner` within `timeout`, even if the pool has an idle
@@ -149,17 +167,23 @@
         let share = self.connection_share(&runner.service);
         let slot = self.pool.reserve(&runner.id, share);
         let slot = slot.ok_or(ConnectError::ConnectionLimitReached)?;
-        self.open_directly(runner, timeout, slot).await
+        let stream = self.open_stream(runner, timeout).await?;
+        Connection::over(stream, Some(slot), None).await
     }
 
-    /// Opens a connection to `runner`, and records and logs whether it can be reached.
-    async fn open_directly(
+    fn checkout(&self, runner: &Runner) -> Checkout {
+        let share = self.connection_share(&runner.service);
+        self.pool.checkout(&runner.id, share)
+    }
+
+    /// Opens a stream to `runner` directly within `timeout`, and records and logs whether that
+    /// succeeds.
+    pub async fn open_stream(
         &self,
         runner: &Runner,
         timeout: Duration,
-        slot: OpenSlot,
-    ) -> Result<Connection, ConnectError> {
-        let opened = Connection::open(&*self.network, runner.address, timeout, Some(slot)).await;
+    ) -> Result<Box<dyn ByteStream>, ConnectError> {
+        let opened = open_stream(&*self.network, runner.address, timeout).await;
         let now = Instant::now();
         self.with_reachability(|reachability| match &opened {
             Ok(_) => {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -153,6 +153,7 @@
     SetMembers(Vec<Arc<str>>),
     SetEvacuatedZones(BTreeMap<Arc<str>, Instant>),
     SetBudgetLimits(BudgetLimits),
+    FindCallable(Arc<str>, oneshot::Sender<Option<Arc<Runner>>>),
     Snapshot(oneshot::Sender<Snapshot>),
     ReadingSpeeds(oneshot::Sender<Vec<(RunnerKey, f64)>>),
 }
@@ -380,6 +381,14 @@
         self.shared.member_count.load(Ordering::Relaxed).max(1)
     }
 
+    /// Returns the runner `id` if this node may call it now and can reach it; `None` also if
+    /// the dispatcher's task is gone.
+    pub async fn find_callable_runner(&self, id: Arc<str>) -> Option<Arc<Runner>> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::FindCallable(id, reply));
+        answer.await.ok()?
+    }
+
     /// Returns the part of the dispatcher's state that is sent to other nodes; `None` if the
     /// dispatcher's task is gone.
     pub async fn snapshot(&self) -> Option<Snapshot> {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -235,6 +235,9 @@
                     .map(|(zone, serves_until)| (zone, serves_until.into_std()));
                 self.dispatcher.set_evacuated_zones(zones.collect(), now());
             }
+            Command::FindCallable(id, reply) => {
+                let _ = reply.send(self.dispatcher.callable_runner(&id, now()));
+            }
             Command::ReadingSpeeds(reply) => {
                 let _ = reply.send(self.dispatcher.reading_speeds());
             }
--- a/crates/gateway/src/feed/frame.rs
+++ b/crates/gateway/src/feed/frame.rs
@@ -1,5 +1,4 @@
-//! The feed's wire format between a node and its followers: length-prefixed
-//! MessagePack, with large payloads deflated.
+//! The feed's messages between a node and its followers, with large payloads deflated.
 
 use std::io::{self, Read, Write};
 
@@ -10,12 +9,10 @@
 use flate2::write::DeflateEncoder;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 use crate::feed::state::Update;
+use crate::framing::{decode, encode};
 
-/// Maximum frame size in bytes; a longer one ends the connection.
-const MAX_FRAME_BYTES: u32 = 16 << 20;
 /// Maximum payload size in bytes after inflating; guards against decompression bombs.
 const MAX_PAYLOAD_BYTES: u64 = 64 << 20;
 /// Minimum payload size in bytes that is deflated.
@@ -121,35 +118,3 @@
         self.unpack()
     }
 }
-
-fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    rmp_serde::to_vec(value).expect("frames are serializable")
-}
-
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> io::Result<T> {
-    rmp_serde::from_slice(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
-}
-
-/// Writes one length-prefixed message and flushes the stream.
-pub async fn write<T: Serialize>(
-    stream: &mut (impl AsyncWrite + Unpin),
-    value: &T,
-) -> io::Result<()> {
-    let body = encode(value);
-    let mut bytes = Vec::with_capacity(body.len() + size_of::<u32>());
-    bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    bytes.extend_from_slice(&body);
-    stream.write_all(&bytes).await?;
-    stream.flush().await
-}
-
-/// Reads one length-prefixed message; fails if it is too large or malformed.
-pub async fn read<T: DeserializeOwned>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
-    let length = stream.read_u32().await?;
-    if length > MAX_FRAME_BYTES {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    let mut body = vec![0; length as usize];
-    stream.read_exact(&mut body).await?;
-    decode(&body)
-}
--- a/crates/gateway/src/feed/parent_stream.rs
+++ b/crates/gateway/src/feed/parent_stream.rs
@@ -6,8 +6,9 @@
 use barleyspar_catalog::Revision;
 use tokio::time::{Instant, timeout};
 
-use crate::feed::frame::{Frame, Hello, read, write};
+use crate::feed::frame::{Frame, Hello};
 use crate::feed::tree::Parent;
+use crate::framing::{read, write};
 use crate::network::{ByteStream, Network};
 
 /// Time limit for connecting to a parent.
--- a/crates/gateway/src/feed/serve.rs
+++ b/crates/gateway/src/feed/serve.rs
@@ -7,8 +7,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-use crate::feed::frame::{Content, Frame, Hello, read, write};
+use crate::feed::frame::{Content, Frame, Hello};
 use crate::feed::state::{FeedState, Missing};
+use crate::framing::{read, write};
 use crate::network::{ByteStream, Listener};
 
 /// Maximum number of followers; the connections of others are closed, so that they
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -3,6 +3,7 @@
 //! The field `event` names the event or decision, `request` is the id that the client gave
 //! to the request (`-` or absent if none), and `verdict` says whether the request may have run.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use barleyspar_callers::{Denial, Fingerprint};
@@ -201,6 +202,26 @@
     );
 }
 
+/// Logs that a runner is reached through peers, since this node's own link to it is lost.
+pub fn runner_tunnelled(runner: &str) {
+    tracing::warn!(event = "runner_tunnelled", runner);
+}
+
+/// Logs that this node seems to be partitioned from all runners, which its peers reach.
+pub fn partitioned() {
+    tracing::warn!(event = "partitioned_from_runners");
+}
+
+/// Logs that a request is sent to a runner through the peer at `peer`.
+pub fn sent_through_peer(request: &str, runner: &str, peer: SocketAddr) {
+    tracing::info!(event = "sent_through_peer", request, runner, %peer);
+}
+
+/// Logs that a peer gave no answer when it was asked to connect to a runner.
+pub fn tunnel_not_answered(runner: &str, peer: &str, error: &std::io::Error) {
+    tracing::info!(event = "tunnel_not_answered", runner, peer, cause = %error);
+}
+
 /// Logs that a runner answered a request with a failure of its own.
 pub fn runner_failed(request: &str, runner: &str, status: u16) {
     tracing::warn!(event = "runner_failed", request, runner, status);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod exchange;
 mod feed;
+mod framing;
 mod inflight;
 mod journal;
 mod kept_configuration;
@@ -43,6 +44,7 @@
 mod stream;
 mod tasks;
 mod trust;
+mod tunnel;
 mod upstream;
 
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,6 +86,7 @@
     orders: Family<CallLabels, Counter>,
     configuration_version: Gauge<u64, AtomicU64>,
     knowledge_old_seconds: Histogram,
+    tunnels: Family<CallLabels, Counter>,
     unreachable_runners: Gauge,
     leading: Gauge,
     nodes: Gauge,
@@ -115,6 +116,7 @@
             orders: Family::default(),
             configuration_version: Gauge::default(),
             knowledge_old_seconds: time_histogram(),
+            tunnels: Family::default(),
             unreachable_runners: Gauge::default(),
             leading: Gauge::default(),
             nodes: Gauge::default(),
@@ -200,6 +202,11 @@
             Unit::Seconds,
             self.knowledge_old_seconds.clone(),
         );
+        registry.register(
+            "tunnels",
+            "Answers of peers that were asked to connect to runners, and those given to peers",
+            self.tunnels.clone(),
+        );
         registry.register(
             "unreachable_runners",
             "Runners to which the last connection attempt failed",
@@ -322,6 +329,24 @@
         self.knowledge_old_seconds.observe(lasted.as_secs_f64());
     }
 
+    /// Counts the answer of a peer that was asked to connect to a runner.
+    pub fn tunnel_asked(&self, outcome: &'static str) {
+        let labels = CallLabels {
+            call: "asked",
+            outcome,
+        };
+        self.tunnels.get_or_create(&labels).inc();
+    }
+
+    /// Counts this node's answer to a peer that asked it to connect to a runner.
+    pub fn tunnel_served(&self, outcome: &'static str) {
+        let labels = CallLabels {
+            call: "served",
+            outcome,
+        };
+        self.tunnels.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of runners to which the last connection attempt failed.
     pub fn set_unreachable_runners(&self, runners: usize) {
         self.unreachable_runners.set(runners as i64);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::quota::QuotaTask;
 use crate::restore_tracker::RestoreTracker;
 use crate::store::Store;
+use crate::tunnel::{self, TunnelPeers};
 use crate::{
     crashes, dispatch, feed, peers, prefill, quota, rate_permits, readiness, register, request,
 };
@@ -199,6 +200,7 @@
     let uses_prefill = placement_options.switches.is_enabled(Mechanism::Prefill);
     let (crashes, crash_inbox) = crashes::channel();
     let (rate_permits, rate_permit_requests) = mpsc::unbounded_channel();
+    let (peer_handle, peer_inbox) = peers::channel();
     let now = Instant::now().into_std();
     let dispatcher = Dispatcher::new(
         settings.name.clone(),
@@ -224,6 +226,7 @@
         crashes,
         pool: Arc::default(),
         reachability: Arc::default(),
+        tunnel_peers: TunnelPeers::new(peer_handle.seen_peers(), settings.tunnel_address.port()),
         lifecycle,
         requests_in_flight: Arc::default(),
         metrics: Arc::default(),
@@ -236,7 +239,6 @@
         context.metrics.clone(),
     );
     let (placement_handle, placement_inbox) = placement::channel();
-    let (peer_handle, peer_inbox) = peers::channel();
     let (leader_sender, leader) = watch::channel(None);
     let (lease_era_sender, lease_era) = watch::channel(0);
     let (lease, watched_lease) = watch::channel(None);
@@ -250,6 +252,10 @@
         .listen(settings.peer_address)
         .await
         .map_err(|cause| address_error("peer address", settings.peer_address, cause))?;
+    let tunnel_listener = network
+        .listen(settings.tunnel_address)
+        .await
+        .map_err(|cause| address_error("tunnel address", settings.tunnel_address, cause))?;
     let caller_listener = network
         .listen(settings.caller_address)
         .await
@@ -327,6 +333,7 @@
     );
     crate::tasks::spawn(feed::serve(follower_listener, feed_state.clone()));
     crate::tasks::spawn(feed_task.run());
+    crate::tasks::spawn(tunnel::serve(context.clone(), tunnel_listener));
     crate::tasks::spawn(register::register(
         store,
         context.clone(),
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -17,6 +17,7 @@
 use crate::context::{CONNECT_TIMEOUT, Context};
 use crate::rate_permits;
 use crate::signals::{self, SignalledCall};
+use crate::tunnel::verify_reach;
 use crate::upstream::Connection;
 
 /// Timeout for the whole answer to a call.
@@ -141,10 +142,13 @@
         return Err(CallError::NotBefore(pause));
     }
     acquire_rate_permit(context, runner).await?;
-    let mut connection = context
-        .connect(runner, CONNECT_TIMEOUT)
-        .await
-        .map_err(|error| CallError::Unreachable(error.to_string()))?;
+    // Runners tell the holders of the lease apart by their address, so that no call of the
+    // leader goes through a peer.
+    let connected = context.connect_directly(runner, CONNECT_TIMEOUT).await;
+    let mut connection = connected.map_err(|error| {
+        crate::tasks::spawn(verify_reach(context.clone(), runner.id.clone()));
+        CallError::Unreachable(error.to_string())
+    })?;
     if let Ok(host) = HeaderValue::from_str(&runner.address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
@@ -193,6 +197,7 @@
         runner,
         call: call_name,
         sent_at,
+        peer: None,
         limit_expected: false,
     };
     signals::apply_signals(context, &signalled_call, head.status, &facts);
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -1,6 +1,8 @@
 //! Applies the signals that runners send in the headers of their answers (rate limit,
 //! draining, requested pause), for calls of all kinds.
 
+use std::net::SocketAddr;
+
 use barleyspar_catalog::{AnswerFacts, Runner, RunnerSignals};
 use barleyspar_dispatch::AdvertisedLimit;
 use http::StatusCode;
@@ -8,6 +10,7 @@
 
 use crate::context::Context;
 use crate::journal;
+use crate::tunnel::report_pause;
 
 /// A call to a runner whose answer may carry signals.
 pub struct SignalledCall<'a> {
@@ -17,6 +20,8 @@
     pub call: &'static str,
     /// When the call was sent.
     pub sent_at: Instant,
+    /// Address of the peer through which the call went; `None` if it went directly.
+    pub peer: Option<SocketAddr>,
     /// Whether a runner with a rate limit advertises it in each answer to this call, so
     /// that an answer without one means that there is none.
     pub limit_expected: bool,
@@ -48,9 +53,13 @@
     if let Some(pause) = requested_pause {
         context.metrics.runner_signal(call.call, "pause");
         journal::runner_requested_pause(&call.runner.id, call.call, pause);
-        context
-            .dispatch
-            .set_requested_pause(call.runner.id.clone(), pause);
+        let runner = call.runner.id.clone();
+        context.dispatch.set_requested_pause(runner.clone(), pause);
+        if let Some(peer) = call.peer {
+            // The runner asks the node that called it, which is the peer.
+            let context = context.clone();
+            crate::tasks::spawn(async move { report_pause(&context, peer, runner, pause).await });
+        }
     }
 }
 
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -13,7 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::network::Network;
+use crate::network::{ByteStream, Network};
 use crate::upstream::pool::OpenSlot;
 use crate::upstream::tracked::{SocketState, TrackedStream};
 
@@ -53,6 +53,18 @@
     pub cause: String,
 }
 
+/// Opens a stream to `address` within `timeout`.
+pub async fn open_stream(
+    network: &dyn Network,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<Box<dyn ByteStream>, ConnectError> {
+    let connected = tokio::time::timeout(timeout, network.connect(address)).await;
+    connected
+        .map_err(|_| ConnectError::TimedOut)?
+        .map_err(|error| ConnectError::Refused(error.to_string()))
+}
+
 /// An open connection. Dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct Connection {
@@ -61,6 +73,7 @@
     socket: SocketState,
     idle_since: Instant,
     idle_limit: Duration,
+    peer: Option<SocketAddr>,
     _slot: Option<OpenSlot>,
 }
 
@@ -73,17 +86,23 @@
         timeout: Duration,
         slot: Option<OpenSlot>,
     ) -> Result<Self, ConnectError> {
-        let refused = |error: &dyn std::fmt::Display| ConnectError::Refused(error.to_string());
-        let stream = tokio::time::timeout(timeout, network.connect(address))
-            .await
-            .map_err(|_| ConnectError::TimedOut)?
-            .map_err(|error| refused(&error))?;
+        let stream = open_stream(network, address, timeout).await?;
+        Self::over(stream, slot, None).await
+    }
+
+    /// Starts HTTP on an open `stream`. `slot` as in [`Self::open`]; `peer`: the address of the
+    /// peer through which the stream goes, if it is a tunnel.
+    pub async fn over(
+        stream: Box<dyn ByteStream>,
+        slot: Option<OpenSlot>,
+        peer: Option<SocketAddr>,
+    ) -> Result<Self, ConnectError> {
         let (stream, socket) = TrackedStream::new(stream);
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| refused(&error))?;
+            .map_err(|error| ConnectError::Refused(error.to_string()))?;
         let driver = crate::tasks::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection ended");
@@ -95,10 +114,17 @@
             socket,
             idle_since: Instant::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
+            peer,
             _slot: slot,
         })
     }
 
+    /// Returns the address of the peer through which the connection goes; `None` if it is
+    /// direct.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// Sends `request` and waits for the head of the answer. There is no timeout.
     pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, SendError> {
         let written_before = self.socket.written();
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,5 +4,5 @@
 mod pool;
 mod tracked;
 
-pub use connection::{ConnectError, Connection};
+pub use connection::{ConnectError, Connection, open_stream};
 pub use pool::{Checkout, OpenSlot, Pool};
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -79,8 +79,9 @@
         self.with_entries(|entries| entries.entry(runner.clone()).or_default().reserve(share))
     }
 
-    /// Returns a connection to the pool after an answer was read completely from it.
-    /// `keep_alive_seconds`: the keep-alive time that the runner announced, if any.
+    /// Returns a connection to the pool after an answer was read completely from it. One that
+    /// goes through a peer is closed instead: the peer decides anew for each request whether it
+    /// may call the runner. `keep_alive_seconds`: the keep-alive time that the runner announced, if any.
     pub fn put_back(
         &self,
         runner: &Arc<str>,
@@ -88,7 +89,7 @@
         keep_alive_seconds: Option<u64>,
     ) {
         connection.mark_idle(keep_alive_seconds);
-        if connection.is_closed() {
+        if connection.is_closed() || connection.peer().is_some() {
             return;
         }
         self.with_entries(|entries| {
@@ -98,6 +99,22 @@
         });
     }
 
+    /// Closes the idle connections to `runner`.
+    pub fn close_idle(&self, runner: &str) {
+        self.with_entries(|entries| {
+            if let Some(entry) = entries.get_mut(runner) {
+                entry.idle.clear();
+            }
+        });
+    }
+
+    /// Closes the idle connections to all runners.
+    pub fn close_all_idle(&self) {
+        self.with_entries(|entries| {
+            entries.values_mut().for_each(|entry| entry.idle.clear());
+        });
+    }
+
     /// Closes connections that exceed their idle limit, and removes the entries of runners
     /// without an open connection.
     pub fn close_expired(&self) {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -16,6 +16,7 @@
 use barleyspar_policy::Program;
 use bytes::Bytes;
 use futures_util::future::join_all;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::client::{Answer, ClientRequest, DEFAULT_DEADLINE, send_request};
@@ -28,6 +29,7 @@
 const READINESS_PORT: u16 = 81;
 const PEER_PORT: u16 = 82;
 const METRICS_PORT: u16 = 83;
+const TUNNEL_PORT: u16 = 84;
 /// Zone of all gateways.
 const ZONE: &str = "zone";
 const STORE_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)), 1);
@@ -271,6 +273,24 @@
             .await
     }
 
+    /// Starts a request to the gateway, path and model in `to`, in a task of its own that returns
+    /// the answer; otherwise as [`Self::request`].
+    pub fn spawn_request(
+        &self,
+        (number, path, model): (u8, &'static str, Option<&'static str>),
+        id: &str,
+    ) -> JoinHandle<Answer> {
+        let to = SocketAddr::new(Self::gateway_host(number), CALLER_PORT);
+        let (network, id) = (self.network.clone(), id.to_owned());
+        tokio::spawn(async move {
+            let client_request = ClientRequest {
+                model,
+                ..ClientRequest::plain(CLIENT_HOST, to, path, &id)
+            };
+            send_request(&network, client_request).await
+        })
+    }
+
     /// Sends a request with this deadline to gateway `number`, otherwise as [`Self::request`].
     /// Only the gateway enforces the deadline; the client waits for the answer without a limit.
     pub async fn request_with_deadline(
@@ -398,6 +418,7 @@
         caller_address: at(CALLER_PORT),
         readiness_address: at(READINESS_PORT),
         peer_address: at(PEER_PORT),
+        tunnel_address: at(TUNNEL_PORT),
         metrics_address: Some(at(METRICS_PORT)),
         store_address: STORE_ADDRESS,
         minimum_lease: Duration::from_secs(1),
--- a/crates/standin/tests/partitioned_gateways.rs
+++ b/crates/standin/tests/partitioned_gateways.rs
@@ -151,6 +151,127 @@
     assert_callers_served(Cut::RefusesNew).await;
 }
 
+/// A site whose gateway 1 has noticed that it is partitioned from all runners.
+async fn world_with_partitioned_gateway(cut: Cut) -> World {
+    let world = world().await;
+    partition(&world, [1], cut);
+    world.run_for(KEEP_ALIVE_TIME).await;
+    for round in 0..3 {
+        for (path, model) in ROUTES {
+            let id = format!("noticing-{round}-{path}");
+            world.request(1, path, &id, model).await;
+        }
+    }
+    world
+}
+
+/// Calls that runners of the site received from gateway `number` since `since`.
+fn calls_of_gateway(world: &World, number: u8, since: Instant) -> usize {
+    let host = World::gateway_host(number);
+    let calls = world.runners.values().flat_map(|runner| runner.calls());
+    calls
+        .filter(|call| call.node == host && call.at >= since)
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_calls_runners_itself_again_after_a_partition() {
+    for cut in CUTS {
+        let world = world_with_partitioned_gateway(cut).await;
+        world.network.heal();
+        send_load(&world, "healing", SECOND).await;
+        let since = Instant::now();
+        send_load(&world, "healed", 2 * SECOND).await;
+        assert_eq!(calls_of_gateway(&world, 1, since), 60, "{cut:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_gets_no_calls_through_a_peer_during_a_pause_that_it_requested_of_it() {
+    let world = world_with_partitioned_gateway(Cut::Silent).await;
+    let runner = &world.runners["plain-1"];
+    runner.request_pauses(2 * SECOND, 5);
+    let sent = send_load(&world, "pausing", 8 * SECOND).await;
+    assert!(sent.iter().all(Served::is_served));
+    let calls = runner.calls();
+    for pause in runner.requested_pauses() {
+        // Calls that were under way when the pause was requested.
+        let from = pause.at + SECOND / 10;
+        let called = calls.iter().filter(|call| {
+            call.node == pause.node && (from..pause.at + pause.duration).contains(&call.at)
+        });
+        assert_eq!(called.count(), 0, "{pause:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_draining_runner_gets_no_requests_through_peers() {
+    let world = world_with_partitioned_gateway(Cut::Reset).await;
+    let runner = &world.runners["plain-1"];
+    runner.signal_draining();
+    send_load(&world, "draining", SECOND).await;
+    let since = Instant::now();
+    let sent = send_load(&world, "drained", 2 * SECOND).await;
+    assert!(sent.iter().all(Served::is_served));
+    let late = runner.calls().into_iter().filter(|call| call.at > since);
+    assert_eq!(late.count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn streams_go_on_when_the_peers_that_carry_them_die() {
+    let mut world = world_with_partitioned_gateway(Cut::Silent).await;
+    let streams = (0..12).map(|number| {
+        let id = format!("stream-{number}");
+        let to = (1, "/stream/x", Some("a"));
+        world.spawn_request(to, &id)
+    });
+    let streams: Vec<_> = streams.collect();
+    world.run_for(SECOND / 5).await;
+    world.kill_gateway(2);
+    world.kill_gateway(3);
+    for answer in join_all(streams).await {
+        let answer = answer.expect("the client does not panic");
+        let events: Vec<u64> = (1..=40).collect();
+        assert_eq!(
+            (answer.code(), answer.complete, answer.event_ids()),
+            (200, true, events)
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_of_a_peer_cuts_no_request_that_it_carries() {
+    let world = world_with_partitioned_gateway(Cut::Silent).await;
+    let writes = (0..12).map(|number| {
+        let id = format!("write-{number}");
+        world.spawn_request((1, "/write/x", None), &id)
+    });
+    let writes: Vec<_> = writes.collect();
+    world.run_for(SECOND / 50).await;
+    let stops = (2..=3).map(|number| world.gateway(number));
+    let stops = stops.map(|gateway| async move { gateway.stop().await });
+    let (answers, _) = tokio::join!(join_all(writes), join_all(stops));
+    let codes = answers
+        .iter()
+        .map(|answer| answer.as_ref().map_or(0, |answer| answer.code()));
+    assert!(codes.into_iter().all(|code| code == 200));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_stops_its_run_when_a_caller_behind_a_peer_leaves() {
+    let world = world_with_partitioned_gateway(Cut::Silent).await;
+    let stream = world.request(1, "/stream/x", "left", Some("a"));
+    let left = tokio::time::timeout(SECOND / 5, stream).await;
+    assert!(left.is_err());
+    world.run_for(SECOND / 10).await;
+    let running = world
+        .runners
+        .values()
+        .map(|runner| runner.running_requests());
+    assert_eq!(running.sum::<usize>(), 0);
+    assert_eq!(world.run_count("left"), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_metric_counts_the_runners_that_a_gateway_cannot_reach() {
     for cut in CUTS {
