A request is not blamed for the links that its gateways lost

What callers would see: 503 for ten minutes, at all gateways, for a request that happened to run at three runners when the links of its gateways were reset.

Cause: after a connection broke, a refused probe counted as proof that the runner had crashed, though only this gateway was refused.

Change: the probe is a connection by any way: if a peer connects to the runner, it has not crashed. If peers are refused as well, or none can tell, it counts as before.

The tests of requests that do crash runners pass unchanged (crashing_request.rs, 9).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -158,7 +158,7 @@
     }
 
     /// Opens a new connection to `runner` within `timeout`, even if the pool has an idle
-    /// one.
+    /// one; through a peer if this node has lost its own link.
     pub async fn open_connection(
         &self,
         runner: &Runner,
@@ -167,8 +167,7 @@
         let share = self.connection_share(&runner.service);
         let slot = self.pool.reserve(&runner.id, share);
         let slot = slot.ok_or(ConnectError::ConnectionLimitReached)?;
-        let stream = self.open_stream(runner, timeout).await?;
-        Connection::over(stream, Some(slot), None).await
+        tunnel::connect(self, runner, timeout, slot).await
     }
 
     fn checkout(&self, runner: &Runner) -> Checkout {
--- a/crates/gateway/src/crashes/task.rs
+++ b/crates/gateway/src/crashes/task.rs
@@ -118,8 +118,9 @@
     }
 }
 
-/// Probes `runner` with a new connection: a crash closes the runner's port. If the connection
-/// times out, or this node's share of connections is in use, the runner counts as alive,
+/// Probes `runner` with a new connection: a crash closes the runner's port. A port that is
+/// closed to this node only, while peers connect to it, belongs to a lost link and not to a
+/// crash. If the connection times out, or this node's share of connections is in use, the runner counts as alive,
 /// because links fail more often than runners crash.
 async fn probe(context: Context, runner: Arc<Runner>) {
     let crashed = match context.open_connection(&runner, CONNECT_TIMEOUT).await {
