A leader that is partitioned from all runners hands its lease over

Cause: leadership is bound to the store and to the peers, both of which the leader still reached; nothing looked at whether it reaches the runners that it orders.

Change: a leader that has seemed partitioned from all runners for half a second gives no more orders, and ends its lease one lease duration later, so that orders of two holders in touch never take turns within it; a partitioned node does not compete.

--- a/crates/gateway/src/placement/lease.rs
+++ b/crates/gateway/src/placement/lease.rs
@@ -46,6 +46,9 @@
 const VACANCY_FRACTION: f64 = 0.5;
 /// Timeout of one call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for which the leader must seem partitioned from all runners before it hands the lease
+/// over: a link that is lost for a moment is not worth a change of leader.
+const PARTITION_TOLERATED: Duration = Duration::from_millis(500);
 /// Pause after a failed attempt to acquire the lease.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -90,6 +93,10 @@
             let vacant_since = Instant::now();
             let delay = staggered_delay(&self.context, &self.seen_peers.borrow());
             sleep(delay).await;
+            if self.is_partitioned() {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            }
             let leader = self.leader.borrow().as_ref().map(|leader| leader.revision);
             if leader != predecessor || self.context.routes.borrow().is_none() {
                 sleep(RETRY_PAUSE).await;
@@ -260,9 +267,12 @@
         let mut era_watch = self.store.watch_era();
         let acquired_era = era_watch.borrow_and_update().number;
         let mut leader_watch = LeaderWatch::new(self.leader.clone(), lease.fencing_token);
+        let partition = self.wait_for_partition();
+        tokio::pin!(partition);
         loop {
             tokio::select! {
                 () = leader_watch.until_replaced() => break,
+                () = &mut partition => return self.hand_over(lease).await,
                 Ok(()) = era_watch.changed() => {
                     self.lease.send_replace(None);
                 }
@@ -286,6 +296,40 @@
         self.lease.send_replace(None);
     }
 
+    /// Whether this node seems to be partitioned from all runners, so that it can order none.
+    fn is_partitioned(&self) -> bool {
+        let now = Instant::now();
+        self.context
+            .with_reachability(|reachability| reachability.is_partitioned(now))
+    }
+
+    /// Waits until this node has seemed partitioned from all runners for
+    /// [`PARTITION_TOLERATED`].
+    async fn wait_for_partition(&self) {
+        let mut since = None;
+        loop {
+            since = since.filter(|_| self.is_partitioned());
+            if self.is_partitioned() {
+                let since: Instant = *since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= PARTITION_TOLERATED {
+                    return;
+                }
+            }
+            sleep(CHECK_PERIOD).await;
+        }
+    }
+
+    /// Gives no more orders, and ends the lease once the last one is a lease duration old, so
+    /// that a peer that reaches the runners leads on.
+    async fn hand_over(&self, lease: Lease) {
+        tracing::warn!(event = "lease_handed_over", token = lease.fencing_token);
+        self.lease.send_replace(None);
+        sleep(self.context.settings.bounds.lease_duration).await;
+        let call = StoreCall::EndLease { lease: lease.id };
+        // If the call fails, the lease ends by itself, as it is not renewed any more.
+        let _ = self.store.call(&call, CALL_TIMEOUT).await;
+    }
+
     /// Returns the time until the next renewal; short while it is unknown whether the
     /// lease is still held.
     fn renewal_pause(&self) -> Duration {
--- a/crates/standin/tests/partitioned_gateways.rs
+++ b/crates/standin/tests/partitioned_gateways.rs
@@ -15,6 +15,8 @@
 const PARTITIONED: RangeInclusive<u8> = 1..=3;
 /// Time from the start of a partition after which its callers must be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Lease duration of the site, within which orders of two holders must not take turns.
+const LEASE_DURATION: Duration = Duration::from_secs(3);
 /// Time from a request to the reset of its connection: its run has begun, and the first event has
 /// not arrived.
 const BEFORE_FIRST_EVENT: Duration = Duration::from_millis(40);
@@ -333,6 +335,58 @@
     }
 }
 
+/// Only calls of the leader show that its links are lost.
+#[tokio::test(start_paused = true)]
+async fn a_partitioned_leader_without_callers_hands_over_in_time() {
+    for cut in CUTS {
+        let world = world().await;
+        let former = leader(&world);
+        partition(&world, [former], cut);
+        world.run_for(KEEP_ALIVE_TIME).await;
+        let other = former % GATEWAYS + 1;
+        world
+            .request(other, "/stream/x", "first", Some("cold"))
+            .await;
+        let answer = world
+            .request(other, "/stream/x", "again", Some("cold"))
+            .await;
+        assert_eq!((answer.code(), answer.complete), (200, true), "{cut:?}");
+        assert_ne!(leader(&world), former, "{cut:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_runner_gets_orders_of_two_gateways_within_a_lease_duration() {
+    for cut in CUTS {
+        let world = world().await;
+        let former = leader(&world);
+        let other = former % GATEWAYS + 1;
+        world.request(other, "/stream/x", "b", Some("b")).await;
+        partition(&world, [former], cut);
+        let load = send_load(&world, "load", 2 * CONTACT_TIME);
+        let cold = async {
+            for id in ["first", "second"] {
+                world.request(other, "/stream/x", id, Some("cold")).await;
+            }
+        };
+        tokio::join!(load, cold);
+        assert_ne!(leader(&world), former, "{cut:?}");
+        let orders = world
+            .runners
+            .values()
+            .flat_map(|runner| runner.timed_orders());
+        let mut orders: Vec<_> = orders.map(|(at, order)| (at, order.holder)).collect();
+        orders.sort();
+        let changes = orders.windows(2).filter(|pair| pair[0].1 != pair[1].1);
+        for change in changes {
+            assert!(
+                change[1].0 - change[0].0 >= LEASE_DURATION,
+                "{cut:?}: {change:?}"
+            );
+        }
+    }
+}
+
 /// The same request runs at three runners when the links of its gateways are reset.
 #[tokio::test(start_paused = true)]
 async fn a_request_is_not_quarantined_because_its_gateways_lost_their_links() {
