Silent idle connections are closed within the contact limit, user timeout or not

Guards against: a connection whose peer fell silent without a reset stays in the pool for 5 s, in place of the 3 s that two probes suggest; a request that is sent on it meanwhile hangs, and is lost if it must not be repeated.

Cause: on Linux a TCP_USER_TIMEOUT that is set decides when probes give up, whatever their count. Ours was 5 s; the HTTP library of the other system sets 30 s by itself.

Change: connections that a gateway opens get 2.5 s, so that the third second ends them; accepted ones keep 5 s, which also bounds for how long a caller may read nothing. The other system's client sets probes and timeout, too.

Before: a_user_timeout_does_not_keep_silent_connections_open_beyond_the_contact_limit failed with 5 s (run on the new test with the old constant).

--- a/crates/gateway/src/network.rs
+++ b/crates/gateway/src/network.rs
@@ -10,11 +10,16 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
-/// Time without an acknowledgement of sent bytes after which a connection is closed.
-const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without an acknowledgement of sent bytes after which a connection that this node opened
+/// is closed. Where it is set, it also decides when unanswered probes end a connection, whatever their number: at
+/// the first probe that is due after it. So an idle connection that became unresponsive without
+/// a reset is closed after 3 s, before a site's limit for a machine that is out of contact (3 to
+/// 4 s).
+const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The same for a connection that was accepted. It is longer, since it also bounds for how long
+/// a caller may read nothing of its answer.
+const ACCEPTED_USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without a byte from the peer after which it is probed, and time between two probes.
-/// With two probes, a connection that became unresponsive without a reset is closed after
-/// 3 s, before a site's limit for a machine that is out of contact (3 to 4 s).
 const KEEP_ALIVE_TIME: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which a connection is closed.
 const KEEP_ALIVE_PROBES: u32 = 2;
@@ -67,14 +72,14 @@
 pub struct Sockets;
 
 /// Sets the options of a new connection's socket.
-fn configured(stream: TcpStream) -> Box<dyn ByteStream> {
-    set_options(&stream);
+fn configured(stream: TcpStream, user_timeout: Duration) -> Box<dyn ByteStream> {
+    set_options(&stream, user_timeout);
     Box::new(stream)
 }
 
 /// Sets the socket options with which `stream` sends without delay and detects a peer that
 /// is gone or unresponsive.
-fn set_options(stream: &TcpStream) {
+fn set_options(stream: &TcpStream, user_timeout: Duration) {
     let socket = SockRef::from(stream);
     let keep_alive = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_TIME)
@@ -84,7 +89,7 @@
         ("nodelay", stream.set_nodelay(true)),
         (
             "user_timeout",
-            socket.set_tcp_user_timeout(Some(USER_TIMEOUT)),
+            socket.set_tcp_user_timeout(Some(user_timeout)),
         ),
         ("keep_alive", socket.set_tcp_keepalive(&keep_alive)),
     ];
@@ -100,7 +105,8 @@
 #[async_trait]
 impl Network for Sockets {
     async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn ByteStream>> {
-        TcpStream::connect(address).await.map(configured)
+        let stream = TcpStream::connect(address).await?;
+        Ok(configured(stream, USER_TIMEOUT))
     }
 
     async fn listen(&self, address: SocketAddr) -> io::Result<Box<dyn Listener>> {
@@ -117,7 +123,7 @@
     async fn accept(&self) -> io::Result<Box<dyn ByteStream>> {
         TcpListener::accept(self)
             .await
-            .map(|(stream, _)| configured(stream))
+            .map(|(stream, _)| configured(stream, ACCEPTED_USER_TIMEOUT))
     }
 }
 
--- a/crates/gateway/src/network_tests.rs
+++ b/crates/gateway/src/network_tests.rs
@@ -1,4 +1,5 @@
 use std::io::ErrorKind;
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,7 +18,7 @@
     let stream = TcpStream::connect(address)
         .await
         .expect("the listener accepts connections");
-    set_options(&stream);
+    set_options(&stream, USER_TIMEOUT);
     let socket = SockRef::from(&stream);
     assert!(socket.keepalive().expect("the option can be read"));
     assert_eq!(
@@ -40,6 +41,20 @@
     assert_eq!(user_timeout, Some(USER_TIMEOUT));
 }
 
+/// Shortest limit of a site for a machine that is out of contact.
+const CONTACT_LIMIT: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_user_timeout_does_not_keep_silent_connections_open_beyond_the_contact_limit() {
+    // With a user timeout, the system ends a connection at the first probe that is due once the
+    // timeout has passed; the number of probes counts only without one.
+    let probes = (2..).map(|number| KEEP_ALIVE_TIME * number);
+    let closed_at = probes.into_iter().find(|due| *due >= USER_TIMEOUT);
+    assert!(closed_at <= Some(CONTACT_LIMIT), "{closed_at:?}");
+    // Bytes that are under way get no shorter time than a lossy link needs for them.
+    assert!(USER_TIMEOUT >= 2 * KEEP_ALIVE_TIME);
+}
+
 #[tokio::test]
 async fn a_socket_that_discards_is_reset_and_not_closed_in_order() {
     let listener = TcpListener::bind("127.0.0.1:0")
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -25,6 +25,12 @@
 /// Idle connections kept for each back end.
 const IDLE_CONNECTIONS_PER_HOST: usize = 16;
 
+/// Time without a byte after which a connection is probed, and time between two probes.
+const KEEP_ALIVE_TIME: Duration = Duration::from_secs(1);
+/// Time after which the next unanswered probe ends a connection. The library's own default of
+/// 30 s would keep silent connections for as long, whatever the number of probes.
+const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+
 /// Whether a client may send two requests over one connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectionReuse {
@@ -44,6 +50,9 @@
         .pool_max_idle_per_host(idle)
         .connect_timeout(CONNECT_TIME_LIMIT)
         .tcp_nodelay(true)
+        .tcp_keepalive(KEEP_ALIVE_TIME)
+        .tcp_keepalive_interval(KEEP_ALIVE_TIME)
+        .tcp_user_timeout(USER_TIMEOUT)
         .build()
 }
 
