Brittle runners get no more requests than they have slots for

Change: the word is read from all answers, holds for the service, and is told to the other nodes in a message of its own, since an added field would make the load unreadable for earlier builds. While it holds, nine in ten slots are dealt to the nodes in turn (dispatch/brittle.rs), so that all of them together never send a runner more than it runs; a rejection keeps the node away for 1.2 s. Ways weighed: docs/design/runners.md.

--- a/crates/catalog/src/signals.rs
+++ b/crates/catalog/src/signals.rs
@@ -9,6 +9,9 @@
 pub struct RunnerSignals {
     /// The rate limit that the runner advertises; `None` if the answer names none.
     pub limit: Option<RunnerLimit>,
+    /// Number of requests that the runner may reject for lack of room within a second; if it has
+    /// to reject more, it crashes. `None` if the runner is not brittle.
+    pub brittle: Option<u32>,
     /// Whether the runner is draining: it takes no new work and exits soon.
     pub draining: bool,
     /// Time for which the runner asks this node to send it nothing (its `Retry-After`);
--- a/crates/dispatch/src/candidates.rs
+++ b/crates/dispatch/src/candidates.rs
@@ -63,6 +63,7 @@
             .into_iter()
             .filter(|entry| !entry.health().is_busy(now))
             .filter(|entry| has_room(entry, query, engine))
+            .filter(|entry| self.is_within_brittle_share(entry))
             .filter(|entry| self.is_within_cold_rate(entry, service, now))
             .collect()
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use barleyspar_domain::rendezvous_weight;
 use barleyspar_prefill::RunnerEstimates;
 
+use crate::brittle::{BRITTLE_BUSY_TIME, BrittleServices};
 use crate::budget::{BudgetLimits, BudgetShare, RetryBudget};
 use crate::cold_start::ColdStarts;
 use crate::demand::{DemandItem, DemandTable};
@@ -63,6 +64,7 @@
     /// knows.
     pub(crate) used_runner_ids: BTreeSet<Arc<str>>,
     budgets: HashMap<Arc<str>, RetryBudget>,
+    pub(crate) brittle: BrittleServices,
     pub(crate) draining: DrainingRunners,
     pub(crate) requested_pauses: RequestedPauses,
     /// Ids of the runners that have advertised a rate limit at some time.
@@ -103,6 +105,7 @@
             permits: HashMap::new(),
             used_runner_ids: BTreeSet::new(),
             budgets: HashMap::new(),
+            brittle: BrittleServices::default(),
             draining: DrainingRunners::default(),
             requested_pauses: RequestedPauses::default(),
             limited_runner_ids: BTreeSet::new(),
@@ -367,6 +370,9 @@
         entry.reserved_tokens = entry.reserved_tokens.saturating_sub(permit.cache_tokens);
         entry.unread.remove(id);
         apply_outcome(entry, outcome, permit.wanted, now);
+        if outcome == Outcome::Busy && self.brittle.contains(&permit.service) {
+            entry.health_mut().mark_busy(now, BRITTLE_BUSY_TIME);
+        }
     }
 
     /// Records an outcome of an attempt that goes on; the permit stays in use.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! A state machine without I/O and without a clock of its own: callers pass the current
 //! time, and one task drives the [`Dispatcher`].
 
+mod brittle;
 mod budget;
 mod candidates;
 mod cold_pacing;
@@ -35,6 +36,7 @@
 mod waiting;
 
 pub use barleyspar_catalog::{RunnerKey, runner_key};
+pub use brittle::BrittleUpdate;
 pub use budget::{BudgetLimits, BudgetShare, RetryBudget};
 pub use demand::DemandItem;
 pub use dispatcher::{Dispatcher, Site};
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -10,8 +10,8 @@
 
 use barleyspar_catalog::{Configuration, Route, Runner, RunnerLimit};
 use barleyspar_dispatch::{
-    AdvertisedLimit, BudgetLimits, DemandItem, DrainingUpdate, Grant, Inventory, LimitUpdate,
-    Outcome, PermitId, PromptDemandItem, Query, RatePermitAnswer, Refusal, RunnerKey,
+    AdvertisedLimit, BrittleUpdate, BudgetLimits, DemandItem, DrainingUpdate, Grant, Inventory,
+    LimitUpdate, Outcome, PermitId, PromptDemandItem, Query, RatePermitAnswer, Refusal, RunnerKey,
 };
 use barleyspar_prefill::PrefillUpdate;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -144,6 +144,8 @@
     SetPeerLoad(Arc<str>, Vec<(RunnerKey, u32)>, Duration),
     ApplyLimit(Arc<str>, AdvertisedLimit),
     ApplyLimitUpdates(Vec<LimitUpdate>),
+    RecordBrittle(Arc<str>, Option<u32>, Instant),
+    ApplyBrittleUpdates(Vec<BrittleUpdate>),
     MarkDraining(Arc<str>),
     SetRequestedPause(Arc<str>, Duration),
     ApplyDrainingUpdates(Vec<DrainingUpdate>),
@@ -173,12 +175,17 @@
     pub limits: Vec<LimitUpdate>,
     /// Runners that signalled that they are draining, as updates for other nodes.
     pub draining: Vec<DrainingUpdate>,
+    /// Services that are brittle, or were until a moment ago, as updates for other nodes.
+    pub brittle: Vec<BrittleUpdate>,
 }
 
 /// The rate limit that each runner last advertised, by runner id. Runners that
 /// never advertised one are missing.
 pub type AdvertisedLimits = Arc<BTreeMap<Arc<str>, AdvertisedLimit>>;
 
+/// Names of the services whose runners are brittle.
+pub type BrittleServiceNames = Arc<BTreeSet<Arc<str>>>;
+
 /// Ids of the runners that signalled that they are draining.
 pub type DrainingRunners = Arc<BTreeSet<Arc<str>>>;
 
@@ -207,6 +214,7 @@
     commands: mpsc::UnboundedSender<Command>,
     shared: Arc<SharedCounters>,
     limits: watch::Receiver<AdvertisedLimits>,
+    brittle: watch::Receiver<BrittleServiceNames>,
     draining: watch::Receiver<DrainingRunners>,
     requested_pauses: watch::Receiver<RequestedPauses>,
 }
@@ -305,6 +313,22 @@
         }
     }
 
+    /// Whether the runners of `service` are brittle, as far as is known.
+    pub fn is_brittle(&self, service: &str) -> bool {
+        self.brittle.borrow().contains(service)
+    }
+
+    /// Records what the runner `id` said at `at` of its service: how many rejections for lack
+    /// of room within a second it survives, or `None` if it is not brittle.
+    pub fn record_brittle(&self, id: Arc<str>, tolerated: Option<u32>, at: Instant) {
+        self.send(Command::RecordBrittle(id, tolerated, at));
+    }
+
+    /// Applies what another node reported of brittle services.
+    pub fn apply_brittle_updates(&self, updates: Vec<BrittleUpdate>) {
+        self.send(Command::ApplyBrittleUpdates(updates));
+    }
+
     /// Marks the runner `id` as draining, after its signal in an answer to this node.
     pub fn mark_draining(&self, id: Arc<str>) {
         self.send(Command::MarkDraining(id));
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -1,7 +1,7 @@
 //! The task that owns the dispatcher: it carries out commands, answers requests for permits,
 //! and polls the queue when the passing of time may let a waiting request proceed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::dispatch::{
-    AdvertisedLimits, CallId, Command, DispatchHandle, DrainingRunners, Permit, RatePermitRequest,
-    RequestedPauses, Snapshot,
+    AdvertisedLimits, BrittleServiceNames, CallId, Command, DispatchHandle, DrainingRunners,
+    Permit, RatePermitRequest, RequestedPauses, Snapshot,
 };
 use crate::journal;
 
@@ -39,12 +39,14 @@
 ) -> DispatchHandle {
     let (commands, inbox) = mpsc::unbounded_channel();
     let (limits_sender, limits) = watch::channel(AdvertisedLimits::default());
+    let (brittle_sender, brittle) = watch::channel(BrittleServiceNames::default());
     let (draining_sender, draining) = watch::channel(DrainingRunners::default());
     let (pauses_sender, requested_pauses) = watch::channel(RequestedPauses::default());
     let handle = DispatchHandle {
         commands,
         shared: Arc::default(),
         limits,
+        brittle,
         draining,
         requested_pauses,
     };
@@ -57,6 +59,7 @@
         urgent_demand,
         rate_permits,
         limits: limits_sender,
+        brittle: brittle_sender,
         draining: draining_sender,
         requested_pauses: pauses_sender,
         logged_ignored_prompts: 0,
@@ -75,6 +78,7 @@
     urgent_demand: Arc<tokio::sync::Notify>,
     rate_permits: mpsc::UnboundedSender<RatePermitRequest>,
     limits: watch::Sender<AdvertisedLimits>,
+    brittle: watch::Sender<BrittleServiceNames>,
     draining: watch::Sender<DrainingRunners>,
     requested_pauses: watch::Sender<RequestedPauses>,
     /// Number of ignored prompts that the log has told.
@@ -143,6 +147,14 @@
         self.limits.send_replace(Arc::new(limits));
     }
 
+    /// Logs a service that became brittle or ceased to be, and publishes all brittle ones to the
+    /// handles. `source` says whether a runner or another node reported it.
+    fn publish_brittle(&self, service: &str, source: &'static str) {
+        let brittle: BTreeSet<Arc<str>> = self.dispatcher.brittle_services().collect();
+        journal::service_brittle(service, brittle.contains(service), source);
+        self.brittle.send_replace(Arc::new(brittle));
+    }
+
     /// Logs the runners that are newly known to be draining, and publishes all draining
     /// runners to the handles. `source` says whether the runner itself or another node
     /// reported them.
@@ -202,6 +214,17 @@
                 let changes = self.dispatcher.apply_limit_updates(&updates, now());
                 self.publish_limits(changes, "node");
             }
+            Command::RecordBrittle(id, tolerated, at) => {
+                let at = at.into_std();
+                if let Some(service) = self.dispatcher.record_brittle(&id, tolerated, at) {
+                    self.publish_brittle(&service, "runner");
+                }
+            }
+            Command::ApplyBrittleUpdates(updates) => {
+                for service in self.dispatcher.apply_brittle_updates(updates, now()) {
+                    self.publish_brittle(&service, "node");
+                }
+            }
             Command::MarkDraining(id) => {
                 if self.dispatcher.record_draining(&id, now(), now()) {
                     self.publish_added_draining(&[id], "runner");
@@ -250,6 +273,7 @@
                     prompts: self.dispatcher.prompt_demand_items(now()),
                     limits: self.dispatcher.limit_updates(now()),
                     draining: self.dispatcher.draining_updates(now()),
+                    brittle: self.dispatcher.brittle_updates(now()),
                 });
             }
         }
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -287,6 +287,12 @@
     );
 }
 
+/// Logs that the runners of a service become brittle, so that each crashes if it has to reject
+/// many requests, or cease to be. `source`: who reported it, a runner or another node.
+pub fn service_brittle(service: &str, brittle: bool, source: &'static str) {
+    tracing::warn!(event = "service_brittle", service, brittle, source);
+}
+
 /// Logs that a runner is draining. `source`: who reported it, the runner itself or another
 /// node.
 pub fn runner_draining(runner: &str, source: &'static str) {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -4,7 +4,7 @@
 
 use barleyspar_callers::{QuarantineUpdate, QuotaAnswer, QuotaRequest};
 use barleyspar_dispatch::{
-    DemandItem, DrainingUpdate, Inventory, LimitUpdate, PromptDemandItem, RunnerKey,
+    BrittleUpdate, DemandItem, DrainingUpdate, Inventory, LimitUpdate, PromptDemandItem, RunnerKey,
 };
 use barleyspar_prefill::PrefillMessage;
 use serde::{Deserialize, Serialize};
@@ -98,6 +98,9 @@
     },
     /// A message about permits to send prompts to runners.
     Prefill(PrefillMessage),
+    /// Services whose runners are brittle, or were until a moment ago. Apart from the load, so
+    /// that nodes of builds that do not know this message still read that.
+    Brittle(Vec<BrittleUpdate>),
 }
 
 impl Message {
--- a/crates/gateway/src/peers/relaying.rs
+++ b/crates/gateway/src/peers/relaying.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_dispatch::{Inventory, RunnerKey};
+use barleyspar_dispatch::{BrittleUpdate, Inventory, RunnerKey};
 use barleyspar_prefill::{PrefillMessage, PrefillUpdate};
 use tokio::time::Instant;
 
@@ -171,6 +171,28 @@
         self.forward(&last_hop).await;
     }
 
+    /// Sends what this node knows of brittle services to all other nodes; if messages go through
+    /// relays, to its relay, or as a relay to the other relays and to its nodes. Each of them
+    /// sends what it knows in the same way.
+    pub(super) async fn send_brittle(&mut self, updates: Vec<BrittleUpdate>) {
+        if updates.is_empty() {
+            return;
+        }
+        let message = Message::Brittle(updates);
+        if !self.members.is_relayed() {
+            return self.send_to(&message, self.members.names()).await;
+        }
+        let own = (&self.context.settings.name, &self.own_record);
+        let relays = self.members.relays(own);
+        let receivers: BTreeSet<Arc<str>> = if relays.contains(own.0) {
+            relays.iter().chain(self.relay.nodes()).cloned().collect()
+        } else {
+            let chosen = self.chosen_relay.iter();
+            chosen.map(|relay| relay.name.clone()).collect()
+        };
+        self.send_to(&message, receivers.iter()).await;
+    }
+
     /// As a relay: sends a message to this relay's nodes.
     pub(super) async fn forward(&mut self, message: &Message) {
         let nodes: Vec<Arc<str>> = self.relay.nodes().cloned().collect();
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -207,6 +207,9 @@
             Some(Message::QuotaAnswer { number, answer }) => {
                 self.context.quota.handle_owner_answer(number, answer);
             }
+            Some(Message::Brittle(updates)) => {
+                self.context.dispatch.apply_brittle_updates(updates);
+            }
             Some(Message::Prefill(message)) => self.receive_prefill(message).await,
             None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
         }
@@ -360,6 +363,7 @@
             return;
         };
         let updates = self.next_updates(snapshot.limits, snapshot.draining);
+        self.send_brittle(snapshot.brittle).await;
         if !self.members.is_relayed() {
             let others = self.members.names().cloned().collect();
             return self.send_load_to(snapshot.load, updates, others).await;
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -40,12 +40,17 @@
     }
     let RunnerSignals {
         limit,
+        brittle,
         draining,
         requested_pause,
     } = facts.signals;
     if limit.is_some() || call.limit_expected {
         apply_limit(context, call, facts);
     }
+    let service = &call.runner.service;
+    if brittle.is_some() || context.dispatch.is_brittle(service) {
+        apply_brittle(context, call, brittle);
+    }
     if draining {
         context.metrics.runner_signal(call.call, "leaves");
         context.dispatch.mark_draining(call.runner.id.clone());
@@ -72,6 +77,14 @@
     }
 }
 
+/// Applies what an answer says of whether the runner's service is brittle. That it is not counts
+/// as of the time at which the call was sent, as for rate limits.
+fn apply_brittle(context: &Context, call: &SignalledCall<'_>, tolerated: Option<u32>) {
+    let at = tolerated.map_or(call.sent_at, |_| Instant::now());
+    let runner = call.runner.id.clone();
+    context.dispatch.record_brittle(runner, tolerated, at);
+}
+
 /// Applies the rate limit in an answer, or its absence. Absence counts as of the time at which
 /// the call was sent: an answer to a later call, which advertises a limit, may have arrived
 /// before the answer without one.
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -39,6 +39,9 @@
     pub const SIGNATURE: &str = "signature";
     /// Answer header: limit of the runner, in requests per second from all nodes together.
     pub const LIMIT: &str = "limit";
+    /// Answer header: number of rejections for lack of room within a second that the runner
+    /// survives.
+    pub const BRITTLE: &str = "brittle";
     /// Answer header whose presence says that the runner is draining.
     pub const LEAVING: &str = "leaving";
     /// Answer header: requested pause, in milliseconds, for the node that receives the answer.
@@ -140,9 +143,12 @@
     fn header_owner(&self, name: &HeaderName) -> HeaderOwner {
         match name.as_str() {
             names::RUNNER | names::TENANT | names::CREDENTIAL => HeaderOwner::System,
-            names::NOT_RUN | names::SIGNATURE | names::LIMIT | names::LEAVING | names::PAUSE => {
-                HeaderOwner::Runner
-            }
+            names::NOT_RUN
+            | names::SIGNATURE
+            | names::LIMIT
+            | names::BRITTLE
+            | names::LEAVING
+            | names::PAUSE => HeaderOwner::Runner,
             "content-length" | "transfer-encoding" | "connection" => HeaderOwner::Hop,
             _ => HeaderOwner::Caller,
         }
@@ -179,6 +185,7 @@
                 limit: header_text(headers, names::LIMIT)
                     .and_then(|value| value.parse().ok())
                     .and_then(RunnerLimit::new),
+                brittle: header_text(headers, names::BRITTLE).and_then(|value| value.parse().ok()),
                 draining: headers.contains_key(names::LEAVING),
                 requested_pause: header_text(headers, names::PAUSE)
                     .and_then(|value| value.parse().ok())
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -1,6 +1,7 @@
 //! A runner: plain, or a model engine that takes fenced orders. It records the calls that it
 //! receives and the requests that it runs, and fails as a test tells it to.
 
+mod brittle;
 mod guards;
 mod orders;
 mod signals;
@@ -34,6 +35,7 @@
 pub use guards::RunGuard;
 pub use signals::RequestedPause;
 
+use brittle::Brittle;
 use guards::OpenConnection;
 use signals::Signals;
 
@@ -102,7 +104,7 @@
     fault: Option<Fault>,
     /// Network of the runner, and the body of requests that crash it.
     crash_trigger: Option<(MemoryNetwork, &'static str)>,
-    /// Times of the crashes that requests caused.
+    /// Times of the crashes that requests, or rejections, caused.
     crash_times: Vec<Instant>,
     runs: Vec<Run>,
     running_requests: usize,
@@ -111,6 +113,8 @@
     request_count: u64,
     calls: Vec<Call>,
     signals: Signals,
+    /// How the runner is brittle; `None` if it is not.
+    brittle: Option<Brittle>,
     orders: Vec<(Instant, Order)>,
     /// Number of the next orders that the runner leaves unanswered.
     lose_order_answers: u32,
@@ -172,6 +176,7 @@
                 request_count: 0,
                 calls: Vec::new(),
                 signals: Signals::default(),
+                brittle: None,
                 orders: Vec::new(),
                 lose_order_answers: 0,
                 sequence: 0,
@@ -278,7 +283,7 @@
         self.lock().crash_trigger = Some((network.clone(), body));
     }
 
-    /// Times at which requests crashed the runner.
+    /// Times at which requests, or rejections, crashed the runner.
     pub fn crash_times(&self) -> Vec<Instant> {
         self.lock().crash_times.clone()
     }
@@ -297,9 +302,15 @@
         let Some((network, _)) = self.lock().crash_trigger.clone() else {
             return;
         };
+        self.crash_and_restart(network, CRASH_AFTER);
+    }
+
+    /// Crashes the runner after `delay`, and restarts it after [`RESTART_AFTER`] with the models
+    /// that it had loaded.
+    fn crash_and_restart(&self, network: MemoryNetwork, delay: Duration) {
         let runner = self.clone();
         tokio::spawn(async move {
-            sleep(CRASH_AFTER).await;
+            sleep(delay).await;
             let models: Vec<Arc<str>> = {
                 let mut state = runner.lock();
                 state.crash_times.push(Instant::now());
@@ -411,8 +422,13 @@
             names::ORDER_PATH => self.clone().order(&body).await?,
             _ => self.clone().run(&head.headers, body, node).await?,
         };
+        let brittle = self.said_brittle();
         let signals = &self.lock().signals;
         signals.add_to_headers(response.headers_mut(), is_request);
+        if let Some(tolerated) = brittle {
+            let tolerated = HeaderValue::from(tolerated);
+            response.headers_mut().insert(names::BRITTLE, tolerated);
+        }
         Ok(response)
     }
 
@@ -436,6 +452,10 @@
                 &request_id,
             ));
         }
+        if self.rejects_for_lack_of_room() {
+            let code = StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(not_run_response(code, &request_id));
+        }
         let pause = self.lock().signals.pause_for_request(node);
         if let Some(pause) = pause {
             return Ok(pause_response(&request_id, pause));
