Streams wait out a short silence of their runner

What callers would see: a stream that is cut in the middle. After 0.7 s between two events, 0.9 s before the first, a gateway gave the run up and resumed the stream elsewhere: the former run goes on beside it while its runner is silent, and where the next runner is silent too, the stream is broken though nothing is wrong with it.

Change: both bounds are 1.4 s now. A stream that has paused for 0.7 s is late already, and clients give up after 2 s at the earliest, so that resuming later still reaches them.

Before: a_stream_goes_on_at_its_runner_after_a_short_silence (all runners silent for 1.3 s) got a cut stream; now each is served by one run.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -36,8 +36,9 @@
 const RESEND_DECISION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Lower bound of the stall timeout for requests that are not streams.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Lower bound of the stall timeout for streams before their first event.
-const MIN_STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Lower bound of the stall timeout for streams before their first event, for the same reason
+/// as between two events.
+const MIN_STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(1400);
 
 /// Result of the admission of a request: its route, service, tenant and quota charge.
 pub struct Admitted {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,8 +20,9 @@
 use crate::prefill::await_turn_briefly;
 use crate::relay;
 
-/// Lower bound of the stall timeout between two events.
-const MIN_GAP_STALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Lower bound of the stall timeout between two events. A sound runner may be silent for a
+/// second or so; a run that is left meanwhile goes on beside the one that takes its place.
+const MIN_GAP_STALL_TIMEOUT: Duration = Duration::from_millis(1400);
 /// Minimum time between two searches for another runner while a stream stalls. They are a
 /// stall timeout apart if that is longer.
 const STALL_RECHECK_INTERVAL: Duration = Duration::from_millis(300);
