--- /dev/null
+++ b/crates/soak/src/checks_tests.rs
@@ -0,0 +1,240 @@
+use super::*;
+use crate::observations::{FaultRecord, RouteProbe, RunnerObservation};
+
+const fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn attempt(id: &str, kind: RequestKind, outcome: AttemptOutcome) -> Attempt {
+    Attempt {
+        id: id.into(),
+        kind,
+        gateway: 1,
+        sent_at: seconds(10),
+        ended_at: seconds(11),
+        outcome,
+    }
+}
+
+fn answered(status: u16) -> AttemptOutcome {
+    AttemptOutcome::Answered {
+        status,
+        complete: true,
+        right_body: status == 200,
+    }
+}
+
+fn observed(runner: u8, at: u64, event: RunnerEvent) -> RunnerObservation {
+    RunnerObservation {
+        runner,
+        life: 0,
+        at: seconds(at),
+        event,
+    }
+}
+
+fn run(runner: u8, at: u64, id: &str) -> RunnerObservation {
+    observed(runner, at, RunnerEvent::Run(id.into()))
+}
+
+fn fault(target: Target, planned: bool, from: u64, until: u64) -> FaultRecord {
+    FaultRecord {
+        kind: if planned {
+            "gateway_stop"
+        } else {
+            "gateway_kill"
+        },
+        planned,
+        target,
+        from: seconds(from),
+        until: Some(seconds(until)),
+    }
+}
+
+/// Names of the promises that these observations break, without the recovery.
+fn broken(observations: &Observations) -> Vec<&'static str> {
+    let violations = check(observations, seconds(100));
+    let promises = violations.into_iter().map(|violation| violation.promise);
+    promises.filter(|promise| *promise != "recovery").collect()
+}
+
+#[test]
+fn a_write_that_runs_twice_is_noticed() {
+    let mut observations = Observations::default();
+    observations
+        .attempts
+        .push(attempt("w", RequestKind::Write, answered(502)));
+    observations.runners.push(run(1, 10, "w"));
+    assert!(broken(&observations).is_empty());
+    observations.runners.push(run(2, 10, "w"));
+    assert_eq!(broken(&observations), ["at_most_once"]);
+}
+
+#[test]
+fn a_refusal_of_a_write_that_ran_is_noticed() {
+    let mut observations = Observations::default();
+    observations
+        .attempts
+        .push(attempt("w", RequestKind::Write, answered(503)));
+    assert!(broken(&observations).is_empty());
+    observations.runners.push(run(1, 10, "w"));
+    assert_eq!(broken(&observations), ["not_run_is_true"]);
+}
+
+#[test]
+fn a_wrong_body_is_noticed() {
+    let mut observations = Observations::default();
+    let wrong = AttemptOutcome::Answered {
+        status: 200,
+        complete: true,
+        right_body: false,
+    };
+    observations
+        .attempts
+        .push(attempt("r", RequestKind::Read, wrong));
+    assert_eq!(broken(&observations), ["whole_answers"]);
+}
+
+#[test]
+fn a_late_answer_is_noticed_unless_its_gateway_was_disturbed() {
+    let mut observations = Observations::default();
+    let mut late = attempt("r", RequestKind::Read, AttemptOutcome::TimedOut);
+    late.ended_at = seconds(14);
+    observations.attempts.push(late);
+    assert_eq!(broken(&observations), ["in_time"]);
+    observations
+        .faults
+        .push(fault(Target::Runner(1), false, 10, 12));
+    assert_eq!(broken(&observations), ["in_time"]);
+    observations
+        .faults
+        .push(fault(Target::Gateway(1), false, 10, 12));
+    assert!(broken(&observations).is_empty());
+}
+
+#[test]
+fn a_request_that_a_planned_stop_cuts_is_noticed() {
+    let mut observations = Observations::default();
+    observations
+        .attempts
+        .push(attempt("w", RequestKind::Write, AttemptOutcome::Closed));
+    observations
+        .faults
+        .push(fault(Target::Gateway(1), true, 9, 12));
+    assert!(broken(&observations).is_empty(), "it was not passed on");
+    observations.runners.push(run(1, 10, "w"));
+    assert_eq!(broken(&observations), ["planned_stops_cut_nothing"]);
+}
+
+#[test]
+fn requests_lost_on_kept_connections_are_noticed() {
+    let mut observations = Observations::default();
+    for number in 0..=TOLERATED_LOSSES {
+        let id = format!("w{number}");
+        assert!(broken(&observations).is_empty());
+        observations.runners.push(run(1, 10, &id));
+        observations
+            .attempts
+            .push(attempt(&id, RequestKind::Write, AttemptOutcome::Closed));
+    }
+    assert_eq!(broken(&observations), ["answers_on_kept_connections"]);
+}
+
+#[test]
+fn a_request_at_a_runner_that_drains_is_noticed() {
+    let mut observations = Observations::default();
+    observations
+        .attempts
+        .push(attempt("r", RequestKind::Read, answered(200)));
+    observations
+        .runners
+        .push(observed(1, 5, RunnerEvent::Draining));
+    observations.runners.push(run(1, 10, "r"));
+    assert_eq!(broken(&observations), ["leaving_runners_get_no_work"]);
+    observations.faults.push(fault(Target::Store, false, 4, 6));
+    assert!(broken(&observations).is_empty());
+}
+
+#[test]
+fn a_route_that_is_late_or_goes_back_is_noticed() {
+    let probe = |at, status| RouteProbe {
+        path: "/added-2/".into(),
+        acknowledged_at: seconds(10),
+        gateway: 1,
+        life: 0,
+        at: seconds(at),
+        status: Some(status),
+    };
+    let mut observations = Observations::default();
+    observations.probes.push(probe(13, 404));
+    assert_eq!(broken(&observations), ["configuration_in_force"]);
+    observations
+        .faults
+        .push(fault(Target::StoreLink(1), false, 8, 11));
+    assert!(broken(&observations).is_empty());
+    observations.probes.extend([probe(14, 200), probe(15, 404)]);
+    assert_eq!(broken(&observations), ["configuration_never_goes_back"]);
+}
+
+#[test]
+fn too_many_replicas_are_noticed() {
+    let mut observations = Observations::default();
+    for runner in 1..=3 {
+        assert!(broken(&observations).is_empty());
+        let event = RunnerEvent::Models(vec!["a".into()]);
+        observations.runners.push(observed(runner, 10, event));
+    }
+    assert_eq!(broken(&observations), ["replicas_within_the_policy"]);
+}
+
+#[test]
+fn overcommitted_memory_is_noticed() {
+    let mut observations = Observations::default();
+    observations
+        .runners
+        .push(observed(1, 10, RunnerEvent::Overcommitted));
+    assert_eq!(broken(&observations), ["memory"]);
+}
+
+#[test]
+fn two_holders_of_a_token_are_noticed() {
+    let mut observations = Observations::default();
+    for holder in ["gateway-1", "gateway-2"] {
+        assert!(broken(&observations).is_empty());
+        let event = RunnerEvent::Order {
+            holder: holder.into(),
+            token: 7,
+        };
+        observations.runners.push(observed(1, 10, event));
+    }
+    assert_eq!(broken(&observations), ["one_holder_of_a_token"]);
+}
+
+#[test]
+fn retries_beyond_the_budget_are_noticed() {
+    let mut observations = Observations::default();
+    for number in 0..=RETRY_EXTRA as u32 {
+        assert!(broken(&observations).is_empty());
+        let id = format!("r{number}");
+        observations
+            .runners
+            .extend([run(2, 10, &id), run(4, 10, &id)]);
+    }
+    assert_eq!(broken(&observations), ["retry_budget"]);
+}
+
+#[test]
+fn a_site_that_does_not_recover_is_noticed() {
+    let mut observations = Observations::default();
+    observations.faults.push(fault(Target::Store, false, 1, 5));
+    let mut late = |kind, outcome| {
+        let mut attempt = attempt("x", kind, outcome);
+        (attempt.sent_at, attempt.ended_at) = (seconds(20), seconds(20));
+        observations.attempts.push(attempt);
+    };
+    late(RequestKind::Write, answered(200));
+    late(RequestKind::Read, answered(200));
+    late(RequestKind::Stream, answered(503));
+    let violations = the_site_recovers(&observations, seconds(30));
+    assert_eq!(violations.len(), 1, "{violations:?}");
+}
--- /dev/null
+++ b/crates/soak/src/observations.rs
@@ -0,0 +1,216 @@
+//! What clients, runners, operators and the soak itself observed, with times since the start.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// Kind of a client's request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestKind {
+    /// Must run at most once.
+    Write,
+    /// May be repeated.
+    Read,
+    /// A stream of events that may be resumed.
+    Stream,
+}
+
+/// What a client got for one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptOutcome {
+    /// An answer with this status.
+    Answered {
+        /// Status code.
+        status: u16,
+        /// Whether the body came to its end.
+        complete: bool,
+        /// Whether the body is the one that belongs to the request.
+        right_body: bool,
+    },
+    /// The connection ended without an answer.
+    Closed,
+    /// Nothing came until the client gave up, after the deadline that it had named.
+    TimedOut,
+}
+
+/// One attempt of a client.
+#[derive(Debug, Clone, Serialize)]
+pub struct Attempt {
+    /// Id, which no other attempt has.
+    pub id: String,
+    /// Kind of the request.
+    pub kind: RequestKind,
+    /// Gateway to which the connection goes.
+    pub gateway: u8,
+    /// When it was sent.
+    pub sent_at: Duration,
+    /// When the outcome was known.
+    pub ended_at: Duration,
+    /// What the client got.
+    pub outcome: AttemptOutcome,
+}
+
+impl Attempt {
+    /// Whether the client got a complete and right answer with a success status.
+    pub fn is_served(&self) -> bool {
+        matches!(
+            self.outcome,
+            AttemptOutcome::Answered {
+                status: 200,
+                complete: true,
+                right_body: true
+            }
+        )
+    }
+}
+
+/// Something that a runner tells the soak.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunnerEvent {
+    /// It began to run the request with this id.
+    Run(String),
+    /// It got an order.
+    Order {
+        /// Name of the node that gave the order.
+        holder: String,
+        /// Fencing token of the order.
+        token: u64,
+    },
+    /// The models that it holds changed.
+    Models(Vec<String>),
+    /// The store has acknowledged that it drains.
+    Draining,
+    /// An order exceeded its memory.
+    Overcommitted,
+}
+
+/// A [`RunnerEvent`] with its runner and time.
+#[derive(Debug, Clone)]
+pub struct RunnerObservation {
+    /// Number of the runner.
+    pub runner: u8,
+    /// Number of the runner's process, from 0.
+    pub life: u32,
+    /// When the event was read.
+    pub at: Duration,
+    /// What happened.
+    pub event: RunnerEvent,
+}
+
+/// What a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// The process of a gateway.
+    Gateway(u8),
+    /// The process of a runner.
+    Runner(u8),
+    /// The store's process.
+    Store,
+    /// The links from clients to a gateway.
+    ClientLink(u8),
+    /// The link from a gateway to the store.
+    StoreLink(u8),
+    /// The links from all gateways to a runner.
+    RunnerLink(u8),
+}
+
+/// A fault, or planned work, from its beginning to its end.
+#[derive(Debug, Clone, Serialize)]
+pub struct FaultRecord {
+    /// Name of the kind.
+    pub kind: &'static str,
+    /// Whether it is planned work, which must cut nothing.
+    pub planned: bool,
+    /// What it strikes.
+    pub target: Target,
+    /// When it begins.
+    pub from: Duration,
+    /// When it has ended, processes that it stopped included; `None` while it lasts.
+    pub until: Option<Duration>,
+}
+
+/// A change of the configuration, and what gateways answered on its new route.
+#[derive(Debug, Clone)]
+pub struct RouteProbe {
+    /// Path of the route.
+    pub path: String,
+    /// When the store acknowledged the change.
+    pub acknowledged_at: Duration,
+    /// The gateway that was asked.
+    pub gateway: u8,
+    /// Number of the gateway's process, from 0.
+    pub life: u32,
+    /// When it was asked.
+    pub at: Duration,
+    /// Status of the answer; `None` without one.
+    pub status: Option<u16>,
+}
+
+/// All observations of a soak.
+#[derive(Debug, Default)]
+pub struct Observations {
+    /// Attempts of clients, in the order in which they ended.
+    pub attempts: Vec<Attempt>,
+    /// What runners told, in the order in which it was read.
+    pub runners: Vec<RunnerObservation>,
+    /// Faults and planned work, in the order in which they began.
+    pub faults: Vec<FaultRecord>,
+    /// Answers on routes that were added.
+    pub probes: Vec<RouteProbe>,
+}
+
+/// Records observations; clones share them.
+#[derive(Debug, Clone)]
+pub struct Recorder {
+    started: Instant,
+    observations: Arc<Mutex<Observations>>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            observations: Arc::default(),
+        }
+    }
+}
+
+impl Recorder {
+    /// Time since the soak's start.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Gives access to the observations.
+    pub fn lock(&self) -> MutexGuard<'_, Observations> {
+        self.observations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a fault begins now. Returns its number, for [`Self::end_fault`].
+    pub fn begin_fault(&self, kind: &'static str, planned: bool, target: Target) -> usize {
+        let from = self.now();
+        let mut observations = self.lock();
+        observations.faults.push(FaultRecord {
+            kind,
+            planned,
+            target,
+            from,
+            until: None,
+        });
+        observations.faults.len() - 1
+    }
+
+    /// Records that a fault has ended now.
+    pub fn end_fault(&self, number: usize) {
+        let until = self.now();
+        self.lock().faults[number].until = Some(until);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,189 @@
+//! The site of a soak: its addresses, services, routes and settings.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use barleyspar_catalog::{
+    Bounds, ClientLimits, ColdBounds, Configuration, MachineLimits, NodeSettings, QuotaBounds,
+    RequestKind, Route, Service,
+};
+use barleyspar_standin::{engine_service, plain_service, route};
+
+/// Placement policy of all gateways: one replica of a model, and a second one if the first
+/// cannot be reached.
+pub const POLICY: &str = "fn decide(context) { #{ replicas: 2, target: 1 } }";
+/// Largest number of replicas that [`POLICY`] allows.
+pub const MOST_REPLICAS: usize = 2;
+/// Models of the engines; an engine has memory for two.
+pub const MODELS: [&str; 4] = ["a", "b", "c", "d"];
+/// Time from a change's acknowledgement until it is in force at gateways in touch.
+pub const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+/// Time from a runner's acknowledged word that it drains until it gets no more requests.
+pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
+/// Time without a fault from which on a gateway counts as in touch.
+pub const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time that a gateway has to end after SIGTERM.
+pub const GRACE_PERIOD: Duration = Duration::from_secs(8);
+/// Retries over all gateways in [`RETRY_WINDOW`]: this fraction of the requests, and
+/// [`RETRY_EXTRA`] more.
+pub const RETRY_RATIO: f64 = 0.2;
+/// See [`RETRY_RATIO`].
+pub const RETRY_EXTRA: f64 = 50.0;
+/// See [`RETRY_RATIO`].
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// The ports that all addresses of a soak share.
+#[derive(Debug, Clone, Copy)]
+pub struct Ports {
+    first: u16,
+}
+
+impl Ports {
+    /// Returns the ports from `first` on.
+    pub fn from_first(first: u16) -> Self {
+        Self { first }
+    }
+
+    /// The first port.
+    pub fn first(self) -> u16 {
+        self.first
+    }
+
+    fn at(self, kind: u8, number: u8, offset: u16) -> SocketAddr {
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 77, kind, number));
+        SocketAddr::new(ip, self.first + offset)
+    }
+
+    /// Where the store listens.
+    pub fn store(self) -> SocketAddr {
+        self.at(1, 1, 0)
+    }
+
+    /// Where runner `number` listens.
+    pub fn runner(self, number: u8) -> SocketAddr {
+        self.at(2, number, 0)
+    }
+
+    /// Where gateway `number` listens for callers.
+    pub fn gateway(self, number: u8) -> SocketAddr {
+        self.at(3, number, 0)
+    }
+
+    /// Where gateway `number` answers readiness checks.
+    pub fn readiness(self, number: u8) -> SocketAddr {
+        self.at(3, number, 1)
+    }
+
+    /// Where gateway `number` listens for other gateways.
+    pub fn peers(self, number: u8) -> SocketAddr {
+        self.at(3, number, 2)
+    }
+
+    /// Where gateway `number` accepts tunnels.
+    pub fn tunnels(self, number: u8) -> SocketAddr {
+        self.at(3, number, 3)
+    }
+
+    /// Proxy from clients to gateway `number`.
+    pub fn gateway_proxy(self, number: u8) -> SocketAddr {
+        self.at(4, number, 0)
+    }
+
+    /// Proxy from gateway `number` to the store.
+    pub fn store_proxy(self, number: u8) -> SocketAddr {
+        self.at(5, number, 0)
+    }
+
+    /// Proxy from all gateways to runner `number`, which the runner's entry names.
+    pub fn runner_proxy(self, number: u8) -> SocketAddr {
+        self.at(6, number, 0)
+    }
+}
+
+/// Returns whether runner `number` is an engine; the others are plain.
+pub fn is_engine(number: u8) -> bool {
+    number % 2 == 1
+}
+
+/// Returns the service of runner `number`.
+pub fn service_of(number: u8) -> Service {
+    if is_engine(number) {
+        engine_service("engine", &MODELS)
+    } else {
+        plain_service("plain")
+    }
+}
+
+/// Returns the models that runner `number` holds at the start of its process `life`: runners
+/// start again with none.
+pub fn first_models(number: u8, life: u32) -> Vec<&'static str> {
+    match (number, life) {
+        (1, 0) => vec!["a", "b"],
+        _ => Vec::new(),
+    }
+}
+
+/// Returns the first configuration.
+pub fn first_configuration() -> Configuration {
+    let services = [engine_service("engine", &MODELS), plain_service("plain")];
+    let routes: [Route; 3] = [
+        route("/write/", "plain", RequestKind::NonIdempotent),
+        route("/read/", "plain", RequestKind::Idempotent),
+        route("/stream/", "engine", RequestKind::Streaming),
+    ];
+    Configuration {
+        version: 1,
+        routes: routes.into_iter().map(Into::into).collect(),
+        services: services
+            .into_iter()
+            .map(|service| (service.name.clone(), service.into()))
+            .collect(),
+        limits: ClientLimits::default(),
+        tenants: Vec::new(),
+    }
+}
+
+/// Returns the settings of gateway `number`, which reaches the store at `store`.
+pub fn gateway_settings(number: u8, ports: Ports, store: SocketAddr) -> NodeSettings {
+    NodeSettings {
+        name: format!("gateway-{number}").into(),
+        zone: "zone".into(),
+        regions: BTreeMap::from([("zone".into(), "region".into())]),
+        caller_address: ports.gateway(number),
+        readiness_address: ports.readiness(number),
+        peer_address: ports.peers(number),
+        tunnel_address: ports.tunnels(number),
+        metrics_address: None,
+        store_address: store,
+        minimum_lease: Duration::from_secs(1),
+        limits: MachineLimits {
+            memory_bytes: 256_000_000,
+            descriptors: 4096,
+            link_megabits: 1000,
+        },
+        bounds: Bounds {
+            grace_period: GRACE_PERIOD,
+            configuration_apply_time: CONFIGURATION_BOUND,
+            drain_timeout: DRAIN_BOUND,
+            retry_ratio: RETRY_RATIO,
+            retry_window: RETRY_WINDOW,
+            retry_extra: RETRY_EXTRA,
+            lease_duration: Duration::from_secs(3),
+            fencing_enforced: true,
+            load_window: Duration::from_secs(5),
+            load_overage: 1.1,
+            revocation_time: None,
+            quota: QuotaBounds {
+                window: Duration::from_secs(8),
+                overage: 0.1,
+                tolerance: 1000.0,
+            },
+            evacuation_time: None,
+            cold: ColdBounds {
+                overage: 1.5,
+                tolerance: 5.0,
+            },
+        },
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,6 @@
 pub use client::Answer;
 pub use dialect::{NativeDialect, encode, names};
 pub use network::{Cut, MemoryNetwork};
-pub use runner::{Call, Fault, RequestedPause, Run, RunnerStandIn};
+pub use runner::{Call, Fault, RequestedPause, Run, RunnerIdentity, RunnerStandIn};
 pub use store::{StoreData, StoreStandIn};
 pub use world::{World, engine_service, one_second_model, plain_service, route, tenant};
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -39,7 +39,7 @@
 }
 
 /// A connection at its listener, and the host that opened it.
-type Accepted = (Box<dyn ByteStream>, IpAddr);
+pub type Accepted = (Box<dyn ByteStream>, IpAddr);
 
 #[derive(Default)]
 struct State {
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -21,11 +21,12 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
 use crate::dialect::{encode, names};
-use crate::network::MemoryNetwork;
+use crate::network::{Accepted, MemoryNetwork};
 use crate::runner_body::{
     ConnectionBroken, RunnerBody, not_run_response, pause_response, sign, status_response,
     stream_response,
@@ -130,6 +131,19 @@
     overcommitted: bool,
 }
 
+/// Who a runner is.
+#[derive(Debug, Clone, Copy)]
+pub struct RunnerIdentity<'a> {
+    /// Id, the same in all incarnations.
+    pub id: &'a str,
+    /// When the incarnation was started, in milliseconds since 1970.
+    pub born: u64,
+    /// Address that its entry names.
+    pub address: SocketAddr,
+    /// Zone that its entry names.
+    pub zone: &'a str,
+}
+
 /// A runner of a test. Clones share their state: they are the same runner.
 #[derive(Clone)]
 pub struct RunnerStandIn {
@@ -149,10 +163,33 @@
         (address, zone): (SocketAddr, &str),
         models: &[&str],
     ) -> Self {
+        let identity = RunnerIdentity {
+            id,
+            born: 1,
+            address,
+            zone,
+        };
+        Self::start_on(network.listen(address), store, service, identity, models)
+    }
+
+    /// Starts a runner that serves these connections, otherwise as [`Self::start`].
+    pub fn start_on(
+        connections: mpsc::Receiver<Accepted>,
+        store: &StoreStandIn,
+        service: &Service,
+        identity: RunnerIdentity<'_>,
+        models: &[&str],
+    ) -> Self {
+        let RunnerIdentity {
+            id,
+            born,
+            address,
+            zone,
+        } = identity;
         let record = Runner {
-            id: incarnation_id(&id.into(), Some(1)),
+            id: incarnation_id(&id.into(), Some(born)),
             name: id.into(),
-            born: Some(1),
+            born: Some(born),
             service: service.name.clone(),
             address,
             zone: zone.into(),
@@ -190,7 +227,7 @@
             tasks: Arc::default(),
         };
         runner.publish_entry();
-        runner.serve(network, address);
+        runner.serve_connections(connections);
         runner
     }
 
@@ -198,8 +235,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, network: &MemoryNetwork, address: SocketAddr) {
-        let mut connections = network.listen(address);
+    fn serve_connections(&self, mut connections: mpsc::Receiver<Accepted>) {
         let runner = self.clone();
         let accept_task = tokio::spawn(async move {
             while let Some((stream, node)) = connections.recv().await {
@@ -269,7 +305,7 @@
             state.pending_adapters.clear();
             state.record.address
         };
-        self.serve(network, address);
+        self.serve_connections(network.listen(address));
     }
 
     /// Makes the runner fail all further requests in this way; `None` ends that.
@@ -346,6 +382,20 @@
         self.lock().runs.clone()
     }
 
+    /// Ids of the requests of all runs from run `first` on, counted from 0.
+    pub fn run_ids_from(&self, first: usize) -> Vec<String> {
+        let state = self.lock();
+        let runs = state.runs.iter().skip(first);
+        runs.map(|run| run.request_id.clone()).collect()
+    }
+
+    /// Names of the models that the runner holds.
+    pub fn loaded_models(&self) -> Vec<String> {
+        let state = self.lock();
+        let models = state.record.models.iter();
+        models.map(|loaded| loaded.model.to_string()).collect()
+    }
+
     /// Address at which the runner listens, the same in all its incarnations.
     pub fn address(&self) -> SocketAddr {
         self.lock().record.address
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -19,11 +19,11 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::dialect::{decode, encode, error_status, names};
-use crate::network::MemoryNetwork;
+use crate::network::{Accepted, MemoryNetwork};
 pub use crate::store::data::StoreData;
 
 /// Number of chunks in which an answer is sent if there is a delay before each chunk.
@@ -105,7 +105,11 @@
 
     /// Serves calls at `address` from now on.
     pub fn serve(&self, network: &MemoryNetwork, address: SocketAddr) {
-        let mut connections = network.listen(address);
+        self.serve_connections(network.listen(address));
+    }
+
+    /// Serves calls on these connections, each with the host that opened it.
+    pub fn serve_connections(&self, mut connections: mpsc::Receiver<Accepted>) {
         let store = self.clone();
         tokio::spawn(async move {
             while let Some((stream, caller)) = connections.recv().await {
