A deadline that passes while an answer is read is told as 504, and blames no runner

What callers saw: 502, as for a broken answer, and the runner was charged with a failure that counts towards a block.

Cause: one result stood for a broken connection and for the request's deadline.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,8 +26,10 @@
     /// The answer exceeds [`MAX_COLLECTED_BYTES`]: the bytes already read, and the attempt
     /// from which the remaining ones are to be read.
     TooLong(Bytes, Box<Answered>),
-    /// The connection broke, or the request's deadline passed.
+    /// The connection broke.
     Broken,
+    /// The request's deadline passed.
+    DeadlinePassed,
 }
 
 /// Result of one read from the body of a runner's answer.
@@ -36,8 +38,10 @@
     Data(Bytes),
     /// The body is complete.
     End,
-    /// The connection broke, or the request's deadline passed.
+    /// The connection broke.
     Broken,
+    /// The request's deadline passed.
+    DeadlinePassed,
 }
 
 /// Reads the next bytes of the body of a runner's answer.
@@ -49,7 +53,7 @@
             exchange.report_broken_connection(answered.permit.runner(), Progress::Answering);
             Chunk::Broken
         }
-        Err(_) => Chunk::Broken,
+        Err(_) => Chunk::DeadlinePassed,
     }
 }
 
@@ -70,6 +74,8 @@
                 answered.permit.finish(Outcome::Failed(Failure::Broken));
                 return Relayed::Broken;
             }
+            // The permit is dropped, since this says nothing about the runner.
+            Chunk::DeadlinePassed => return Relayed::DeadlinePassed,
         }
         if collected.len() > MAX_COLLECTED_BYTES {
             return Relayed::TooLong(collected.freeze(), Box::new(answered));
@@ -151,6 +157,10 @@
                     exchange.end(status, "answer_broken");
                     return cut_off(sender);
                 }
+                Chunk::DeadlinePassed => {
+                    exchange.end(status, "deadline");
+                    return cut_off(sender);
+                }
             };
         }
         let first_byte = answered.waited;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -99,6 +99,7 @@
             }
             relay::Relayed::Broken if exchange.may_retry() => kind = AttemptKind::Retry,
             relay::Relayed::Broken => return end_with(&mut exchange, bad_gateway("answer_broken")),
+            relay::Relayed::DeadlinePassed => return give_up(&mut exchange),
         }
     }
 }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -28,8 +28,8 @@
 use crate::dialect::{encode, names};
 use crate::network::{Accepted, MemoryNetwork};
 use crate::runner_body::{
-    ConnectionBroken, RunnerBody, not_run_response, pause_response, sign, status_response,
-    stream_response,
+    ConnectionBroken, RunnerBody, not_run_response, pause_response, sign, stalled_response,
+    status_response, stream_response,
 };
 use crate::store::StoreStandIn;
 
@@ -61,6 +61,8 @@
     /// The runner sends nothing more after this number of events of an answer, and keeps the
     /// connection open.
     StallStream(u64),
+    /// The runner sends the head of a plain answer and no body, and keeps the connection open.
+    StallBody,
     /// Each event of the runner's streams has this number of additional bytes.
     LongEvents(usize),
 }
@@ -539,7 +541,10 @@
             std::future::pending::<()>().await;
         }
         run.complete();
-        let mut response = status_response(StatusCode::OK, body);
+        let mut response = match fault {
+            Some(Fault::StallBody) => stalled_response(),
+            _ => status_response(StatusCode::OK, body),
+        };
         sign(&mut response, &request_id);
         Ok(response)
     }
--- a/crates/standin/src/runner_body.rs
+++ b/crates/standin/src/runner_body.rs
@@ -66,6 +66,13 @@
     response
 }
 
+/// Returns an unsigned answer whose body never begins.
+pub fn stalled_response() -> Response<RunnerBody> {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::spawn(async move { sender.closed().await });
+    Response::new(RunnerBody(receiver))
+}
+
 /// Adds the request id and a signature to an answer.
 pub fn sign(response: &mut Response<RunnerBody>, request_id: &str) {
     let value = HeaderValue::from_str(request_id).expect("ids are plain text");
--- a/crates/standin/tests/requests.rs
+++ b/crates/standin/tests/requests.rs
@@ -237,3 +237,11 @@
     assert_eq!(world.request(1, "/once/x", "fives", None).await.code(), 413);
     assert_eq!(world.run_count("fives"), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_deadline_that_passes_while_a_body_is_read_is_told_as_such() {
+    let world = world().await;
+    set_fault_of_all(&world, Fault::StallBody);
+    let answer = world.request_with_deadline(1, "/once/x", "stalled", None, SECOND / 2);
+    assert_eq!(answer.await.code(), 504);
+}
