A runner that answers with an error is not reported as unreachable

Guards against: the leader asks such a runner for its report again and again, and plans as if its models were lost, though it has just answered.

Cause: an error answer left the mark of the failed connection before it.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -116,6 +116,7 @@
         self.decay(now);
         self.failures += 1.0;
         if failure == Failure::Error {
+            self.unreachable = false;
             return;
         }
         self.failures_in_row += 1;
--- a/crates/dispatch/tests/inventory.rs
+++ b/crates/dispatch/tests/inventory.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use barleyspar_catalog::LoadedModel;
-use barleyspar_dispatch::{Acquired, Dispatcher, Inventory, Outcome};
+use barleyspar_dispatch::{Acquired, Dispatcher, Failure, Inventory, Outcome};
 use common::{LOAD, SECOND, dispatcher, query, runner};
 
 fn held_model() -> LoadedModel {
@@ -78,3 +78,17 @@
     // would get the request as the only holder of the model.
     assert!(!is_granted(&mut dispatcher, now + 30 * SECOND));
 }
+
+#[test]
+fn a_runner_that_answers_with_an_error_is_not_reported_as_unreachable() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    dispatcher.apply_inventory(inventory(1, vec![held_model()], &[]), now);
+    for failure in [Failure::Unreachable, Failure::Error] {
+        let Acquired::Granted(grant) = dispatcher.acquire(query(now, LOAD, 8 * SECOND), now) else {
+            panic!("the runner holds the model");
+        };
+        dispatcher.finish(grant.permit, Outcome::Failed(failure), now);
+    }
+    assert!(dispatcher.unreachable_runners(now).is_empty());
+}
