An attempt granted before an evacuation's deadline is not sent after it

Guards against: a request that waited for its turn to be sent reaches a runner of an evacuated zone after the bound of the evacuation.

Cause: granted attempts share a flag that was cleared when the zones were set, never when the deadline passed later. They share the deadline as well now (accepts_work.rs). The test, an_attempt_granted_before_the_deadline_of_an_evacuation_is_not_sent_after_it, asks for the state at a time, which the former flag could not answer: there it stayed open.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -299,7 +299,7 @@
         let runner = entry.runner.clone();
         let is_rate_limited = entry.is_rate_limited();
         let tokens_per_second = self.estimates.tokens_per_second(entry.key);
-        let accepts_work = entry.accepts_work_flag();
+        let accepts_work = entry.accepts_work();
         if let Some(wanted) = &query.wanted {
             self.demand.add_in_flight(&query.service, wanted);
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! A state machine without I/O and without a clock of its own: callers pass the current
 //! time, and one task drives the [`Dispatcher`].
 
+mod accepts_work;
 mod brittle;
 mod budget;
 mod candidates;
@@ -35,6 +36,7 @@
 mod unread;
 mod waiting;
 
+pub use accepts_work::AcceptsWork;
 pub use barleyspar_catalog::{RunnerKey, runner_key};
 pub use brittle::BrittleUpdate;
 pub use budget::{BudgetLimits, BudgetShare, RetryBudget};
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -1,12 +1,13 @@
 //! Requests to the dispatcher, and the answers to them.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{AllowedRegions, ModelReference, Runner};
 use barleyspar_prefill::TenantKey;
 
+use crate::accepts_work::AcceptsWork;
+
 /// Number of a queued request, unique within one dispatcher. [`crate::Dispatcher::poll`]
 /// returns it with the request's answer, and [`crate::Dispatcher::cancel`] takes it.
 pub type Ticket = u64;
@@ -87,9 +88,8 @@
     pub is_rate_limited: bool,
     /// Prompt tokens that the runner reads a second; `None` if it is not known.
     pub tokens_per_second: Option<f64>,
-    /// Whether the runner accepts new work. Turns false when the runner starts to drain, is
-    /// replaced or removed, or gets an evacuation whose deadline has passed.
-    pub accepts_work: Arc<AtomicBool>,
+    /// Whether the runner accepts new work, checked again before the attempt is sent.
+    pub accepts_work: Arc<AcceptsWork>,
 }
 
 /// Why a request is refused.
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -2,12 +2,12 @@
 //! of it.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, LazyLock};
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{LoadedModel, ModelReference, Runner, RunnerKey, RunnerState, runner_key};
 
+use crate::accepts_work::AcceptsWork;
 use crate::health::Health;
 use crate::inventory::Inventory;
 use crate::rate_limit::RateLimit;
@@ -59,9 +59,8 @@
 #[derive(Debug, Default)]
 struct Observations {
     health: Health,
-    /// Shared flag for granted attempts that are not sent yet: whether the runner accepts
-    /// new work.
-    accepts_work: Option<Arc<AtomicBool>>,
+    /// Shared with granted attempts that are not sent yet.
+    accepts_work: Option<Arc<AcceptsWork>>,
     /// Until when the runner is cold by its own entry.
     cold_until: Option<Instant>,
     /// Until when the runner may be cold without its entry showing it.
@@ -155,17 +154,29 @@
         self.observations_mut().rate_limit = Some(limit);
     }
 
-    /// Returns the flag by which the gateway checks, before it sends a granted attempt,
-    /// whether the runner still accepts new work. A new flag is true, so this is called only
+    /// Returns the state by which the gateway checks, before it sends a granted attempt,
+    /// whether the runner still accepts new work. A new one is open, so this is called only
     /// while the runner accepts new work ([`Self::is_open`]).
-    pub fn accepts_work_flag(&mut self) -> Arc<AtomicBool> {
-        let new_flag = || Arc::new(AtomicBool::new(true));
+    pub fn accepts_work(&mut self) -> Arc<AcceptsWork> {
+        let deadline = self.evacuation_deadline;
+        let new_state = || {
+            let state = AcceptsWork::default();
+            state.set_deadline(deadline);
+            Arc::new(state)
+        };
         self.observations_mut()
             .accepts_work
-            .get_or_insert_with(new_flag)
+            .get_or_insert_with(new_state)
             .clone()
     }
 
+    /// Lets granted attempts see the deadline of the evacuation, if there is one.
+    fn share_evacuation_deadline(&self) {
+        if let Some(accepts_work) = &self.observations().accepts_work {
+            accepts_work.set_deadline(self.evacuation_deadline);
+        }
+    }
+
     /// Returns when this node last sent the runner a request; `None` if it never did.
     pub fn last_sent_at(&self) -> Option<Instant> {
         self.observations().last_sent_at
@@ -188,8 +199,9 @@
     /// runner can serve, and nothing from then on.
     pub fn evacuate(&mut self, deadline: Instant, now: Instant) {
         self.evacuation_deadline = Some(deadline);
+        self.share_evacuation_deadline();
         if deadline <= now {
-            self.clear_accepts_work_flag();
+            self.close_accepts_work();
         }
     }
 
@@ -198,6 +210,7 @@
     /// to be cold.
     pub fn cancel_evacuation(&mut self, cold_time: Duration, now: Instant) {
         self.evacuation_deadline = None;
+        self.share_evacuation_deadline();
         if !cold_time.is_zero() {
             self.observations_mut().presumed_cold_until = Some(now + cold_time);
         }
@@ -239,7 +252,7 @@
             self.reconcile_models(&mut updated, now);
         }
         if updated.state == RunnerState::Draining {
-            self.clear_accepts_work_flag();
+            self.close_accepts_work();
         }
         self.runner = updated;
         if !is_late {
@@ -265,17 +278,16 @@
         }
     }
 
-    /// Clears the flag that granted attempts check before they are sent: the runner
-    /// accepts no new work.
-    pub fn clear_accepts_work_flag(&mut self) {
-        // The flag is removed from the record, since it stays false: if the runner
-        // accepts work again, attempts granted from then on get a new flag.
+    /// Tells granted attempts that the runner accepts no new work.
+    pub fn close_accepts_work(&mut self) {
+        // The state is removed from the record, since it stays closed: if the runner accepts
+        // work again, attempts granted from then on share a new one.
         let accepts_work = self
             .observations
             .as_mut()
             .and_then(|observations| observations.accepts_work.take());
         if let Some(accepts_work) = accepts_work {
-            accepts_work.store(false, Ordering::Relaxed);
+            accepts_work.close();
         }
     }
 
@@ -284,14 +296,14 @@
         if self.runner.state != RunnerState::Draining {
             Arc::make_mut(&mut self.runner).state = RunnerState::Draining;
         }
-        self.clear_accepts_work_flag();
+        self.close_accepts_work();
     }
 
     /// Records that another runner answered at this runner's address: this incarnation
     /// gets no more requests.
     pub fn mark_replaced(&mut self) {
         self.replaced = true;
-        self.clear_accepts_work_flag();
+        self.close_accepts_work();
     }
 
     /// Applies the runner's own report of its models; one that is older than the last is
--- a/crates/dispatch/src/runner_updates.rs
+++ b/crates/dispatch/src/runner_updates.rs
@@ -102,7 +102,7 @@
                 .replace_models(&entry.runner.id, &entry.possible_models(), &[]);
             self.runner_ids_by_key.remove(&entry.key);
             self.estimates.remove(entry.key);
-            entry.clear_accepts_work_flag();
+            entry.close_accepts_work();
         }
     }
 
--- a/crates/dispatch/tests/cold_runners.rs
+++ b/crates/dispatch/tests/cold_runners.rs
@@ -166,9 +166,7 @@
     }
     node.set_evacuated_zones(BTreeMap::from([("zone".into(), now)]), now);
     for grant in &granted_before {
-        let accepts_work = grant
-            .accepts_work
-            .load(std::sync::atomic::Ordering::Relaxed);
+        let accepts_work = grant.accepts_work.is_open(now);
         assert_eq!(accepts_work, &*grant.runner.zone == "other");
     }
     for _ in 0..20 {
@@ -207,3 +205,27 @@
     assert_eq!(acquire_zone(&mut node, now).as_deref(), Some("zone"));
     assert_eq!(acquire_zone(&mut node, deadline), None);
 }
+
+#[test]
+fn an_attempt_granted_before_the_deadline_of_an_evacuation_is_not_sent_after_it() {
+    let now = Instant::now();
+    let mut node = dispatcher("node", &["node".into()], now);
+    node.update_runner(holder("runner-1", "zone"), now);
+    let deadline = now + SECOND;
+    let mut grant = |evacuates: bool| {
+        let Acquired::Granted(grant) = node.acquire(query(now, SECOND, 8 * SECOND), now) else {
+            panic!("the runner holds the model");
+        };
+        if evacuates {
+            node.set_evacuated_zones(BTreeMap::from([("zone".into(), deadline)]), now);
+        }
+        grant
+    };
+    let (before, during) = (grant(true), grant(false));
+    for grant in [&before, &during] {
+        assert!(grant.accepts_work.is_open(now));
+        assert!(!grant.accepts_work.is_open(deadline));
+    }
+    node.set_evacuated_zones(BTreeMap::new(), now);
+    assert!(before.accepts_work.is_open(deadline));
+}
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -67,7 +67,7 @@
     /// Returns whether the runner still takes new work. Turns false when the runner starts
     /// to drain, is replaced or removed, or its evacuated zone reaches the deadline.
     pub fn runner_accepts_work(&self) -> bool {
-        self.grant.accepts_work.load(Ordering::Relaxed)
+        self.grant.accepts_work.is_open(Instant::now().into_std())
     }
 
     /// Attaches the prefill owner's permit, which is freed when the attempt ends.
