A late entry of a runner does not discard the models of a newer one

Guards against: a model that a runner holds counts as not loaded until its next heartbeat, so that requests for it wait or are refused.

Cause: an entry with an earlier heartbeat than the known one went through the comparison with the last inventory as if it were new, which forgot the models that a newer entry had shown. That it sets the state back, as was suspected too, is refuted: only draining is taken of it. Proved: a_late_entry_does_not_discard_the_models_of_a_newer_one failed on the code before.

--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -248,7 +248,7 @@
         if updated.state != state {
             Arc::make_mut(&mut updated).state = state;
         }
-        if self.observations.is_some() {
+        if self.observations.is_some() && !is_late {
             self.reconcile_models(&mut updated, now);
         }
         if updated.state == RunnerState::Draining {
--- a/crates/dispatch/tests/inventory.rs
+++ b/crates/dispatch/tests/inventory.rs
@@ -79,6 +79,23 @@
     assert!(!is_granted(&mut dispatcher, now + 30 * SECOND));
 }
 
+/// An entry that follows an inventory closely counts only some seconds later; a late one in
+/// between, with an earlier heartbeat, must not make the node forget it.
+#[test]
+fn a_late_entry_does_not_discard_the_models_of_a_newer_one() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    dispatcher.apply_inventory(inventory(1, Vec::new(), &[]), now);
+    let mut newer = runner();
+    newer.heartbeat = 9;
+    newer.models = vec![held_model()];
+    dispatcher.update_runner(newer, now);
+    let mut late = runner();
+    late.heartbeat = 8;
+    dispatcher.update_runner(late, now);
+    assert!(is_granted(&mut dispatcher, now + 4 * SECOND));
+}
+
 #[test]
 fn a_runner_that_answers_with_an_error_is_not_reported_as_unreachable() {
     let now = Instant::now();
