--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -43,7 +43,7 @@
 
 /// Returns all broken promises. `traffic_end`: when the clients ended.
 pub fn check(observations: &Observations, traffic_end: Duration) -> Vec<Violation> {
-    let runs = run_counts(observations);
+    let runs = runs_by_id(observations);
     [
         writes_run_at_most_once(observations, &runs),
         refusals_are_true(observations, &runs),
@@ -73,7 +73,24 @@
     from: Duration,
     to: Duration,
 ) -> bool {
-    let from = from.saturating_sub(CONTACT_TIME);
+    is_struck(
+        observations,
+        targets,
+        planned,
+        from.saturating_sub(CONTACT_TIME),
+        to,
+    )
+}
+
+/// Whether a fault on one of `targets` touches the time from `from` to `to`. Planned work counts
+/// only if `planned`.
+fn is_struck(
+    observations: &Observations,
+    targets: &[Target],
+    planned: bool,
+    from: Duration,
+    to: Duration,
+) -> bool {
     observations.faults.iter().any(|fault| {
         targets.contains(&fault.target)
             && (planned || !fault.planned)
@@ -82,30 +99,33 @@
     })
 }
 
-/// Number of runs of each request, by id.
-fn run_counts(observations: &Observations) -> HashMap<&str, usize> {
-    let mut counts = HashMap::new();
+/// Numbers of the runners that ran each request, by its id, once for each run.
+fn runs_by_id(observations: &Observations) -> HashMap<&str, Vec<u8>> {
+    let mut runs: HashMap<&str, Vec<u8>> = HashMap::new();
     for observation in &observations.runners {
         if let RunnerEvent::Run(id) = &observation.event {
-            *counts.entry(&**id).or_default() += 1;
+            runs.entry(id).or_default().push(observation.runner);
         }
     }
-    counts
+    runs
 }
 
 fn writes_run_at_most_once(
     observations: &Observations,
-    runs: &HashMap<&str, usize>,
+    runs: &HashMap<&str, Vec<u8>>,
 ) -> Vec<Violation> {
     let writes = observations.attempts.iter();
     let writes = writes.filter(|attempt| attempt.kind == RequestKind::Write);
-    let twice = writes.filter(|write| runs.get(&*write.id).is_some_and(|count| *count > 1));
+    let twice = writes.filter(|write| {
+        runs.get(&*write.id)
+            .is_some_and(|runners| runners.len() > 1)
+    });
     twice
         .map(|write| Violation::new("at_most_once", format!("{} ran twice", write.id)))
         .collect()
 }
 
-fn refusals_are_true(observations: &Observations, runs: &HashMap<&str, usize>) -> Vec<Violation> {
+fn refusals_are_true(observations: &Observations, runs: &HashMap<&str, Vec<u8>>) -> Vec<Violation> {
     let is_promise = |attempt: &&Attempt| {
         let AttemptOutcome::Answered { status, .. } = attempt.outcome else {
             return false;
@@ -170,23 +190,34 @@
     )
 }
 
-/// Attempts that ran at a runner and ended with a closed connection, though nothing unplanned
-/// disturbed the gateway, its clients' links or any runner.
+/// Attempts that ran at a runner and whose answer is missing or cut off, though nothing
+/// unplanned disturbed the gateway, its clients' links or the runners that ran them.
 fn unexcused_losses<'a>(
     observations: &'a Observations,
-    runs: &'a HashMap<&str, usize>,
+    runs: &'a HashMap<&str, Vec<u8>>,
 ) -> impl Iterator<Item = &'a Attempt> {
-    let runners: BTreeSet<u8> = (1..=u8::MAX).collect();
-    let runner_targets: Vec<Target> = runners
-        .iter()
-        .flat_map(|number| [Target::Runner(*number), Target::RunnerLink(*number)])
-        .collect();
-    observations.attempts.iter().filter(move |attempt| {
+    let is_lost = |attempt: &&Attempt| {
+        matches!(
+            attempt.outcome,
+            AttemptOutcome::Closed
+                | AttemptOutcome::Answered {
+                    complete: false,
+                    ..
+                }
+        )
+    };
+    let lost = observations.attempts.iter().filter(is_lost);
+    lost.filter(move |attempt| {
+        let Some(runners) = runs.get(&*attempt.id) else {
+            return false;
+        };
+        let targets: Vec<Target> = runners
+            .iter()
+            .flat_map(|number| [Target::Runner(*number), Target::RunnerLink(*number)])
+            .collect();
         let (from, to) = (attempt.sent_at, attempt.ended_at);
-        attempt.outcome == AttemptOutcome::Closed
-            && runs.contains_key(&*attempt.id)
-            && !is_gateway_disturbed(observations, attempt)
-            && !is_disturbed(observations, &runner_targets, false, from, to)
+        !is_gateway_disturbed(observations, attempt)
+            && !is_struck(observations, &targets, true, from, to)
     })
 }
 
@@ -202,7 +233,7 @@
 
 fn planned_stops_cut_nothing(
     observations: &Observations,
-    runs: &HashMap<&str, usize>,
+    runs: &HashMap<&str, Vec<u8>>,
 ) -> Vec<Violation> {
     let losses = unexcused_losses(observations, runs);
     let cut = losses.filter(|attempt| is_during_planned_stop(observations, attempt));
@@ -218,7 +249,7 @@
 
 fn kept_connections_are_answered(
     observations: &Observations,
-    runs: &HashMap<&str, usize>,
+    runs: &HashMap<&str, Vec<u8>>,
 ) -> Vec<Violation> {
     let losses = unexcused_losses(observations, runs);
     let lost: Vec<&str> = losses
