--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -61,9 +61,10 @@
             return Ok(());
         }
     };
-    let connected = match has_room {
-        true => connect_for_peer(context, &runner).await,
-        false => Err(TunnelAnswer::Unavailable),
+    let connected = if has_room {
+        connect_for_peer(context, &runner).await
+    } else {
+        Err(TunnelAnswer::Unavailable)
     };
     let answer = connected.as_ref().err().copied();
     let answer = answer.unwrap_or(TunnelAnswer::Opened);
--- /dev/null
+++ b/crates/soak/src/checks/runners.rs
@@ -0,0 +1,141 @@
+//! What runners got: requests, orders and models.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::checks::{RECORD_SLACK, Violation, is_disturbed};
+use crate::observations::{Attempt, Observations, RequestKind, RunnerEvent, Target};
+use crate::site::{DRAIN_BOUND, MOST_REPLICAS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW, is_engine};
+
+pub(super) fn draining_runners_get_nothing(observations: &Observations) -> Vec<Violation> {
+    let attempts: HashMap<&str, &Attempt> = observations
+        .attempts
+        .iter()
+        .map(|attempt| (&*attempt.id, attempt))
+        .collect();
+    let mut draining = HashMap::new();
+    let mut violations = Vec::new();
+    for observation in &observations.runners {
+        let process = (observation.runner, observation.life);
+        match &observation.event {
+            RunnerEvent::Draining => {
+                draining.entry(process).or_insert(observation.at);
+            }
+            RunnerEvent::Run(id) => {
+                let (Some(since), Some(attempt)) = (draining.get(&process), attempts.get(&**id))
+                else {
+                    continue;
+                };
+                let bound = *since + DRAIN_BOUND;
+                let gateway = attempt.gateway;
+                let targets = [
+                    Target::Gateway(gateway),
+                    Target::StoreLink(gateway),
+                    Target::Store,
+                ];
+                let is_late = attempt.sent_at > bound && observation.at > bound + RECORD_SLACK;
+                if is_late && !is_disturbed(observations, &targets, true, *since, observation.at) {
+                    let seen = format!("{id} ran at runner {process:?}, {gateway} sent it");
+                    violations.push(Violation::new("leaving_runners_get_no_work", seen));
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+pub(super) fn memory_is_never_overcommitted(observations: &Observations) -> Vec<Violation> {
+    let overcommitted = observations.runners.iter();
+    let overcommitted =
+        overcommitted.filter(|observation| observation.event == RunnerEvent::Overcommitted);
+    overcommitted
+        .map(|observation| {
+            Violation::new(
+                "memory",
+                format!("runner {} got too much", observation.runner),
+            )
+        })
+        .collect()
+}
+
+pub(super) fn replicas_stay_within_the_policy(observations: &Observations) -> Vec<Violation> {
+    let mut held: BTreeMap<u8, (u32, &[String])> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for observation in &observations.runners {
+        let RunnerEvent::Models(models) = &observation.event else {
+            continue;
+        };
+        held.insert(observation.runner, (observation.life, models));
+        for model in models {
+            let holders = held.iter().filter(|(runner, (_, models))| {
+                models.contains(model) && !is_ending(observations, **runner, observation.at)
+            });
+            let holders: Vec<u8> = holders.map(|(runner, _)| *runner).collect();
+            if holders.len() > MOST_REPLICAS {
+                let at = observation.at;
+                let seen = format!("{model} at runners {holders:?} after {at:?}");
+                violations.push(Violation::new("replicas_within_the_policy", seen));
+            }
+        }
+    }
+    violations
+}
+
+/// Whether the runner's process is being stopped or killed at `at`.
+fn is_ending(observations: &Observations, runner: u8, at: Duration) -> bool {
+    observations.faults.iter().any(|fault| {
+        fault.target == Target::Runner(runner)
+            && fault.kind != "runner_pause"
+            && fault.from <= at
+            && fault.until.is_none_or(|until| until + RECORD_SLACK >= at)
+    })
+}
+
+pub(super) fn fencing_tokens_have_one_holder(observations: &Observations) -> Vec<Violation> {
+    let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for observation in &observations.runners {
+        if let RunnerEvent::Order { holder, token } = &observation.event {
+            let first = *holders.entry(*token).or_insert(holder);
+            if first != holder {
+                let seen = format!("token {token} of {first} and {holder}");
+                violations.push(Violation::new("one_holder_of_a_token", seen));
+            }
+        }
+    }
+    violations
+}
+
+pub(super) fn retries_stay_within_the_budget(observations: &Observations) -> Vec<Violation> {
+    let mut first_runs: BTreeMap<bool, BTreeSet<&str>> = BTreeMap::new();
+    let mut repeats: BTreeMap<bool, Vec<Duration>> = BTreeMap::new();
+    for observation in &observations.runners {
+        if let RunnerEvent::Run(id) = &observation.event {
+            let service = is_engine(observation.runner);
+            if !first_runs.entry(service).or_default().insert(id) {
+                repeats.entry(service).or_default().push(observation.at);
+            }
+        }
+    }
+    let mut violations = Vec::new();
+    for (service, times) in repeats {
+        for start in &times {
+            let end = *start + RETRY_WINDOW;
+            let count = times.iter().filter(|at| (*start..end).contains(at)).count();
+            // The window with the most requests of three counts; the longest span covers them.
+            let earliest = start.saturating_sub(RETRY_WINDOW);
+            let requests = observations.attempts.iter().filter(|attempt| {
+                (attempt.kind == RequestKind::Stream) == service
+                    && (earliest..end).contains(&attempt.sent_at)
+            });
+            let allowed = RETRY_RATIO * requests.count() as f64 + RETRY_EXTRA;
+            if count as f64 > allowed {
+                let seen = format!("{count} repeats after {start:?}, {allowed} allowed");
+                violations.push(Violation::new("retry_budget", seen));
+                break;
+            }
+        }
+    }
+    violations
+}
--- a/crates/soak/src/checks_tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -1,5 +1,10 @@
 use super::*;
-use crate::observations::{FaultRecord, RouteProbe, RunnerObservation};
+use crate::checks::gateways::the_site_recovers;
+use crate::checks::requests::TOLERATED_LOSSES;
+use crate::observations::{
+    Attempt, AttemptOutcome, FaultRecord, RequestKind, RouteProbe, RunnerObservation,
+};
+use crate::site::RETRY_EXTRA;
 
 const fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
