--- a/crates/soak/src/checks/gateways.rs
+++ b/crates/soak/src/checks/gateways.rs
@@ -1,11 +1,11 @@
 //! How gateways follow the configuration, end, and recover.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use crate::checks::{Violation, is_disturbed};
-use crate::observations::{Attempt, Observations, RequestKind, Target};
-use crate::site::CONFIGURATION_BOUND;
+use crate::observations::{Attempt, Expected, Observations, RequestKind, RouteProbe, Target};
+use crate::site::{CONFIGURATION_BOUND, service_name};
 
 /// Time after the last fault within which the site must serve as before.
 const RECOVERY_BOUND: Duration = Duration::from_secs(12);
@@ -27,40 +27,73 @@
         .collect()
 }
 
-pub(super) fn changes_are_in_force_and_stay(observations: &Observations) -> Vec<Violation> {
+/// What a gateway's answer says of the change that it was asked about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Shown {
+    /// The change was in force.
+    InForce,
+    /// An earlier configuration was in force.
+    Earlier,
+    /// The answer does not tell.
+    Unknown,
+}
+
+fn shown_by(probe: &RouteProbe, runs: &HashMap<&str, Vec<u8>>) -> Shown {
+    let runner = runs.get(&*probe.id).and_then(|runners| runners.first());
+    match (probe.expected, runner, probe.status) {
+        (Expected::Service(service), Some(runner), _) if service_name(*runner) == service => {
+            Shown::InForce
+        }
+        (_, Some(_), _) => Shown::Earlier,
+        (Expected::Service(_), None, Some(404)) => Shown::Earlier,
+        (Expected::NotFound, None, Some(404)) => Shown::InForce,
+        (_, None, _) => Shown::Unknown,
+    }
+}
+
+pub(super) fn changes_are_in_force_and_stay(
+    observations: &Observations,
+    runs: &HashMap<&str, Vec<u8>>,
+) -> Vec<Violation> {
     let mut in_force = BTreeSet::new();
     let mut violations = Vec::new();
     let mut probes: Vec<_> = observations.probes.iter().collect();
     probes.sort_by_key(|probe| probe.at);
     for probe in probes {
-        let key = (&*probe.path, probe.gateway, probe.life);
-        let seen = format!("{} at gateway {} (process {})", key.0, key.1, key.2);
-        match probe.status {
-            Some(404) if in_force.contains(&key) => {
+        let process = (probe.gateway, probe.life);
+        let key = (probe.version, process);
+        let seen = format!(
+            "version {}, {} expected {:?}: {} at gateway {:?} got {:?}",
+            probe.version, probe.path, probe.expected, probe.id, process, probe.status
+        );
+        match shown_by(probe, runs) {
+            Shown::InForce => {
+                in_force.insert(key);
+            }
+            Shown::Earlier if in_force.contains(&key) => {
                 violations.push(Violation::new("configuration_never_goes_back", seen));
             }
-            Some(404) => {
-                let gateway = probe.gateway;
-                let targets = [
-                    Target::Gateway(gateway),
-                    Target::StoreLink(gateway),
-                    Target::Store,
-                ];
-                let from = probe.acknowledged_at;
-                let is_due = probe.at >= from + CONFIGURATION_BOUND;
-                if is_due && !is_disturbed(observations, &targets, true, from, probe.at) {
-                    violations.push(Violation::new("configuration_in_force", seen));
-                }
+            Shown::Earlier if is_due(observations, probe) => {
+                violations.push(Violation::new("configuration_in_force", seen));
             }
-            Some(_) => {
-                in_force.insert(key);
-            }
-            None => {}
+            Shown::Earlier | Shown::Unknown => {}
         }
     }
     violations
 }
 
+/// Whether the change must have been in force when the gateway was asked.
+fn is_due(observations: &Observations, probe: &RouteProbe) -> bool {
+    let from = probe.acknowledged_at;
+    let targets = [
+        Target::Gateway(probe.gateway),
+        Target::StoreLink(probe.gateway),
+        Target::Store,
+    ];
+    probe.at >= from + CONFIGURATION_BOUND
+        && !is_disturbed(observations, &targets, true, from, probe.at)
+}
+
 pub(super) fn gateways_do_not_end_by_themselves(observations: &Observations) -> Vec<Violation> {
     let ended = observations
         .faults
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -43,7 +43,7 @@
         requests::kept_connections_are_answered(observations, &runs),
         gateways::planned_stops_end_in_time(observations),
         runners::draining_runners_get_nothing(observations),
-        gateways::changes_are_in_force_and_stay(observations),
+        gateways::changes_are_in_force_and_stay(observations, &runs),
         runners::memory_is_never_overcommitted(observations),
         runners::replicas_stay_within_the_policy(observations),
         runners::fencing_tokens_have_one_holder(observations),
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -2,9 +2,9 @@
 use crate::checks::gateways::the_site_recovers;
 use crate::checks::requests::TOLERATED_LOSSES;
 use crate::observations::{
-    Attempt, AttemptOutcome, FaultRecord, RequestKind, RouteProbe, RunnerObservation,
+    Attempt, AttemptOutcome, Expected, FaultRecord, RequestKind, RouteProbe, RunnerObservation,
 };
-use crate::site::RETRY_EXTRA;
+use crate::site::{OTHER_PLAIN, PLAIN, RETRY_EXTRA};
 
 const fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -160,25 +160,59 @@
     assert!(broken(&observations).is_empty());
 }
 
-#[test]
-fn a_route_that_is_late_or_goes_back_is_noticed() {
-    let probe = |at, status| RouteProbe {
+fn probe(at: u64, expected: Expected, status: u16) -> RouteProbe {
+    RouteProbe {
+        id: format!("p{at}"),
         path: "/added-2/".into(),
+        version: 2,
+        expected,
         acknowledged_at: seconds(10),
         gateway: 1,
         life: 0,
         at: seconds(at),
         status: Some(status),
-    };
+    }
+}
+
+#[test]
+fn a_route_that_is_late_or_goes_back_is_noticed() {
+    let added = Expected::Service(PLAIN);
     let mut observations = Observations::default();
-    observations.probes.push(probe(13, 404));
+    observations.probes.push(probe(13, added, 404));
     assert_eq!(broken(&observations), ["configuration_in_force"]);
     observations
         .faults
         .push(fault(Target::StoreLink(1), false, 8, 11));
     assert!(broken(&observations).is_empty());
-    observations.probes.extend([probe(14, 200), probe(15, 404)]);
+    observations
+        .probes
+        .extend([probe(14, added, 200), probe(15, added, 404)]);
+    observations.runners.push(run(2, 14, "p14"));
+    assert_eq!(broken(&observations), ["configuration_never_goes_back"]);
+}
+
+#[test]
+fn a_route_that_is_moved_late_is_noticed() {
+    let mut observations = Observations::default();
+    let moved = Expected::Service(OTHER_PLAIN);
+    observations.probes.push(probe(13, moved, 200));
+    observations.runners.push(run(4, 13, "p13"));
+    assert!(broken(&observations).is_empty());
+    observations.probes.push(probe(14, moved, 200));
+    observations.runners.push(run(2, 14, "p14"));
     assert_eq!(broken(&observations), ["configuration_never_goes_back"]);
+    observations.probes.remove(0);
+    assert_eq!(broken(&observations), ["configuration_in_force"]);
+}
+
+#[test]
+fn a_route_that_is_removed_late_is_noticed() {
+    let mut observations = Observations::default();
+    observations.probes.push(probe(13, Expected::NotFound, 404));
+    assert!(broken(&observations).is_empty());
+    observations.probes[0].status = Some(200);
+    observations.runners.push(run(4, 13, "p13"));
+    assert_eq!(broken(&observations), ["configuration_in_force"]);
 }
 
 #[test]
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -282,7 +282,7 @@
                 let changes = self.random.random_range(1..=MOST_CHANGES);
                 let mut operator = self.operator.lock().await;
                 for _ in 0..changes {
-                    operator.add_route().await;
+                    operator.change_route().await;
                 }
                 Ok(())
             }
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -135,11 +135,27 @@
     pub until: Option<Duration>,
 }
 
-/// A change of the configuration, and what gateways answered on its new route.
-#[derive(Debug, Clone)]
+/// What a configuration makes of the requests to a path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Expected {
+    /// Runners of this service run them.
+    Service(&'static str),
+    /// They are rejected, as there is no such route.
+    NotFound,
+}
+
+/// A change of the configuration, and what a gateway made of a request to the path concerned.
+#[derive(Debug, Clone, Serialize)]
 pub struct RouteProbe {
+    /// Id of the request.
+    pub id: String,
     /// Path of the route.
     pub path: String,
+    /// Version of the configuration with the change.
+    pub version: u64,
+    /// What the change makes of the request; no later change concerns the path meanwhile.
+    pub expected: Expected,
     /// When the store acknowledged the change.
     pub acknowledged_at: Duration,
     /// The gateway that was asked.
--- a/crates/soak/src/roles/runner.rs
+++ b/crates/soak/src/roles/runner.rs
@@ -13,7 +13,7 @@
 use crate::observations::RunnerEvent;
 use crate::roles::accept_for_stand_in;
 use crate::roles::store_client::{call_store, write};
-use crate::site::{DRAIN_BOUND, Ports, first_models, service_of};
+use crate::site::{DRAIN_BOUND, Ports, first_models, service_of, zone_of};
 
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -37,7 +37,7 @@
         id: &id,
         born: milliseconds_since_1970(),
         address: ports.runner_proxy(number),
-        zone: "zone",
+        zone: zone_of(number),
     };
     let service = service_of(number);
     let models = first_models(number, life);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,6 +1,5 @@
 //! The site of a soak: its addresses, services, routes and settings.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -33,6 +32,15 @@
 /// See [`RETRY_RATIO`].
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
+/// Name of the service whose runners hold models.
+pub const ENGINE: &str = "engine";
+/// Name of the plain service that writes and reads go to.
+pub const PLAIN: &str = "plain";
+/// Name of the plain service to which the operator moves routes.
+pub const OTHER_PLAIN: &str = "other-plain";
+/// Zones of the site; gateways and runners are spread over them in turn.
+const ZONES: [&str; 4] = ["zone-1", "zone-2", "zone-3", "zone-4"];
+
 /// The ports that all addresses of a soak share.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -106,15 +114,29 @@
     number % 2 == 1
 }
 
+/// Returns the name of the service of runner `number`.
+pub fn service_name(number: u8) -> &'static str {
+    match number % 4 {
+        0 => OTHER_PLAIN,
+        2 => PLAIN,
+        _ => ENGINE,
+    }
+}
+
 /// Returns the service of runner `number`.
 pub fn service_of(number: u8) -> Service {
     if is_engine(number) {
-        engine_service("engine", &MODELS)
+        engine_service(ENGINE, &MODELS)
     } else {
-        plain_service("plain")
+        plain_service(service_name(number))
     }
 }
 
+/// Returns the zone of gateway or runner `number`.
+pub fn zone_of(number: u8) -> &'static str {
+    ZONES[usize::from(number) % ZONES.len()]
+}
+
 /// Returns the models that runner `number` holds at the start of its process `life`: runners
 /// start again with none.
 pub fn first_models(number: u8, life: u32) -> Vec<&'static str> {
@@ -126,11 +148,15 @@
 
 /// Returns the first configuration.
 pub fn first_configuration() -> Configuration {
-    let services = [engine_service("engine", &MODELS), plain_service("plain")];
+    let services = [
+        engine_service(ENGINE, &MODELS),
+        plain_service(PLAIN),
+        plain_service(OTHER_PLAIN),
+    ];
     let routes: [Route; 3] = [
-        route("/write/", "plain", RequestKind::NonIdempotent),
-        route("/read/", "plain", RequestKind::Idempotent),
-        route("/stream/", "engine", RequestKind::Streaming),
+        route("/write/", PLAIN, RequestKind::NonIdempotent),
+        route("/read/", PLAIN, RequestKind::Idempotent),
+        route("/stream/", ENGINE, RequestKind::Streaming),
     ];
     Configuration {
         version: 1,
@@ -148,8 +174,11 @@
 pub fn gateway_settings(number: u8, ports: Ports, store: SocketAddr) -> NodeSettings {
     NodeSettings {
         name: format!("gateway-{number}").into(),
-        zone: "zone".into(),
-        regions: BTreeMap::from([("zone".into(), "region".into())]),
+        zone: zone_of(number).into(),
+        regions: ZONES
+            .iter()
+            .map(|zone| ((*zone).into(), "region".into()))
+            .collect(),
         caller_address: ports.gateway(number),
         readiness_address: ports.readiness(number),
         peer_address: ports.peers(number),
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -15,7 +15,7 @@
 use crate::clients::{ANSWER_SLACK, Clients, STREAM_DEADLINE, balance};
 use crate::faults::{Lane, Machines, Slot};
 use crate::observations::{Recorder, RequestKind, Target};
-use crate::operator::{Lives, Operator};
+use crate::operator::{Lives, Operator, change_steadily};
 use crate::proxy::Proxy;
 use crate::site::Ports;
 use crate::summary::Summary;
@@ -96,6 +96,7 @@
     operator: &Arc<Mutex<Operator>>,
 ) -> Result<(), SoakError> {
     let end = Instant::now() + options.time;
+    let steady_changes = tokio::spawn(change_steadily(operator.clone(), end));
     let mut lanes = JoinSet::new();
     for number in 0..options.faults {
         let lane = Lane::new(machines.clone(), operator.clone(), options.seed, number);
@@ -104,6 +105,7 @@
     while let Some(lane) = lanes.join_next().await {
         lane.expect("lanes do not panic")?;
     }
+    steady_changes.await.expect("the operator does not panic");
     Ok(())
 }
 
@@ -227,6 +229,10 @@
         text += &serde_json::to_string(fault).expect("faults are serializable");
         text += "\n";
     }
+    for probe in &observations.probes {
+        text += &serde_json::to_string(probe).expect("probes are serializable");
+        text += "\n";
+    }
     for attempt in &observations.attempts {
         text += &serde_json::to_string(attempt).expect("attempts are serializable");
         text += "\n";
