Tests of copies that lose a change, which fail

One test with one parent and one follower; one with random orders of page reads, late polls, frames and changes of parent among four nodes, which compares each copy with the store key by key at the revision that the copy claims.

--- a/crates/gateway/src/feed/copy.rs
+++ b/crates/gateway/src/feed/copy.rs
@@ -143,7 +143,7 @@
 }
 
 /// Applies `update` to `state` and returns the changes that were not known before.
-fn apply_update(state: &mut FeedState, update: Update, revision: Revision) -> Vec<Change> {
+pub fn apply_update(state: &mut FeedState, update: Update, revision: Revision) -> Vec<Change> {
     match update {
         Update::Everything(items) => {
             let is_newer = state.replace_all(&items, revision);
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -22,6 +22,9 @@
 mod times;
 mod tree;
 
+#[cfg(test)]
+#[path = "consistency_tests.rs"]
+mod consistency_tests;
 #[cfg(test)]
 #[path = "state_tests.rs"]
 mod state_tests;
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -124,6 +124,12 @@
         self.items.contains_key(key)
     }
 
+    /// The revision of the copy's item under `key`; `None` if the copy has no such item.
+    #[cfg(test)]
+    pub fn item_revision(&self, key: &str) -> Option<Revision> {
+        self.items.get(key).map(|item| item.revision)
+    }
+
     /// Whether the copy has been filled from the store or a peer at least once.
     pub fn has_data(&self) -> bool {
         self.revision > Revision::default()
--- a/crates/gateway/src/feed/state_tests.rs
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -88,6 +88,21 @@
     assert!(matches!(state.missing_since(at(20)), Missing::Batches(none) if none.is_empty()));
 }
 
+#[test]
+fn a_change_that_a_full_read_showed_early_is_sent_to_followers() {
+    let mut parent = state();
+    parent.apply_events(vec![written("b", 12)], at(12));
+    let mut follower = FeedState::default();
+    follower.replace_all(&[item("a", 3), item("b", 5)], at(10));
+    let Missing::Batches(batches) = parent.missing_since(follower.revision()) else {
+        panic!("batches reach back to 10");
+    };
+    for batch in batches {
+        follower.apply_events(batch.packed().events().unwrap(), batch.to);
+    }
+    assert_eq!(follower.item_revision("b"), Some(at(12)));
+}
+
 #[test]
 fn a_follower_far_behind_gets_everything() {
     let mut state = state();
