Followers get the changes that their parent's full read showed early

Callers of one gateway got 404 for a route that had been added, or were served by a route's former service, for as long as nobody wrote the configuration again; its copy of the store counted as current.

Cause: a node that reads everything page by page knows items that are newer than the revision of its reading. When the event of such an item came, it was left out of the batch for followers as known, though it was known only here: a follower that was at the reading's revision already got the later revision and age without the change. Ruled out: the order of batches, the part of a batch that a follower knows, readings of an earlier revision (all in the random test).

Change: a batch holds all events after the copy's former revision; only what the node publishes to itself leaves out what it knows. Followers filter as before.

Whether this is what the users saw is open: their record has no line of it, and nothing shows that their store's pages are read apart on so small a site.

--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -33,6 +33,24 @@
     },
 }
 
+impl Event {
+    /// Key that was written or removed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
+    /// Revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// A write of one key within a transaction.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
--- a/crates/gateway/src/feed/consistency_tests.rs
+++ b/crates/gateway/src/feed/consistency_tests.rs
@@ -21,20 +21,6 @@
     Revision::new(1, number)
 }
 
-fn revision_of(event: &Event) -> u64 {
-    match event {
-        Event::Written(item) => item.revision.number,
-        Event::Removed { revision, .. } => revision.number,
-    }
-}
-
-fn key_of(event: &Event) -> &str {
-    match event {
-        Event::Written(item) => &item.key,
-        Event::Removed { key, .. } => key,
-    }
-}
-
 /// All changes of the store; the change at index i has the revision i + 1.
 #[derive(Default)]
 struct Store {
@@ -80,7 +66,7 @@
     }
 
     fn events_after(&self, revision: u64) -> Vec<Event> {
-        let after = |event: &&Event| revision_of(event) > revision;
+        let after = |event: &&Event| event.revision().number > revision;
         self.history.iter().filter(after).cloned().collect()
     }
 
@@ -92,7 +78,7 @@
         let mut later = self
             .history
             .iter()
-            .filter(|event| key_of(event) == key && revision_of(event) > revision);
+            .filter(|event| event.key() == key && event.revision().number > revision);
         shown == then
             || later.any(|event| match event {
                 Event::Written(item) => shown == Some(item.revision.number),
@@ -185,7 +171,7 @@
             .random
             .random_range(revision.number..=self.store.revision().max(revision.number));
         let mut events = self.store.events_after(revision.number);
-        events.retain(|event| revision_of(event) <= until);
+        events.retain(|event| event.revision().number <= until);
         self.apply(node, Update::Events(events), at(until));
     }
 
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -180,19 +180,25 @@
 
     /// Applies changes up to `revision`, and returns those that were not known before.
     pub fn apply_events(&mut self, events: Vec<Event>, revision: Revision) -> Vec<Event> {
-        let new_events: Vec<Event> = events
+        let missed: Vec<Event> = events
             .into_iter()
-            .filter(|event| self.is_new(event))
+            .filter(|event| event.revision() > self.revision)
             .collect();
+        let mut new_events = missed.clone();
+        new_events.retain(|event| self.is_new(event));
         for event in &new_events {
             self.apply_event(event);
         }
         self.revision = self.revision.max(revision);
         if !new_events.is_empty() {
             self.packed_items = OnceLock::new();
+        }
+        if !missed.is_empty() {
+            // Followers also need the changes that a full read of this node showed early:
+            // theirs may not have shown them.
             self.batches.push_back(Arc::new(Batch {
                 to: self.revision,
-                events: new_events.clone(),
+                events: missed,
                 packed: OnceLock::new(),
             }));
         }
@@ -214,12 +220,8 @@
     /// a full read are no consistent snapshot, so an item may be newer than the copy's
     /// revision.
     fn is_new(&self, event: &Event) -> bool {
-        let (key, revision) = match event {
-            Event::Written(item) => (&item.key, item.revision),
-            Event::Removed { key, revision } => (key, *revision),
-        };
-        let known = self.items.get(key.as_str()).map(|item| item.revision);
-        revision > self.revision && Some(revision) > known
+        let known = self.items.get(event.key()).map(|item| item.revision);
+        Some(event.revision()) > known
     }
 
     /// Records that the store's state at `revision` was complete as of `at`, as learnt
