Changes of the feed reach the rest of the node in the store's order

Cause: the reader of the store and the follower of a peer write the same copy, and send their changes over one bounded channel with a wait between two changes. Once the channel is full, the changes of the later update pass those of the earlier one. The configuration is guarded by its version; entries of runners, leaders and members are not.

Change: Publisher, a module of its own, holds its turn while an update is published.

Ruled out: more room in the channel, which only makes it rarer.

--- a/crates/gateway/src/feed/consistency_tests.rs
+++ b/crates/gateway/src/feed/consistency_tests.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::copy::apply_update;
+use super::publisher::apply_update;
 use super::state::{FeedState, Missing, Update};
 
 const NODES: usize = 4;
--- a/crates/gateway/src/feed/copy.rs
+++ b/crates/gateway/src/feed/copy.rs
@@ -11,7 +11,8 @@
 use crate::context::Context;
 use crate::feed::parent_stream::ReceivedFrame;
 use crate::feed::poll::StoreRead;
-use crate::feed::state::{Change, FeedState, Update};
+use crate::feed::publisher::Publisher;
+use crate::feed::state::{Change, FeedState};
 use crate::feed::times::FeedTimes;
 use crate::store::Store;
 
@@ -24,8 +25,7 @@
 /// parts of the node.
 pub struct FeedCopy {
     store: Store,
-    state: watch::Sender<FeedState>,
-    changes: mpsc::Sender<Change>,
+    publisher: Publisher,
     /// Time limits of the feed, derived from the site's bounds.
     pub times: FeedTimes,
     peers_first_until: Instant,
@@ -42,8 +42,7 @@
     ) -> Self {
         Self {
             store: store.clone(),
-            state,
-            changes,
+            publisher: Publisher::new(state, changes),
             times: FeedTimes::new(&context.settings.bounds),
             peers_first_until: context.started_at + PEERS_FIRST_FOR,
         }
@@ -51,34 +50,34 @@
 
     /// Returns a receiver that is notified of each change of the copy.
     pub fn subscribe(&self) -> watch::Receiver<FeedState> {
-        self.state.subscribe()
+        self.publisher.subscribe()
     }
 
     /// Waits until the receiver of the changes is dropped, which ends the feed.
     pub async fn closed(&self) {
-        self.changes.closed().await;
+        self.publisher.closed().await;
     }
 
     /// The store's revision that the copy shows; the default revision while the copy is
     /// empty.
     pub fn revision(&self) -> Revision {
-        self.state.borrow().revision()
+        self.publisher.state().revision()
     }
 
     /// Whether the copy has been filled from the store or a peer at least once.
     pub fn has_data(&self) -> bool {
-        self.state.borrow().has_data()
+        self.publisher.state().has_data()
     }
 
     /// Whether the copy is too old to rely on a parent, so that the store must be
     /// called.
     pub fn is_stale(&self) -> bool {
-        self.state.borrow().is_stale(&self.times, Instant::now())
+        self.publisher.state().is_stale(&self.times, Instant::now())
     }
 
     /// Returns when the copy becomes stale; the present time if it already is.
     pub fn stale_at(&self) -> Instant {
-        self.state.borrow().stale_at(&self.times, Instant::now())
+        self.publisher.state().stale_at(&self.times, Instant::now())
     }
 
     /// Returns the time until which a newly started node reads the full state only from
@@ -90,7 +89,8 @@
 
     /// Applies an answer of the store.
     pub async fn apply_read(&self, read: StoreRead) {
-        self.apply(read.update, read.revision, read.sent_at, 0)
+        self.publisher
+            .apply(read.update, read.revision, read.sent_at, 0)
             .await;
     }
 
@@ -99,7 +99,8 @@
         let ReceivedFrame { frame, complete_at } = received;
         self.store.observe_era(frame.revision.era);
         let update = frame.content.decode()?;
-        self.apply(update, frame.revision, complete_at, frame.depth + 1)
+        self.publisher
+            .apply(update, frame.revision, complete_at, frame.depth + 1)
             .await;
         Ok(())
     }
@@ -108,54 +109,8 @@
     /// from which the node learns which peers it can follow.
     pub async fn publish_entries(&self, items: Vec<Item>) {
         for item in items {
-            self.publish(Change::Event(Event::Written(item))).await;
+            let change = Change::Event(Event::Written(item));
+            self.publisher.publish(change).await;
         }
     }
-
-    /// Applies `update`, which brings the copy to `revision` and contains all changes
-    /// made before `complete_at`. `depth` is the number of feed connections that the
-    /// update has passed through; 0 if the store itself sent it.
-    async fn apply(&self, update: Update, revision: Revision, complete_at: Instant, depth: u32) {
-        let mut changes = Vec::new();
-        let mut confirmed = false;
-        // Followers are notified only if the update or its confirmation is new: two
-        // nodes that follow each other while the store is unreachable from both would
-        // otherwise send each other the same frames without end.
-        self.state.send_if_modified(|state| {
-            changes = apply_update(state, update, revision);
-            confirmed = state.confirm(revision, complete_at, depth);
-            confirmed || !changes.is_empty()
-        });
-        for change in changes {
-            self.publish(change).await;
-        }
-        // The confirmation follows the changes: up to `complete_at` there were no
-        // others.
-        if confirmed {
-            self.publish(Change::CompleteAt(complete_at)).await;
-        }
-    }
-
-    async fn publish(&self, change: Change) {
-        // Fails only without a receiver, in which case the feed ends.
-        let _ = self.changes.send(change).await;
-    }
-}
-
-/// Applies `update` to `state` and returns the changes that were not known before.
-pub fn apply_update(state: &mut FeedState, update: Update, revision: Revision) -> Vec<Change> {
-    match update {
-        Update::Everything(items) => {
-            let is_newer = state.replace_all(&items, revision);
-            is_newer
-                .then_some(Change::Everything(items, revision.era))
-                .into_iter()
-                .collect()
-        }
-        Update::Events(events) => state
-            .apply_events(events, revision)
-            .into_iter()
-            .map(Change::Event)
-            .collect(),
-    }
 }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -14,6 +14,7 @@
 mod frame;
 mod parent_stream;
 mod poll;
+mod publisher;
 mod serve;
 mod staleness;
 mod state;
