A peer whose first frame shows nothing newer is left at once while the store is unreachable

Cause: each peer was on trial for a quarter of the bound, also after its first frame had shown, within milliseconds, that it knew nothing newer. The copy is stale after 0.55 of the bound, the store counts as unreachable after 0.15 more: the second useless peer was past the bound. Ruled out: the calls to the store (they run beside it), trying peers before the store is unreachable (a connection for each parent that is lost).

Change: after such a frame the peer is followed for 0.03 of the bound more. A peer that sends nothing keeps its quarter. At most 16 connections a second and node, in an outage only.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -187,7 +187,7 @@
     /// Follows `parent` until this node's copy is stale, the connection fails, or the
     /// feed tree names another parent; a peer on trial only until the store answers.
     async fn follow(&mut self, parent: Parent) {
-        let trial_end = self.trial_end();
+        let mut trial_end = self.trial_end();
         let revision = self.copy.revision();
         let connected = ParentStream::connect(&*self.context.network, &parent, revision).await;
         let name = parent.name;
@@ -217,6 +217,11 @@
             if let Err(error) = applied {
                 return self.abandon(name, Fault::Broken, &error.to_string());
             }
+            if self.copy.is_stale() {
+                // The peer knows nothing newer; another one may.
+                let end = Instant::now() + self.copy.times.outdated_peer_trial;
+                trial_end = trial_end.map(|trial_end| trial_end.min(end));
+            }
             if self.should_switch_parent(&name, &mut other_parent_since) {
                 return;
             }
--- a/crates/gateway/src/feed/times.rs
+++ b/crates/gateway/src/feed/times.rs
@@ -25,11 +25,14 @@
 /// of the site's shortest bound on applying a change. Most answers take a few
 /// milliseconds, those of a slow store a tenth of the bound.
 const UNREACHABLE_FRACTION: f64 = 0.15;
-/// Time for which a peer is tried while the store is unreachable, as a fraction of the
-/// site's shortest bound on applying a change. A peer with a newer copy sends it in its
-/// first frame, milliseconds after the hello; with this fraction one such peer out of
-/// eight is found within twice the bound.
+/// Time for which a peer that sends nothing is tried while the store is unreachable, as a
+/// fraction of the site's shortest bound on applying a change.
 const TRIAL_FRACTION: f64 = 0.25;
+/// Time for which a peer on trial is followed after a frame that left this node's copy
+/// stale, as a fraction of the site's shortest bound on applying a change. Eight such
+/// peers are tried in the time that is left of the bound once the copy is stale and the
+/// store unreachable.
+const OUTDATED_PEER_FRACTION: f64 = 0.03;
 /// Maximum depth for which [`FeedTimes::max_age`] grows; deployments with more nodes
 /// than fit in a tree of this depth are not planned for.
 const MAX_COUNTED_DEPTH: u32 = 4;
@@ -50,6 +53,10 @@
     /// Time within which a peer on trial must send a newer copy while the store is
     /// unreachable from this node.
     pub peer_trial: Duration,
+    /// Time for which a peer on trial is still followed after it has shown that its copy
+    /// is as outdated as this node's. It limits how often a node connects to peers during
+    /// an outage of the store.
+    pub outdated_peer_trial: Duration,
     /// Maximum age of the copy of the node that watches the store.
     base_age: Duration,
     /// Growth of a copy's maximum age with each step from the node that watches the
@@ -70,6 +77,7 @@
             call_period: bound.mul_f64(CALL_FRACTION),
             unreachable_after: bound.mul_f64(UNREACHABLE_FRACTION),
             peer_trial: bound.mul_f64(TRIAL_FRACTION),
+            outdated_peer_trial: bound.mul_f64(OUTDATED_PEER_FRACTION),
             base_age: bound.mul_f64(AGE_FRACTION),
             age_per_step: bound.mul_f64(STEP_FRACTION),
         }
--- a/crates/standin/tests/feed.rs
+++ b/crates/standin/tests/feed.rs
@@ -1,9 +1,11 @@
 //! The feed: changes in the store reach all gateways through the one that watches it.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use barleyspar_catalog::RequestKind;
 use barleyspar_standin::{World, plain_service, route};
+use tokio::time::{Instant, sleep_until};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Time within which a change must be in force at all gateways.
@@ -253,6 +255,45 @@
     }
 }
 
+/// Runs until all `gateways` serve `path`, or fails after [`CHANGE_BOUND`].
+async fn run_until_route_served(world: &World, gateways: RangeInclusive<u8>, path: &str) {
+    let deadline = Instant::now() + CHANGE_BOUND;
+    let mut waiting: Vec<u8> = gateways.collect();
+    while !waiting.is_empty() {
+        assert!(Instant::now() < deadline, "{path} not at {waiting:?}");
+        world.run_for(SECOND / 25).await;
+        let mut unserved = Vec::new();
+        for number in waiting {
+            if world.request(number, path, path, None).await.code() != 200 {
+                unserved.push(number);
+            }
+        }
+        waiting = unserved;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_are_in_force_in_time_although_the_store_serves_only_one_gateway() {
+    let gateways = 1..=GATEWAYS + 1;
+    for connected in gateways.clone() {
+        let mut world = world().await;
+        world.start_gateway(GATEWAYS + 1).await;
+        world.run_for(5 * SECOND).await;
+        for number in gateways.clone().filter(|number| *number != connected) {
+            world
+                .network
+                .cut(World::gateway_host(number), World::store_host());
+        }
+        for change in 1..=14 {
+            let path = format!("/added-{change}/");
+            let next_change_at = Instant::now() + SECOND * 73 / 100;
+            add_route(&mut world, &path);
+            run_until_route_served(&world, gateways.clone(), &path).await;
+            sleep_until(next_change_at).await;
+        }
+    }
+}
+
 /// Guards against starting gateways that wait up to ten seconds for a read call that the store
 /// took while it was down, and serve no request meanwhile.
 #[tokio::test(start_paused = true)]
