--- a/crates/barleyspar/src/logs.rs
+++ b/crates/barleyspar/src/logs.rs
@@ -41,9 +41,22 @@
         .with(levels)
         .with(lines)
         .init();
+    log_panics();
     guard
 }
 
+/// Logs each panic with its place as a line like all others, besides the usual message on
+/// standard error.
+fn log_panics() {
+    let usual_hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let place = panic.location().map(ToString::to_string);
+        let cause = panic.payload_as_str();
+        tracing::error!(event = "panicked", place, cause);
+        usual_hook(panic);
+    }));
+}
+
 /// Limits the number of lines per second, with a reserve for warnings and errors. Lines over
 /// the limit are dropped and counted.
 struct LineBudget {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -120,6 +120,12 @@
         }
     }
 
+    /// Returns the version of the configuration in force; `None` before the first one.
+    pub fn configuration_version(&self) -> Option<u64> {
+        let routes = self.routes.borrow();
+        routes.as_ref().map(|table| table.configuration().version)
+    }
+
     /// Returns the time for which this node may have missed changes of the configuration;
     /// `None` if its view was never confirmed to be current.
     pub fn view_staleness(&self) -> Option<Duration> {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -316,23 +316,19 @@
 
     /// Writes the configuration in force to the store if the store shows an older one.
     fn keep_configuration(&self) {
-        if let (Some(version), Some(item)) = (self.version_in_force(), &self.configuration_item) {
+        if let (Some(version), Some(item)) = (
+            self.context.configuration_version(),
+            &self.configuration_item,
+        ) {
             self.configuration_keeper
                 .keep(item.clone(), version, self.kept_revision);
         }
     }
 
-    /// Returns the version of the configuration in force; `None` before the first
-    /// configuration.
-    fn version_in_force(&self) -> Option<u64> {
-        let routes = self.context.routes.borrow();
-        routes.as_ref().map(|table| table.configuration().version)
-    }
-
     /// Puts a configuration in force unless the same or a newer version already is.
     /// Returns whether it did.
     fn configure(&self, configuration: barleyspar_catalog::Configuration) -> bool {
-        if self.version_in_force() >= Some(configuration.version) {
+        if self.context.configuration_version() >= Some(configuration.version) {
             return false;
         }
         let version = configuration.version;
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -15,6 +15,7 @@
     AdvertisedLimits, BrittleServiceNames, CallId, Command, DispatchHandle, DrainingRunners,
     Permit, RatePermitRequest, RequestedPauses, Snapshot,
 };
+use crate::essential_tasks::EssentialTasks;
 use crate::journal;
 
 /// Time until the next poll of the queue if no command arrives and nothing is due earlier.
@@ -32,10 +33,12 @@
 /// Starts the task and returns a handle to it. `urgent_demand` is notified when a request
 /// starts to wait or is refused, so that this node's demand is sent to the placement leader
 /// at once. `rate_permits` receives the requests for permits to call rate-limited runners.
+/// The task becomes one of `tasks`.
 pub fn start(
     dispatcher: Dispatcher,
     urgent_demand: Arc<tokio::sync::Notify>,
     rate_permits: mpsc::UnboundedSender<RatePermitRequest>,
+    tasks: &EssentialTasks,
 ) -> DispatchHandle {
     let (commands, inbox) = mpsc::unbounded_channel();
     let (limits_sender, limits) = watch::channel(AdvertisedLimits::default());
@@ -64,7 +67,7 @@
         requested_pauses: pauses_sender,
         logged_ignored_prompts: 0,
     };
-    crate::tasks::spawn(task.run(inbox));
+    tasks.spawn("dispatch", task.run(inbox));
     handle
 }
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -11,6 +11,7 @@
 use barleyspar_dispatch::{LimitChange, Refusal, RunnerSpeedChange};
 use barleyspar_domain::Verdict;
 
+use crate::answers::OwnAnswer;
 use crate::attempt::AttemptError;
 use crate::context::Context;
 use crate::crashes::BrokenRequest;
@@ -376,15 +377,20 @@
     }
 }
 
-/// Logs the end of a request that was not admitted.
-pub fn turned_away(request: &str, status: u16, verdict: Verdict, took: Duration, reason: &str) {
+/// Logs the end of a request that was not admitted but got `answer`, with the version of the
+/// configuration in force and the time for which this node may have missed changes of it.
+pub fn turned_away(context: &Context, request: &str, answer: &OwnAnswer, took: Duration) {
+    let version = context.configuration_version();
+    let knowledge_age_ms = context.view_staleness().map(milliseconds);
     tracing::warn!(
         event = "ended",
         request,
-        status,
-        verdict = verdict.as_str(),
+        status = answer.status.as_u16(),
+        verdict = answer.verdict.as_str(),
         took_ms = milliseconds(took),
-        reason
+        reason = answer.reason,
+        version,
+        knowledge_age_ms
     );
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,6 +23,7 @@
 use crate::crashes::CrashTask;
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
+use crate::essential_tasks::EssentialTasks;
 use crate::feed::{FeedState, FeedTask};
 use crate::kept_configuration::ConfigurationKeeper;
 use crate::lifecycle::{Lifecycle, Stage};
@@ -33,6 +34,7 @@
 use crate::prefill::PrefillTask;
 use crate::quota::QuotaTask;
 use crate::restore_tracker::RestoreTracker;
+use crate::stalls::report_stalls;
 use crate::store::Store;
 use crate::tunnel::{self, TunnelPeers};
 use crate::{
@@ -70,6 +72,9 @@
     /// The handlers for SIGTERM and SIGHUP could not be installed.
     #[error("cannot handle signals: {0}")]
     Signals(io::Error),
+    /// A task without which the gateway must not serve has ended, by a panic for example.
+    #[error("the task {0} has ended")]
+    TaskEnded(&'static str),
 }
 
 /// Options of model placement: the operators' policy, and switches for measurements.
@@ -93,7 +98,7 @@
 }
 
 /// Runs a gateway until it has stopped after a SIGTERM. `read_settings` reads the settings
-/// again: at each SIGHUP and at an interval.
+/// again: at each SIGHUP and at an interval. Fails if one of the gateway's tasks ends.
 pub async fn run(
     read_settings: impl Fn() -> Result<NodeSettings, String> + Send + 'static,
     settings: NodeSettings,
@@ -106,7 +111,13 @@
     let dispatch = gateway.context.dispatch.clone();
     let limits = retry_budget(&gateway.context.settings);
     crate::tasks::spawn(follow_settings(hangup, read_settings, limits, dispatch));
-    let _ = terminate.recv().await;
+    let ended_task = tokio::select! {
+        _ = terminate.recv() => None,
+        task = gateway.tasks.first_ended() => Some(task),
+    };
+    if let Some(task) = ended_task {
+        return Err(NodeError::TaskEnded(task));
+    }
     tracing::info!(event = "stopping", reason = "SIGTERM");
     gateway.stop().await;
     tracing::info!(event = "stopped");
@@ -117,6 +128,7 @@
 /// one process.
 pub struct Gateway {
     context: Context,
+    tasks: EssentialTasks,
     stage: watch::Sender<Stage>,
 }
 
@@ -130,8 +142,21 @@
         network: Arc<dyn Network>,
     ) -> Result<Self, NodeError> {
         let (stage, lifecycle) = Lifecycle::running();
-        let context = start(settings, dialect, placement_options, network, lifecycle).await?;
-        Ok(Self { context, stage })
+        let tasks = EssentialTasks::new();
+        let context = start(
+            settings,
+            dialect,
+            placement_options,
+            network,
+            lifecycle,
+            &tasks,
+        )
+        .await?;
+        Ok(Self {
+            context,
+            tasks,
+            stage,
+        })
     }
 
     /// Stops the gateway in order. It first accepts requests as long as load balancers may
@@ -190,6 +215,7 @@
     placement_options: PlacementOptions,
     network: Arc<dyn Network>,
     lifecycle: Lifecycle,
+    tasks: &EssentialTasks,
 ) -> Result<Context, NodeError> {
     let settings = Arc::new(settings);
     let urgent_demand = Arc::new(Notify::new());
@@ -222,7 +248,7 @@
         quota,
         prefill: uses_prefill.then(|| prefill.clone()),
         access_bounds: AccessBounds::new(&settings.bounds),
-        dispatch: dispatch::start(dispatcher, urgent_demand.clone(), rate_permits),
+        dispatch: dispatch::start(dispatcher, urgent_demand.clone(), rate_permits, tasks),
         crashes,
         pool: Arc::default(),
         reachability: Arc::default(),
@@ -322,7 +348,7 @@
         seen_peers,
         lease,
     };
-    crate::tasks::spawn(discovery.run(changes));
+    tasks.spawn("discovery", discovery.run(changes));
     let (feed_state_sender, feed_state) = watch::channel(FeedState::default());
     let feed_task = FeedTask::new(
         context.clone(),
@@ -331,27 +357,36 @@
         feed_state_sender,
         changes_sender,
     );
-    crate::tasks::spawn(feed::serve(follower_listener, feed_state.clone()));
-    crate::tasks::spawn(feed_task.run());
-    crate::tasks::spawn(tunnel::serve(context.clone(), tunnel_listener));
-    crate::tasks::spawn(register::register(
-        store,
-        context.clone(),
-        feed_state.clone(),
-    ));
-    crate::tasks::spawn(peer_task.run());
-    crate::tasks::spawn(placement_task.run());
-    crate::tasks::spawn(quota_task.run());
+    tasks.spawn(
+        "feed_server",
+        feed::serve(follower_listener, feed_state.clone()),
+    );
+    tasks.spawn("feed", feed_task.run());
+    tasks.spawn("tunnels", tunnel::serve(context.clone(), tunnel_listener));
+    tasks.spawn(
+        "register",
+        register::register(store, context.clone(), feed_state.clone()),
+    );
+    tasks.spawn("peers", peer_task.run());
+    tasks.spawn("placement", placement_task.run());
+    tasks.spawn("quota", quota_task.run());
     if uses_prefill {
-        crate::tasks::spawn(prefill_task.run());
+        tasks.spawn("prefill", prefill_task.run());
     }
-    crate::tasks::spawn(CrashTask::new(context.clone(), crash_inbox).run());
-    crate::tasks::spawn(rate_permits::serve_requests(
-        context.clone(),
-        rate_permit_requests,
-    ));
-    crate::tasks::spawn(lease_keeper.run());
-    crate::tasks::spawn(close_expired_connections(context.clone()));
+    tasks.spawn(
+        "crashes",
+        CrashTask::new(context.clone(), crash_inbox).run(),
+    );
+    tasks.spawn(
+        "rate_permits",
+        rate_permits::serve_requests(context.clone(), rate_permit_requests),
+    );
+    tasks.spawn("lease", lease_keeper.run());
+    tasks.spawn(
+        "idle_connections",
+        close_expired_connections(context.clone()),
+    );
+    tasks.spawn("stalls", report_stalls());
     if let Some(address) = settings.metrics_address {
         let metrics_listener = network
             .listen(address)
@@ -359,7 +394,7 @@
             .map_err(|cause| address_error("metrics address", address, cause))?;
         serve_metrics(&context, metrics_listener);
     }
-    serve(&context, caller_listener, readiness_listener);
+    serve(&context, caller_listener, readiness_listener, tasks);
     tracing::info!(
         event = "started",
         zone = &*settings.zone,
@@ -392,6 +427,7 @@
     context: &Context,
     caller_listener: Box<dyn Listener>,
     readiness_listener: Box<dyn Listener>,
+    tasks: &EssentialTasks,
 ) {
     let descriptors = context.settings.limits.descriptors as usize;
     let connections = descriptors
@@ -417,24 +453,20 @@
     };
     let lifecycle = context.lifecycle.clone();
     let caller_limits = limits.clone();
-    crate::tasks::spawn(listener::serve(
-        caller_listener,
-        caller_limits,
-        lifecycle,
-        handle,
-    ));
+    tasks.spawn(
+        "callers",
+        listener::serve(caller_listener, caller_limits, lifecycle, handle),
+    );
     let readiness_context = context.clone();
     let answer = move |request| {
         let context = readiness_context.clone();
         async move { readiness::answer(&context, &request) }
     };
     let never_stopped = Lifecycle::never_stopped();
-    crate::tasks::spawn(listener::serve(
-        readiness_listener,
-        limits,
-        never_stopped,
-        answer,
-    ));
+    tasks.spawn(
+        "readiness",
+        listener::serve(readiness_listener, limits, never_stopped, answer),
+    );
 }
 
 /// Spawns the task that serves the metrics, on an address of its own.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -54,14 +54,7 @@
         Err(answer) => {
             context.metrics.turned_away(answer.reason);
             let id = request_id.as_deref().unwrap_or("-");
-            let status = answer.status.as_u16();
-            journal::turned_away(
-                id,
-                status,
-                answer.verdict,
-                received.elapsed(),
-                answer.reason,
-            );
+            journal::turned_away(&context, id, &answer, received.elapsed());
             answer.into_response(&context, request_id.as_deref())
         }
     }
