Soak: the copies of the store at all gateways against the store, key by key, and a store with small pages

For the incident's class (a copy that counts as complete and lacks a change), on real processes: the soak follows the store itself and every 0.4 s reads each gateway's copy as a follower does (read_copy). Two new promises: a copy shows each key as the store had it at the revision that the copy claims, or as a later change left it; a copy has all changes made before the time as of which it claims to be complete.

The store: six items a page, so that a read of everything takes several answers between which the store changes; it forgets its history (which excuses no gateway), and is slow for three seconds.

A runner now tells its models at its start too, none included; the check is the same.

Tests: a copy that lost a change, one that is older than it claims, a new process that holds nothing.

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -16,6 +16,7 @@
 mod poll;
 mod publisher;
 mod serve;
+mod snapshot;
 mod staleness;
 mod state;
 mod store_reader;
@@ -34,6 +35,7 @@
 mod tree_tests;
 
 pub use serve::serve;
+pub use snapshot::{CopySnapshot, read_copy};
 pub use state::{Change, FeedState};
 pub use task::FeedTask;
 pub use tree::{OwnNode, count_preceding_peers};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod upstream;
 
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
+pub use feed::{CopySnapshot, read_copy};
 pub use network::{ByteStream, Datagrams, Listener, Network, Sockets};
 pub use node::{Gateway, NodeError, PlacementOptions, run};
 pub use tasks::TaskGroup;
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -1,6 +1,7 @@
 //! The promises, checked on the observations of a soak. Pure functions: each returns what breaks
 //! one promise.
 
+mod copies;
 mod gateways;
 mod requests;
 mod runners;
@@ -44,6 +45,8 @@
         gateways::planned_stops_end_in_time(observations),
         runners::draining_runners_get_nothing(observations),
         gateways::changes_are_in_force_and_stay(observations, &runs),
+        copies::copies_agree_with_the_store(observations),
+        copies::copies_are_as_young_as_they_claim(observations),
         runners::memory_is_never_overcommitted(observations),
         runners::replicas_stay_within_the_policy(observations),
         runners::fencing_tokens_have_one_holder(observations),
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -2,7 +2,8 @@
 use crate::checks::gateways::the_site_recovers;
 use crate::checks::requests::TOLERATED_LOSSES;
 use crate::observations::{
-    Attempt, AttemptOutcome, Expected, FaultRecord, RequestKind, RouteProbe, RunnerObservation,
+    Attempt, AttemptOutcome, CopyObservation, Expected, FaultRecord, RequestKind, RouteProbe,
+    RunnerObservation, StoreChange,
 };
 use crate::site::{OTHER_PLAIN, PLAIN, RETRY_EXTRA};
 
@@ -226,6 +227,73 @@
     assert_eq!(broken(&observations), ["replicas_within_the_policy"]);
 }
 
+#[test]
+fn a_new_process_of_a_runner_that_holds_nothing_is_no_replica() {
+    let mut observations = Observations::default();
+    let models =
+        |models: &[&str]| RunnerEvent::Models(models.iter().map(|m| (*m).into()).collect());
+    observations.runners.push(observed(1, 5, models(&["a"])));
+    observations.runners.push(observed(2, 5, models(&["a"])));
+    let mut new_process = observed(1, 8, models(&[]));
+    new_process.life = 1;
+    observations.runners.push(new_process);
+    observations.runners.push(observed(3, 10, models(&["a"])));
+    assert!(broken(&observations).is_empty());
+}
+
+fn change(number: u64, key: &str, removed: bool) -> StoreChange {
+    StoreChange {
+        number,
+        key: key.into(),
+        removed,
+        at: seconds(number),
+    }
+}
+
+fn copy(number: u64, items: &[(&str, u64)]) -> CopyObservation {
+    CopyObservation {
+        gateway: 1,
+        asked_at: seconds(10),
+        number,
+        age: seconds(4),
+        items: items
+            .iter()
+            .map(|(key, number)| ((*key).to_owned(), *number))
+            .collect(),
+    }
+}
+
+#[test]
+fn a_copy_that_lost_a_change_is_noticed() {
+    let mut observations = Observations::default();
+    observations.store_changes = vec![
+        change(1, "a", false),
+        change(2, "b", false),
+        change(3, "a", false),
+        change(5, "b", true),
+        change(7, "a", false),
+    ];
+    observations.copies.push(copy(6, &[("a", 3)]));
+    observations.copies.push(copy(6, &[("a", 7)]));
+    assert!(broken(&observations).is_empty());
+    observations.copies.push(copy(6, &[("a", 1)]));
+    assert_eq!(broken(&observations), ["copies_agree_with_the_store"]);
+    observations.copies[2] = copy(6, &[("a", 3), ("b", 2)]);
+    assert_eq!(broken(&observations), ["copies_agree_with_the_store"]);
+    observations.copies[2] = copy(6, &[]);
+    assert_eq!(broken(&observations), ["copies_agree_with_the_store"]);
+}
+
+#[test]
+fn a_copy_that_is_older_than_it_claims_is_noticed() {
+    let mut observations = Observations::default();
+    observations.store_changes = vec![change(1, "a", false), change(6, "a", false)];
+    observations.copies.push(copy(1, &[("a", 1)]));
+    assert_eq!(broken(&observations), ["copies_are_as_young_as_they_claim"]);
+    observations.copies[0].age = seconds(5);
+    assert!(broken(&observations).is_empty());
+}
+
 #[test]
 fn overcommitted_memory_is_noticed() {
     let mut observations = Observations::default();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,7 @@
 use crate::operator::{Lives, Operator};
 use crate::processes::Process;
 use crate::proxy::{Harm, LinkState, Proxy};
+use crate::roles::store::{BECOME_SLOW, FORGET_HISTORY, SLOW_TIME};
 use crate::site::{GRACE_PERIOD, Ports};
 
 /// Longest pause of a lane between two faults, in milliseconds.
@@ -138,6 +139,8 @@
     RunnerPause,
     RunnerDrain,
     StorePause,
+    StoreSlow,
+    StoreForgets,
     ClientLink,
     StoreLink,
     RunnerLink,
@@ -145,7 +148,7 @@
     BadInput,
 }
 
-const KINDS: [Kind; 13] = [
+const KINDS: [Kind; 15] = [
     Kind::GatewayKill,
     Kind::GatewayPause,
     Kind::GatewayStop,
@@ -154,6 +157,8 @@
     Kind::RunnerPause,
     Kind::RunnerDrain,
     Kind::StorePause,
+    Kind::StoreSlow,
+    Kind::StoreForgets,
     Kind::ClientLink,
     Kind::StoreLink,
     Kind::RunnerLink,
@@ -236,6 +241,29 @@
                 self.pause("store_pause", Target::Store).await;
                 Ok(())
             }
+            Kind::StoreSlow => {
+                let Some(slot) = Self::slot(&machines, Target::Store) else {
+                    return Ok(());
+                };
+                let fault = machines
+                    .recorder
+                    .begin_fault("store_slow", false, Target::Store);
+                slot.process.signal(BECOME_SLOW);
+                sleep(SLOW_TIME).await;
+                machines.recorder.end_fault(fault);
+                Ok(())
+            }
+            Kind::StoreForgets => {
+                if let Some(slot) = Self::slot(&machines, Target::Store) {
+                    let fault =
+                        machines
+                            .recorder
+                            .begin_fault("store_forgets", false, Target::StoreHistory);
+                    slot.process.signal(FORGET_HISTORY);
+                    machines.recorder.end_fault(fault);
+                }
+                Ok(())
+            }
             Kind::GatewayStop => {
                 let index = self.draw_index(gateways);
                 self.stop("gateway_stop", Target::Gateway(index as u8 + 1))
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //! The soak starts a store, runners and gateways as processes ([`roles`]), puts a proxy before
 //! the links from clients to gateways, from gateways to the store and to runners ([`proxy`]),
 //! sends traffic ([`clients`]) and changes the configuration ([`operator`]), while faults that a
-//! seed draws strike from outside ([`faults`]). What clients, runners and operators saw is
+//! seed draws strike from outside ([`faults`]). It also records the store's changes and the copies
+//! that the gateways have of them ([`copies`]). What clients, runners and operators saw is
 //! checked against the promises ([`checks`]).
 //!
 //! The gateways run the product's code on the system's sockets, with the stand-ins' dialect.
@@ -13,6 +14,7 @@
 pub mod arguments;
 pub mod checks;
 pub mod clients;
+pub mod copies;
 pub mod faults;
 pub mod observations;
 pub mod operator;
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -1,5 +1,6 @@
 //! What clients, runners, operators and the soak itself observed, with times since the start.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -112,6 +113,8 @@
     Runner(u8),
     /// The store's process.
     Store,
+    /// The history of the store's changes, which it forgets.
+    StoreHistory,
     /// The links from clients to a gateway.
     ClientLink(u8),
     /// The link from a gateway to the store.
@@ -168,6 +171,34 @@
     pub status: Option<u16>,
 }
 
+/// A change that the store made, as a watch of the soak's own told it.
+#[derive(Debug, Clone)]
+pub struct StoreChange {
+    /// Number of the change.
+    pub number: u64,
+    /// Key that was written or removed.
+    pub key: String,
+    /// Whether the key was removed.
+    pub removed: bool,
+    /// When the soak learned of it: after the change.
+    pub at: Duration,
+}
+
+/// A gateway's copy of the store, as a follower gets it.
+#[derive(Debug, Clone)]
+pub struct CopyObservation {
+    /// The gateway.
+    pub gateway: u8,
+    /// When the soak asked for it: before the gateway sent it.
+    pub asked_at: Duration,
+    /// Number of the store's last change that the copy claims to show.
+    pub number: u64,
+    /// Time before the answer within which changes may be missing, as the gateway said.
+    pub age: Duration,
+    /// Numbers of the changes that wrote the items, by key.
+    pub items: BTreeMap<String, u64>,
+}
+
 /// All observations of a soak.
 #[derive(Debug, Default)]
 pub struct Observations {
@@ -177,8 +208,12 @@
     pub runners: Vec<RunnerObservation>,
     /// Faults and planned work, in the order in which they began.
     pub faults: Vec<FaultRecord>,
-    /// Answers on routes that were added.
+    /// What gateways made of requests to routes that were changed.
     pub probes: Vec<RouteProbe>,
+    /// All changes of the store, in its order, up to the first that the soak missed.
+    pub store_changes: Vec<StoreChange>,
+    /// Copies of the store at gateways.
+    pub copies: Vec<CopyObservation>,
 }
 
 /// Records observations; clones share them.
--- a/crates/soak/src/roles/mod.rs
+++ b/crates/soak/src/roles/mod.rs
@@ -2,7 +2,7 @@
 
 mod gateway;
 mod runner;
-mod store;
+pub mod store;
 pub mod store_client;
 
 use std::net::SocketAddr;
--- a/crates/soak/src/roles/runner.rs
+++ b/crates/soak/src/roles/runner.rs
@@ -116,7 +116,9 @@
 
 /// Tells the soak what the runner does.
 async fn tell(runner: RunnerStandIn) {
-    let (mut runs, mut orders, mut models) = (0, 0, Vec::new());
+    let (mut runs, mut orders) = (0, 0);
+    // Also told at the start: a new process holds less than the former one.
+    let mut models = None;
     let mut was_overcommitted = false;
     loop {
         for id in runner.run_ids_from(runs) {
@@ -130,9 +132,9 @@
         }
         orders = all_orders.len();
         let held = runner.loaded_models();
-        if held != models {
+        if models.as_ref() != Some(&held) {
             print(&RunnerEvent::Models(held.clone()));
-            models = held;
+            models = Some(held);
         }
         if runner.overcommitted() && !was_overcommitted {
             was_overcommitted = true;
--- a/crates/soak/src/roles/store.rs
+++ b/crates/soak/src/roles/store.rs
@@ -1,14 +1,44 @@
 //! The store's process.
 
+use std::time::Duration;
+
 use barleyspar_standin::StoreStandIn;
+use nix::sys::signal::Signal;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
 
 use crate::SoakError;
 use crate::roles::accept_for_stand_in;
 use crate::site::Ports;
 
+/// The signal at which the store forgets the history of its changes.
+pub const FORGET_HISTORY: Signal = Signal::SIGUSR1;
+/// The signal at which the store becomes slow for [`SLOW_TIME`].
+pub const BECOME_SLOW: Signal = Signal::SIGUSR2;
+/// Time for which the store stays slow.
+pub const SLOW_TIME: Duration = Duration::from_secs(3);
+/// Additional time that a slow store takes for an answer.
+const SLOW_LATENCY: Duration = Duration::from_millis(600);
+/// Items in a page: so few that a read of everything takes several pages, between which the
+/// store changes.
+const PAGE_ITEMS: usize = 6;
+
 /// Serves the store until the process is ended.
 pub async fn run(ports: Ports) -> Result<(), SoakError> {
     let connections = accept_for_stand_in(ports.store()).await?;
-    StoreStandIn::default().serve_connections(connections);
-    std::future::pending().await
+    let store = StoreStandIn::default();
+    store.set_page_items(PAGE_ITEMS);
+    store.serve_connections(connections);
+    let mut forget = signal(SignalKind::user_defined1()).map_err(SoakError::io("signals"))?;
+    let mut slow = signal(SignalKind::user_defined2()).map_err(SoakError::io("signals"))?;
+    loop {
+        tokio::select! {
+            _ = forget.recv() => store.compact_history(),
+            _ = slow.recv() => {
+                store.set_extra_latency(SLOW_LATENCY);
+                sleep(SLOW_TIME).await;
+                store.set_extra_latency(Duration::ZERO);
+            }
+        }
+    }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -13,6 +13,7 @@
 use crate::arguments::SoakOptions;
 use crate::checks::check;
 use crate::clients::{ANSWER_SLACK, Clients, STREAM_DEADLINE, balance};
+use crate::copies::{record_copies, record_store};
 use crate::faults::{Lane, Machines, Slot};
 use crate::observations::{Recorder, RequestKind, Target};
 use crate::operator::{Lives, Operator, change_steadily};
@@ -48,6 +49,8 @@
     ]));
     let machines = start_machines(options, &directory, ports, &lives, &recorder).await?;
     let machines = Arc::new(machines);
+    tokio::spawn(record_store(ports, recorder.clone()));
+    tokio::spawn(record_copies(ports, options.gateways, recorder.clone()));
     let operator = Operator::new(ports, options.gateways, lives, recorder.clone());
     operator.publish().await;
     let operator = Arc::new(Mutex::new(operator));
--- a/crates/soak/src/summary.rs
+++ b/crates/soak/src/summary.rs
@@ -21,8 +21,10 @@
     pub outcomes: BTreeMap<String, usize>,
     /// Faults and planned work, by kind.
     pub faults: BTreeMap<&'static str, usize>,
-    /// Number of answers on routes that were added.
+    /// Number of answers on routes that were changed.
     pub probes: usize,
+    /// Number of copies of the store that were compared with it.
+    pub copies: usize,
     /// Longest time in which no attempt was served, in milliseconds.
     pub longest_outage_ms: u128,
     /// What broke a promise.
@@ -51,6 +53,7 @@
             outcomes,
             faults,
             probes: observations.probes.len(),
+            copies: observations.copies.len(),
             longest_outage_ms: longest_outage(observations).as_millis(),
             violations,
         }
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -16,11 +16,12 @@
     lease: u64,
 }
 
-/// Maximum number of items in a page, as in the platform's store.
+/// Maximum number of items in a page, as in the platform's store, unless a test sets another
+/// one.
 const PAGE_ITEMS: usize = 500;
 
 /// All data of the store at one time. Leases end by tokio's clock.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct StoreData {
     era: u32,
     /// Number given to the last change or lease; both take their numbers from this counter.
@@ -31,6 +32,22 @@
     compacted_up_to: u64,
     /// Time to live and end of each lease, by its id.
     leases: BTreeMap<u64, (Duration, Instant)>,
+    /// Maximum number of items in a page.
+    page_items: usize,
+}
+
+impl Default for StoreData {
+    fn default() -> Self {
+        Self {
+            era: 0,
+            last_number: 0,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            compacted_up_to: 0,
+            leases: BTreeMap::new(),
+            page_items: PAGE_ITEMS,
+        }
+    }
 }
 
 impl StoreData {
@@ -59,7 +76,7 @@
             .map(|stored| &stored.item)
             .filter(|item| item.key.starts_with(prefix))
             .filter(|item| after.is_none_or(|after| *item.key > *after));
-        let items = remaining.by_ref().take(PAGE_ITEMS).cloned();
+        let items = remaining.by_ref().take(self.page_items).cloned();
         let items = items.map(|item| self.with_current_era(item)).collect();
         StoreAnswer::Page {
             items,
@@ -82,6 +99,11 @@
         self.items.get(key).map(|stored| stored.item.value.clone())
     }
 
+    /// Sets the maximum number of items in a page.
+    pub(super) fn set_page_items(&mut self, count: usize) {
+        self.page_items = count;
+    }
+
     /// Removes all changes so far from the history. The items stay.
     pub(super) fn compact_history(&mut self) {
         self.compacted_up_to = self.last_number;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -144,6 +144,12 @@
         self.lock().faults.lose_change_answers = count;
     }
 
+    /// Sets the maximum number of items in a page. The pages of a read are answers of their
+    /// own, between which the store may change.
+    pub fn set_page_items(&self, count: usize) {
+        self.lock().data.set_page_items(count);
+    }
+
     /// Sets the time that each answer takes in addition to the usual one.
     pub fn set_extra_latency(&self, time: Duration) {
         self.lock().faults.extra_latency = time;
