--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -266,13 +266,13 @@
 #[test]
 fn a_copy_that_lost_a_change_is_noticed() {
     let mut observations = Observations::default();
-    observations.store_changes = vec![
+    observations.store_changes.extend([
         change(1, "a", false),
         change(2, "b", false),
         change(3, "a", false),
         change(5, "b", true),
         change(7, "a", false),
-    ];
+    ]);
     observations.copies.push(copy(6, &[("a", 3)]));
     observations.copies.push(copy(6, &[("a", 7)]));
     assert!(broken(&observations).is_empty());
@@ -287,7 +287,9 @@
 #[test]
 fn a_copy_that_is_older_than_it_claims_is_noticed() {
     let mut observations = Observations::default();
-    observations.store_changes = vec![change(1, "a", false), change(6, "a", false)];
+    observations
+        .store_changes
+        .extend([change(1, "a", false), change(6, "a", false)]);
     observations.copies.push(copy(1, &[("a", 1)]));
     assert_eq!(broken(&observations), ["copies_are_as_young_as_they_claim"]);
     observations.copies[0].age = seconds(5);
