Soak: the store tells its own changes

The soak's watch of the store missed what was forgotten before it had been read, and stopped there: copies were then compared with an old state.

Now the store's process writes each change as a line, before it forgets any.

--- a/crates/soak/src/checks/copies.rs
+++ b/crates/soak/src/checks/copies.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::checks::Violation;
-use crate::observations::{CopyObservation, Observations, StoreChange};
+use crate::observations::{CopyObservation, Observations, StoreObservation};
 
 /// The store's changes by key, each with its number and whether it removed the key.
 type History<'a> = BTreeMap<&'a str, Vec<(u64, bool)>>;
@@ -11,19 +11,13 @@
 /// A copy shows each key as the store had it at the revision that the copy claims, or as a
 /// later change left it.
 pub(super) fn copies_agree_with_the_store(observations: &Observations) -> Vec<Violation> {
-    let Some(last_known) = observations.store_changes.last() else {
-        return Vec::new();
-    };
     let mut history = History::new();
-    for change in &observations.store_changes {
+    for StoreObservation { change, .. } in &observations.store_changes {
         let changes = history.entry(&change.key).or_default();
         changes.push((change.number, change.removed));
     }
     let mut violations = Vec::new();
     for copy in &observations.copies {
-        if copy.number > last_known.number {
-            continue;
-        }
         let unknown = copy.items.keys().find(|key| !history.contains_key(&***key));
         let wrong = history
             .iter()
@@ -58,7 +52,7 @@
         if let Some(change) = missed {
             let seen = format!(
                 "gateway {} at {}, asked at {:?}, claimed an age of {:?} and lacks {} of {:?}",
-                copy.gateway, copy.number, copy.asked_at, copy.age, change.number, change.at
+                copy.gateway, copy.number, copy.asked_at, copy.age, change.change.number, change.at
             );
             violations.push(Violation::new("copies_are_as_young_as_they_claim", seen));
         }
@@ -69,9 +63,9 @@
 fn first_missed<'a>(
     observations: &'a Observations,
     copy: &CopyObservation,
-) -> Option<&'a StoreChange> {
+) -> Option<&'a StoreObservation> {
     let complete_at = copy.asked_at.checked_sub(copy.age)?;
     let changes = observations.store_changes.iter();
     let mut known_then = changes.take_while(|change| change.at <= complete_at);
-    known_then.find(|change| change.number > copy.number)
+    known_then.find(|known| known.change.number > copy.number)
 }
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -3,7 +3,7 @@
 use crate::checks::requests::TOLERATED_LOSSES;
 use crate::observations::{
     Attempt, AttemptOutcome, CopyObservation, Expected, FaultRecord, RequestKind, RouteProbe,
-    RunnerObservation, StoreChange,
+    RunnerObservation, StoreChange, StoreObservation,
 };
 use crate::site::{OTHER_PLAIN, PLAIN, RETRY_EXTRA};
 
@@ -241,12 +241,14 @@
     assert!(broken(&observations).is_empty());
 }
 
-fn change(number: u64, key: &str, removed: bool) -> StoreChange {
-    StoreChange {
-        number,
-        key: key.into(),
-        removed,
+fn change(number: u64, key: &str, removed: bool) -> StoreObservation {
+    StoreObservation {
         at: seconds(number),
+        change: StoreChange {
+            number,
+            key: key.into(),
+            removed,
+        },
     }
 }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::SoakError;
-use crate::observations::{Recorder, RunnerObservation, Target};
+use crate::observations::{Recorder, RunnerObservation, StoreObservation, Target};
 use crate::operator::{Lives, Operator};
 use crate::processes::Process;
 use crate::proxy::{Harm, LinkState, Proxy};
@@ -69,20 +69,29 @@
     pub recorder: Recorder,
 }
 
+/// A process that tells what it does, as JSON lines on its standard output.
+#[derive(Debug, Clone, Copy)]
+pub enum EventSource {
+    /// The store.
+    Store,
+    /// The runner with this number.
+    Runner(u8),
+}
+
 impl Slot {
-    /// Starts a process with `arguments`, whose output goes to `log`. The events of a runner,
-    /// `runner`, are recorded.
+    /// Starts a process with `arguments`, whose output goes to `log`. If it tells what it does,
+    /// `events` says how and where this is recorded.
     pub fn start(
         arguments: Vec<String>,
         log: PathBuf,
         life: u32,
-        runner: Option<(u8, &Recorder)>,
+        events: Option<(EventSource, &Recorder)>,
     ) -> Result<Self, SoakError> {
         let mut all = arguments.clone();
         all.extend(["--life".to_owned(), life.to_string()]);
-        let (process, output) = Process::start(&all, &log, runner.is_some())?;
-        if let (Some(output), Some((number, recorder))) = (output, runner) {
-            tokio::spawn(read_events(output, number, life, recorder.clone()));
+        let (process, output) = Process::start(&all, &log, events.is_some())?;
+        if let (Some(output), Some((source, recorder))) = (output, events) {
+            tokio::spawn(read_events(output, source, life, recorder.clone()));
         }
         Ok(Self {
             process,
@@ -92,9 +101,9 @@
         })
     }
 
-    fn restart(&mut self, runner: Option<(u8, &Recorder)>) -> Result<(), SoakError> {
+    fn restart(&mut self, events: Option<(EventSource, &Recorder)>) -> Result<(), SoakError> {
         let (arguments, log) = (self.arguments.clone(), self.log.clone());
-        *self = Self::start(arguments, log, self.life + 1, runner)?;
+        *self = Self::start(arguments, log, self.life + 1, events)?;
         Ok(())
     }
 
@@ -104,26 +113,36 @@
     }
 }
 
-/// Records the events that a runner tells.
+/// Records what a process tells.
 async fn read_events(
     output: tokio::process::ChildStdout,
-    runner: u8,
+    source: EventSource,
     life: u32,
     recorder: Recorder,
 ) {
     use tokio::io::AsyncBufReadExt;
     let mut lines = tokio::io::BufReader::new(output).lines();
     while let Ok(Some(line)) = lines.next_line().await {
+        let at = recorder.now();
         // A line that a killed process left unfinished tells nothing.
-        if let Ok(event) = serde_json::from_str(&line) {
-            let at = recorder.now();
-            let observation = RunnerObservation {
-                runner,
-                life,
-                at,
-                event,
-            };
-            recorder.lock().runners.push(observation);
+        match source {
+            EventSource::Store => {
+                if let Ok(change) = serde_json::from_str(&line) {
+                    let observation = StoreObservation { at, change };
+                    recorder.lock().store_changes.push(observation);
+                }
+            }
+            EventSource::Runner(runner) => {
+                if let Ok(event) = serde_json::from_str(&line) {
+                    let observation = RunnerObservation {
+                        runner,
+                        life,
+                        at,
+                        event,
+                    };
+                    recorder.lock().runners.push(observation);
+                }
+            }
         }
     }
 }
@@ -455,7 +474,9 @@
     /// Starts a process again that has ended.
     fn start_again(&self, slot: &mut Slot, target: Target) -> Result<(), SoakError> {
         match target {
-            Target::Runner(number) => slot.restart(Some((number, &self.recorder)))?,
+            Target::Runner(number) => {
+                slot.restart(Some((EventSource::Runner(number), &self.recorder)))?;
+            }
             _ => slot.restart(None)?,
         }
         if let Target::Gateway(number) = target {
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -171,8 +171,8 @@
     pub status: Option<u16>,
 }
 
-/// A change that the store made, as a watch of the soak's own told it.
-#[derive(Debug, Clone)]
+/// A change that the store made, as it tells the soak.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct StoreChange {
     /// Number of the change.
     pub number: u64,
@@ -180,8 +180,15 @@
     pub key: String,
     /// Whether the key was removed.
     pub removed: bool,
+}
+
+/// A [`StoreChange`] with its time.
+#[derive(Debug, Clone)]
+pub struct StoreObservation {
     /// When the soak learned of it: after the change.
     pub at: Duration,
+    /// The change.
+    pub change: StoreChange,
 }
 
 /// A gateway's copy of the store, as a follower gets it.
@@ -210,8 +217,8 @@
     pub faults: Vec<FaultRecord>,
     /// What gateways made of requests to routes that were changed.
     pub probes: Vec<RouteProbe>,
-    /// All changes of the store, in its order, up to the first that the soak missed.
-    pub store_changes: Vec<StoreChange>,
+    /// All changes of the store, in its order.
+    pub store_changes: Vec<StoreObservation>,
     /// Copies of the store at gateways.
     pub copies: Vec<CopyObservation>,
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -13,8 +13,8 @@
 use crate::arguments::SoakOptions;
 use crate::checks::check;
 use crate::clients::{ANSWER_SLACK, Clients, STREAM_DEADLINE, balance};
-use crate::copies::{record_copies, record_store};
-use crate::faults::{Lane, Machines, Slot};
+use crate::copies::record_copies;
+use crate::faults::{EventSource, Lane, Machines, Slot};
 use crate::observations::{Recorder, RequestKind, Target};
 use crate::operator::{Lives, Operator, change_steadily};
 use crate::proxy::Proxy;
@@ -49,7 +49,6 @@
     ]));
     let machines = start_machines(options, &directory, ports, &lives, &recorder).await?;
     let machines = Arc::new(machines);
-    tokio::spawn(record_store(ports, recorder.clone()));
     tokio::spawn(record_copies(ports, options.gateways, recorder.clone()));
     let operator = Operator::new(ports, options.gateways, lives, recorder.clone());
     operator.publish().await;
@@ -152,14 +151,14 @@
         arguments("store", 1, ports.store()),
         log("store", 1),
         0,
-        None,
+        Some((EventSource::Store, recorder)),
     )?;
     let mut runners = Vec::new();
     let mut runner_links = Vec::new();
     for number in 1..=options.runners {
         runner_links.push(Proxy::open(ports.runner_proxy(number), ports.runner(number)).await?);
         let arguments = arguments("runner", number, ports.store());
-        let events = Some((number, recorder));
+        let events = Some((EventSource::Runner(number), recorder));
         let runner = Slot::start(arguments, log("runner", number), 0, events)?;
         runners.push(Mutex::new(runner));
     }
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -161,6 +161,12 @@
         }
     }
 
+    /// Returns the changes after the change `number` that the history still holds, in order.
+    pub(super) fn changes_after(&self, number: u64) -> impl Iterator<Item = &Event> {
+        let is_after = move |event: &&Event| event.revision().number > number;
+        self.history.iter().filter(is_after)
+    }
+
     /// Returns the changes of keys under `prefix` after a revision. Fails if the history does
     /// not reach back to it, or if it is in the future.
     pub(super) fn events(&self, prefix: &str, after: Revision) -> Result<StoreAnswer, StoreError> {
@@ -170,16 +176,8 @@
             return Err(StoreError::HistoryLost);
         }
         let events = self
-            .history
-            .iter()
-            .filter(|event| match event {
-                Event::Written(item) => {
-                    item.revision.number > after && item.key.starts_with(prefix)
-                }
-                Event::Removed { key, revision } => {
-                    revision.number > after && key.starts_with(prefix)
-                }
-            })
+            .changes_after(after)
+            .filter(|event| event.key().starts_with(prefix))
             .cloned()
             .map(|event| match event {
                 Event::Written(item) => Event::Written(self.with_current_era(item)),
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use barleyspar_catalog::{Revision, StoreAnswer, StoreCall, StoreError};
+use barleyspar_catalog::{Event, Revision, StoreAnswer, StoreCall, StoreError};
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -144,6 +144,11 @@
         self.lock().faults.lose_change_answers = count;
     }
 
+    /// Returns the changes after the change `number` that the history still holds, in order.
+    pub fn changes_after(&self, number: u64) -> Vec<Event> {
+        self.lock().data.changes_after(number).cloned().collect()
+    }
+
     /// Sets the maximum number of items in a page. The pages of a read are answers of their
     /// own, between which the store may change.
     pub fn set_page_items(&self, count: usize) {
