--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,9 +3,9 @@
 //! The soak starts a store, runners and gateways as processes ([`roles`]), puts a proxy before
 //! the links from clients to gateways, from gateways to the store and to runners ([`proxy`]),
 //! sends traffic ([`clients`]) and changes the configuration ([`operator`]), while faults that a
-//! seed draws strike from outside ([`faults`]). The store tells its changes, and the soak reads the copies
-//! that the gateways have of them ([`copies`]). What clients, runners and operators saw is
-//! checked against the promises ([`checks`]).
+//! seed draws strike from outside ([`faults`]). The store tells its changes, and the soak reads
+//! the copies that the gateways have of them ([`copies`]). What clients, runners and operators
+//! saw is checked against the promises ([`checks`]).
 //!
 //! The gateways run the product's code on the system's sockets, with the stand-ins' dialect.
 //! Links between gateways have no proxy. The soak ends only processes that it started, and uses
