--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -449,12 +449,13 @@
 }
 
 /// All ways in which a link is harmed.
-const ALL_HARMS: [Harm; 6] = [
+const ALL_HARMS: [Harm; 7] = [
     Harm::Delay(Duration::from_millis(80)),
     Harm::Trickle,
     Harm::Silence,
     Harm::SilentAnswers,
     Harm::Reset,
+    Harm::ResetAnswers,
     Harm::RefuseNew,
 ];
 
@@ -466,6 +467,7 @@
         Harm::Silence => "silence",
         Harm::SilentAnswers => "silent_answers",
         Harm::Reset => "reset",
+        Harm::ResetAnswers => "reset_answers",
         Harm::RefuseNew => "refuse_new",
     }
 }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -37,6 +37,9 @@
     SilentAnswers,
     /// Connections are reset, and new ones as well.
     Reset,
+    /// A connection is reset when an answer comes: what was asked has been done, and the one who
+    /// opened the connection cannot know.
+    ResetAnswers,
     /// New connections are reset, while open ones live on.
     RefuseNew,
 }
@@ -163,6 +166,9 @@
             return false;
         }
         let harm = states.borrow().harm_of(draw);
+        if harm == Harm::ResetAnswers && is_answer {
+            return false;
+        }
         if let Harm::Delay(delay) = harm {
             sleep(delay).await;
         }
