--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -142,7 +142,7 @@
         network: Arc<dyn Network>,
     ) -> Result<Self, NodeError> {
         let (stage, lifecycle) = Lifecycle::running();
-        let tasks = EssentialTasks::new();
+        let tasks = EssentialTasks::new(lifecycle.clone());
         let context = start(
             settings,
             dialect,
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -298,6 +298,26 @@
     assert!(broken(&observations).is_empty());
 }
 
+#[test]
+fn a_stop_that_takes_too_long_is_noticed_unless_a_runner_waits_for_the_store() {
+    let overdue = |target| FaultRecord {
+        kind: "stop_overdue",
+        planned: false,
+        target,
+        from: seconds(20),
+        until: Some(seconds(20)),
+    };
+    let mut observations = Observations::default();
+    observations.faults.push(overdue(Target::Runner(1)));
+    assert_eq!(broken(&observations), ["planned_stops_end"]);
+    observations
+        .faults
+        .push(fault(Target::Store, false, 13, 15));
+    assert!(broken(&observations).is_empty());
+    observations.faults.push(overdue(Target::Gateway(1)));
+    assert_eq!(broken(&observations), ["planned_stops_end"]);
+}
+
 #[test]
 fn overcommitted_memory_is_noticed() {
     let mut observations = Observations::default();
