Stand-in store: changes after a number are found by bisection

Each watch, and the soak's store every 10 ms, went through the whole history to find the changes after a number; numbers rise in it. Behaviour as before; tests of gateway, standin and soak pass.

--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -163,8 +163,10 @@
 
     /// Returns the changes after the change `number` that the history still holds, in order.
     pub(super) fn changes_after(&self, number: u64) -> impl Iterator<Item = &Event> {
-        let is_after = move |event: &&Event| event.revision().number > number;
-        self.history.iter().filter(is_after)
+        let start = self
+            .history
+            .partition_point(|event| event.revision().number <= number);
+        self.history[start..].iter()
     }
 
     /// Returns the changes of keys under `prefix` after a revision. Fails if the history does
