--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -184,8 +184,11 @@
             .into_iter()
             .filter(|event| event.revision() > self.revision)
             .collect();
-        let mut new_events = missed.clone();
-        new_events.retain(|event| self.is_new(event));
+        let new_events: Vec<Event> = missed
+            .iter()
+            .filter(|event| self.is_new(event))
+            .cloned()
+            .collect();
         for event in &new_events {
             self.apply_event(event);
         }
