--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{
-    Bounds, ClientLimits, ColdBounds, Configuration, MachineLimits, NodeSettings, QuotaBounds,
-    RequestKind, Route, Service,
+    Bounds, ClientLimits, Configuration, MachineLimits, NodeSettings, RequestKind, Route, Service,
 };
-use barleyspar_standin::{engine_service, plain_service, route};
+use barleyspar_standin::{default_bounds, engine_service, plain_service, route};
 
 /// Placement policy of all gateways: one replica of a model, and a second one if the first
 /// cannot be reached.
@@ -111,7 +110,7 @@
 
 /// Returns whether runner `number` is an engine; the others are plain.
 pub fn is_engine(number: u8) -> bool {
-    number % 2 == 1
+    service_name(number) == ENGINE
 }
 
 /// Returns the name of the service of runner `number`.
@@ -198,21 +197,8 @@
             retry_ratio: RETRY_RATIO,
             retry_window: RETRY_WINDOW,
             retry_extra: RETRY_EXTRA,
-            lease_duration: Duration::from_secs(3),
-            fencing_enforced: true,
-            load_window: Duration::from_secs(5),
-            load_overage: 1.1,
-            revocation_time: None,
-            quota: QuotaBounds {
-                window: Duration::from_secs(8),
-                overage: 0.1,
-                tolerance: 1000.0,
-            },
             evacuation_time: None,
-            cold: ColdBounds {
-                overage: 1.5,
-                tolerance: 5.0,
-            },
+            ..default_bounds()
         },
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,4 +16,6 @@
 pub use network::{Cut, MemoryNetwork};
 pub use runner::{Call, Fault, RequestedPause, Run, RunnerIdentity, RunnerStandIn};
 pub use store::{StoreData, StoreStandIn};
-pub use world::{World, engine_service, one_second_model, plain_service, route, tenant};
+pub use world::{
+    World, default_bounds, engine_service, one_second_model, plain_service, route, tenant,
+};
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -405,6 +405,33 @@
 /// cannot be reached.
 const POLICY: &str = "fn decide(context) { #{ replicas: 2, target: 1 } }";
 
+/// Bounds of a site, unless a test sets others.
+pub fn default_bounds() -> Bounds {
+    Bounds {
+        grace_period: Duration::from_secs(8),
+        configuration_apply_time: Duration::from_secs(2),
+        drain_timeout: Duration::from_secs(2),
+        retry_ratio: 0.2,
+        retry_window: Duration::from_secs(10),
+        retry_extra: 50.0,
+        lease_duration: Duration::from_secs(3),
+        fencing_enforced: true,
+        load_window: Duration::from_secs(5),
+        load_overage: 1.1,
+        revocation_time: None,
+        quota: QuotaBounds {
+            window: Duration::from_secs(8),
+            overage: 0.1,
+            tolerance: 1000.0,
+        },
+        evacuation_time: Some(Duration::from_secs(2)),
+        cold: ColdBounds {
+            overage: 1.5,
+            tolerance: 5.0,
+        },
+    }
+}
+
 /// Settings of gateway `number`, with the default bounds.
 fn settings(number: u8) -> NodeSettings {
     let at = |port| SocketAddr::new(World::gateway_host(number), port);
@@ -427,29 +454,7 @@
             descriptors: 4096,
             link_megabits: 1000,
         },
-        bounds: Bounds {
-            grace_period: Duration::from_secs(8),
-            configuration_apply_time: Duration::from_secs(2),
-            drain_timeout: Duration::from_secs(2),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_extra: 50.0,
-            lease_duration: Duration::from_secs(3),
-            fencing_enforced: true,
-            load_window: Duration::from_secs(5),
-            load_overage: 1.1,
-            revocation_time: None,
-            quota: QuotaBounds {
-                window: Duration::from_secs(8),
-                overage: 0.1,
-                tolerance: 1000.0,
-            },
-            evacuation_time: Some(Duration::from_secs(2)),
-            cold: ColdBounds {
-                overage: 1.5,
-                tolerance: 5.0,
-            },
-        },
+        bounds: default_bounds(),
     }
 }
 
