Logs and facts name a runner's software version and the stream that a request resumes

The entry's version and the header Resumes are decoded into types; lines runner_entry, chosen, resumed and accepted name them. No decision changes.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -32,7 +32,8 @@
 pub use revision::Revision;
 pub use routes::RouteTable;
 pub use runner::{
-    LoadedModel, Runner, RunnerKey, RunnerState, WeightCopies, incarnation_id, runner_key,
+    LoadedModel, Runner, RunnerKey, RunnerState, SoftwareVersion, WeightCopies, incarnation_id,
+    runner_key,
 };
 pub use settings::{Bounds, ColdBounds, MachineLimits, NodeSettings, QuotaBounds};
 pub use signals::RunnerSignals;
--- a/crates/catalog/src/request.rs
+++ b/crates/catalog/src/request.rs
@@ -35,6 +35,9 @@
     /// Id of the last event that the client has received, if it resumes a stream; `None` for
     /// other requests.
     pub last_event_id: Option<String>,
+    /// Id of the client's attempt that brought the first event of the stream that the request
+    /// resumes; `None` if it names none.
+    pub resumes: Option<String>,
     /// Credential of the caller; `None` if the request carries none.
     pub credential: Option<Credential>,
     /// Sum of the prompt and answer tokens that the request names; `None` if it names none.
--- a/crates/catalog/src/runner.rs
+++ b/crates/catalog/src/runner.rs
@@ -43,6 +43,26 @@
     pub disk: Vec<Arc<str>>,
 }
 
+/// Version of a runner's software, as its entry states it; empty if it states none.
+///
+/// Runners of several versions may serve one service side by side. What two versions write
+/// does not fit together, so a stream continues only at the version that began it. Not to be
+/// confused with the version of a model's weights ([`LoadedModel::version`]).
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version with this name.
+    pub fn new(name: &str) -> Self {
+        Self(name.into())
+    }
+
+    /// Returns the version's name; empty for runners that state none.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 /// One incarnation of a runner: the time from one start to its exit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Runner {
@@ -62,6 +82,9 @@
     /// Zone in which the runner runs, as its entry states. Nodes prefer runners of their own
     /// zone.
     pub zone: Arc<str>,
+    /// Version of the runner's software.
+    #[serde(default)]
+    pub software: SoftwareVersion,
     /// Number of requests that the runner processes concurrently.
     pub slots: u32,
     /// Whether the runner accepts new work.
--- a/crates/dispatch/src/brittle_tests.rs
+++ b/crates/dispatch/src/brittle_tests.rs
@@ -13,6 +13,7 @@
         service: "plain".into(),
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
+        software: Default::default(),
         slots,
         state: RunnerState::Available,
         remaining: None,
--- a/crates/dispatch/src/expected_lateness_tests.rs
+++ b/crates/dispatch/src/expected_lateness_tests.rs
@@ -17,6 +17,7 @@
         service: "engine".into(),
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
+        software: Default::default(),
         slots: 8,
         state: RunnerState::Available,
         warming: Duration::ZERO,
--- a/crates/dispatch/tests/cold_runners.rs
+++ b/crates/dispatch/tests/cold_runners.rs
@@ -24,6 +24,7 @@
     Runner {
         id: id.into(),
         zone: zone.into(),
+        software: Default::default(),
         slots: 10_000,
         models: vec![LoadedModel {
             model: "cold".into(),
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -411,6 +411,7 @@
             runner = &*runner.id,
             service = &*runner.service,
             zone = &*runner.zone,
+            software = runner.software.as_str(),
             state = ?runner.state,
             heartbeat = runner.heartbeat,
             models = runner.models.len(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -206,6 +206,7 @@
             wanted: self.facts.model.as_ref(),
             priority: self.priority(),
             prompt_tokens: self.facts.prompt_tokens,
+            resumes: self.facts.resumes.as_deref(),
             cost: self.charge.as_ref().map(Charge::cost),
             remaining: self.remaining_time(),
         });
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use barleyspar_callers::{Denial, Fingerprint};
-use barleyspar_catalog::{ModelReference, RequestFacts, Route, RunnerLimit, Tenant};
+use barleyspar_catalog::{ModelReference, RequestFacts, Route, Runner, RunnerLimit, Tenant};
 use barleyspar_dispatch::{LimitChange, Refusal, RunnerSpeedChange};
 use barleyspar_domain::Verdict;
 
@@ -46,6 +46,9 @@
     pub priority: u8,
     /// Number of tokens of the prompt; 0 if the request names none.
     pub prompt_tokens: u64,
+    /// Id of the client's attempt that began the stream that the request resumes; `None` if it
+    /// names none.
+    pub resumes: Option<&'a str>,
     /// Units charged to the tenant's quota; `None` if the tenant has no quota.
     pub cost: Option<u64>,
     /// Time until the request's deadline.
@@ -67,6 +70,7 @@
         adapter = wanted.and_then(|wanted| wanted.adapter.as_deref()),
         priority = accepted.priority,
         prompt_tokens = accepted.prompt_tokens,
+        resumes = accepted.resumes,
         cost = accepted.cost,
         left_ms = milliseconds(accepted.remaining)
     );
@@ -108,6 +112,7 @@
         request,
         runner = &*permit.runner().id,
         address = %permit.runner().address,
+        software = permit.runner().software.as_str(),
         candidates = permit.candidates(),
         in_flight = permit.in_flight(),
         waited_ms = milliseconds(waited),
@@ -396,8 +401,15 @@
 
 /// Logs that a stream is resumed at another runner, after the event with the id `after`, or
 /// from its start if no event with an id was sent. `cause`: why it ended at the last runner.
-pub fn resumed(request: &str, runner: &str, after: Option<&str>, cause: &str) {
-    tracing::info!(event = "resumed", request, runner, after, cause);
+pub fn resumed(request: &str, runner: &Runner, after: Option<&str>, cause: &str) {
+    tracing::info!(
+        event = "resumed",
+        request,
+        runner = &*runner.id,
+        software = runner.software.as_str(),
+        after,
+        cause
+    );
 }
 
 /// Logs that `prompts` requests named prompts that no runner can hold, which are not counted
--- a/crates/gateway/src/names_tests.rs
+++ b/crates/gateway/src/names_tests.rs
@@ -14,6 +14,7 @@
         service: "service".into(),
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
+        software: Default::default(),
         slots: 8,
         state: RunnerState::Available,
         remaining: None,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -284,7 +284,7 @@
             let runner = chosen.runner().clone();
             journal::resumed(
                 self.exchange.id(),
-                &runner.id,
+                &runner,
                 self.last_event_id.as_deref(),
                 cause,
             );
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -28,6 +28,9 @@
     /// Request header: id of the last event that the client has; the stream continues after
     /// it.
     pub const AFTER_EVENT: &str = "after-event";
+    /// Request header: id of the client's attempt that brought the first event of the stream
+    /// that the request resumes.
+    pub const RESUMES: &str = "resumes";
     /// Request header: the caller's secret, which a gateway does not pass on.
     pub const CREDENTIAL: &str = "credential";
     /// Header that a gateway adds: the caller's tenant.
@@ -134,6 +137,7 @@
             answer_tokens: 100,
             shared_prefix: Vec::new(),
             last_event_id: header_text(headers, names::AFTER_EVENT),
+            resumes: header_text(headers, names::RESUMES),
             credential: header_text(headers, names::CREDENTIAL)
                 .map(|secret| Credential::of(secret.as_bytes())),
             named_tokens: Some(200),
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -195,6 +195,7 @@
             service: service.name.clone(),
             address,
             zone: zone.into(),
+            software: Default::default(),
             slots: service.engine.as_ref().map_or(6, |engine| engine.slots),
             state: RunnerState::Available,
             remaining: None,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -160,6 +160,7 @@
                 service: service.name.clone(),
                 address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 3, 0, 1)), 7000),
                 zone: ZONE.into(),
+                software: Default::default(),
                 slots: engine.slots,
                 state: RunnerState::Available,
                 remaining: None,
