Tests of streams that must stay at one software version, which fail

Stand-in engines write their version into each event; a client follows one stream over its tries and names the try that began it.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -44,6 +44,15 @@
         self.status.map_or(0, |status| status.as_u16())
     }
 
+    /// Software versions that wrote the events of the body, in order; one for each event.
+    pub fn event_software(&self) -> Vec<String> {
+        let text = String::from_utf8_lossy(&self.body);
+        text.lines()
+            .filter_map(|line| line.strip_prefix("data: by "))
+            .map(str::to_owned)
+            .collect()
+    }
+
     /// Ids of the server-sent events in the body, in order.
     pub fn event_ids(&self) -> Vec<u64> {
         let text = String::from_utf8_lossy(&self.body);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod runner;
 mod runner_body;
 mod store;
+mod stream_client;
 mod world;
 
 pub use client::Answer;
@@ -16,6 +17,7 @@
 pub use network::{Cut, MemoryNetwork};
 pub use runner::{Call, Fault, RequestedPause, Run, RunnerIdentity, RunnerStandIn};
 pub use store::{StoreData, StoreStandIn};
+pub use stream_client::FollowedStream;
 pub use world::{
     World, default_bounds, engine_service, one_second_model, plain_service, route, tenant,
 };
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{
-    EngineSpec, LoadedModel, Order, Report, Runner, RunnerState, Service, WeightCopies,
-    incarnation_id,
+    EngineSpec, LoadedModel, Order, Report, Runner, RunnerState, Service, SoftwareVersion,
+    WeightCopies, incarnation_id,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -311,6 +311,12 @@
         self.serve_connections(network.listen(address));
     }
 
+    /// Gives the runner's software this version, from its next stream on, and writes its entry.
+    pub fn set_software(&self, version: &str) {
+        self.lock().record.software = SoftwareVersion::new(version);
+        self.publish_entry();
+    }
+
     /// Makes the runner fail all further requests in this way; `None` ends that.
     pub fn set_fault(&self, fault: Option<Fault>) {
         self.lock().fault = fault;
@@ -535,7 +541,8 @@
             let after = value(names::AFTER_EVENT)
                 .and_then(|id| id.parse().ok())
                 .unwrap_or(0);
-            return Ok(stream_response(run, &request_id, after, fault));
+            let software = self.lock().record.software.clone();
+            return Ok(stream_response(run, &request_id, (after, software), fault));
         }
         sleep(PLAIN_RUN_TIME).await;
         if self.triggers_crash(&body) {
--- a/crates/standin/src/runner_body.rs
+++ b/crates/standin/src/runner_body.rs
@@ -5,6 +5,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use barleyspar_catalog::SoftwareVersion;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame};
@@ -101,11 +102,12 @@
 }
 
 /// Returns a signed answer that streams the events after event number `after`, with the given
-/// fault. After the last event, `run` is recorded as complete.
+/// fault. Each event names the version of the software that wrote it. After the last event,
+/// `run` is recorded as complete.
 pub fn stream_response(
     run: RunGuard,
     request_id: &str,
-    after: u64,
+    (after, software): (u64, SoftwareVersion),
     fault: Option<Fault>,
 ) -> Response<RunnerBody> {
     let (sender, receiver) = mpsc::channel(1);
@@ -125,7 +127,8 @@
                 Some(Fault::LongEvents(bytes)) => "x".repeat(bytes),
                 _ => String::new(),
             };
-            let event = format!("id: {id}\ndata: token {id}{padding}\n\n");
+            let software = software.as_str();
+            let event = format!("id: {id}\ndata: token {id}{padding}\ndata: by {software}\n\n");
             if sender.send(Ok(event.into())).await.is_err() {
                 return;
             }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -24,6 +24,7 @@
 use crate::network::MemoryNetwork;
 use crate::runner::RunnerStandIn;
 use crate::store::StoreStandIn;
+use crate::stream_client::{FollowedStream, StreamClient};
 
 const CALLER_PORT: u16 = 80;
 const READINESS_PORT: u16 = 81;
@@ -349,6 +350,26 @@
         send_request(&self.network, client_request).await
     }
 
+    /// Starts a client that follows one stream over its tries, in a task of its own. It sends
+    /// them to `gateways` in turn; `id` begins their ids and is their body.
+    pub fn spawn_stream(
+        &self,
+        gateways: &[u8],
+        (path, model): (&'static str, &'static str),
+        id: &str,
+    ) -> JoinHandle<FollowedStream> {
+        let to = gateways.iter().map(|number| Self::gateway_host(*number));
+        let client = StreamClient {
+            network: self.network.clone(),
+            from: CLIENT_HOST,
+            gateways: to.map(|host| SocketAddr::new(host, CALLER_PORT)).collect(),
+            path,
+            model,
+            id: id.to_owned(),
+        };
+        tokio::spawn(client.follow())
+    }
+
     /// Returns the status code of the readiness check of gateway `number`.
     pub async fn readiness_status(&self, number: u8) -> u16 {
         let to = SocketAddr::new(Self::gateway_host(number), READINESS_PORT);
--- /dev/null
+++ b/crates/standin/tests/software_versions.rs
@@ -0,0 +1,237 @@
+//! Runners of several software versions side by side: what two versions write does not fit
+//! together, so a stream goes on only at the version that began it.
+
+use std::time::Duration;
+
+use barleyspar_catalog::RequestKind;
+use barleyspar_standin::{Fault, FollowedStream, RunnerStandIn, World, engine_service, route};
+use futures_util::future::join_all;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const SECOND: Duration = Duration::from_secs(1);
+const GATEWAYS: u8 = 6;
+/// Number of runners of each of the two versions at the start.
+const RUNNERS_OF_VERSION: u8 = 2;
+const STREAM: (&str, &str) = ("/stream/x", "a");
+/// Time from the start of streams to the middle of them.
+const MID_STREAM: Duration = Duration::from_millis(400);
+/// Streams that clients follow at once.
+const STREAMS: u8 = 24;
+const SEEDS: u64 = 12;
+
+/// Six gateways, and two runners of each of `versions`, all of which hold the model.
+async fn world(versions: &[&str]) -> World {
+    let mut world = World::new(
+        vec![engine_service("engine", &["a", "b"])],
+        vec![route("/stream/", "engine", RequestKind::Streaming)],
+    );
+    for version in versions {
+        for number in 1..=RUNNERS_OF_VERSION {
+            let name = format!("engine-{version}-{number}");
+            world
+                .start_runner(&name, "engine", &["a"])
+                .set_software(version);
+        }
+    }
+    world.start_gateways(1..=GATEWAYS).await;
+    world.run_for(8 * SECOND).await;
+    world
+}
+
+async fn results(clients: Vec<tokio::task::JoinHandle<FollowedStream>>) -> Vec<FollowedStream> {
+    let ended = join_all(clients).await.into_iter();
+    ended
+        .map(|stream| stream.expect("no client panics"))
+        .collect()
+}
+
+/// Starts [`STREAMS`] clients, whose tries go to `gateways` in turn.
+fn start_streams(world: &World, gateways: &[u8]) -> Vec<tokio::task::JoinHandle<FollowedStream>> {
+    let start = |number| world.spawn_stream(gateways, STREAM, &format!("stream-{number}"));
+    (0..STREAMS).map(start).collect()
+}
+
+fn assert_none_mixes_versions(streams: &[FollowedStream]) {
+    let mixed = streams.iter().filter(|stream| stream.mixes_versions());
+    let mixed: Vec<&FollowedStream> = mixed.collect();
+    assert!(
+        mixed.is_empty(),
+        "{} of {} streams mix versions, one of them {:?}",
+        mixed.len(),
+        streams.len(),
+        mixed[0]
+    );
+}
+
+fn assert_all_whole(streams: &[FollowedStream]) {
+    for stream in streams {
+        assert!(stream.is_whole(), "{stream:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_whose_gateway_died_goes_on_at_the_version_that_began_it() {
+    let mut world = world(&["v1", "v2"]).await;
+    let clients = start_streams(&world, &[1, 2, 3, 4]);
+    world.run_for(MID_STREAM).await;
+    world.kill_gateway(1);
+    let streams = results(clients).await;
+    assert!(streams.iter().all(|stream| stream.resumed_tries > 0));
+    assert_none_mixes_versions(&streams);
+    assert_all_whole(&streams);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_breaks_at_a_runner_goes_on_at_the_version_that_began_it() {
+    let world = world(&["v1", "v2"]).await;
+    for runner in world.runners.values() {
+        runner.set_fault(Some(Fault::BreakStream(7)));
+    }
+    let streams = results(start_streams(&world, &[1, 2, 3, 4])).await;
+    assert_none_mixes_versions(&streams);
+    assert_all_whole(&streams);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_stalls_at_a_runner_goes_on_at_the_version_that_began_it() {
+    let world = world(&["v1", "v2"]).await;
+    for runner in world.runners.values() {
+        runner.set_fault(Some(Fault::StallStream(15)));
+    }
+    let streams = results(start_streams(&world, &[1, 2, 3, 4])).await;
+    assert_none_mixes_versions(&streams);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resumed_stream_of_unknown_origin_runs_nowhere_while_two_versions_serve() {
+    let world = world(&["v1", "v2"]).await;
+    let extra = [("resumes", "unheard-of"), ("after-event", "3")];
+    for gateway in 1..=GATEWAYS {
+        let id = format!("resumed-{gateway}");
+        let (path, model) = STREAM;
+        let answer = world.request_with_headers(gateway, path, &id, Some(model), &extra);
+        assert_eq!(
+            (answer.await.code(), world.run_count(&id)),
+            (503, 0),
+            "{id}"
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resumed_stream_whose_version_is_gone_is_refused_at_once() {
+    let mut world = world(&["v1", "v2"]).await;
+    let clients = start_streams(&world, &[1, 2, 3, 4]);
+    world.run_for(MID_STREAM).await;
+    for (name, runner) in &world.runners {
+        if name.contains("v1") {
+            runner.crash(&world.network);
+            world.store.remove(&format!("runner/{name}"));
+        }
+    }
+    world.kill_gateway(1);
+    let streams = results(clients).await;
+    assert_none_mixes_versions(&streams);
+    let begun_by = |version: &str| {
+        let begun = streams
+            .iter()
+            .filter(|stream| stream.software[0] == *version);
+        begun.cloned().collect::<Vec<FollowedStream>>()
+    };
+    assert_all_whole(&begun_by("v2"));
+    assert!(!begun_by("v1").is_empty());
+    for stream in begun_by("v1") {
+        assert!(stream.statuses.len() > 20, "slow refusals: {stream:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_goes_on_at_its_version_though_the_model_must_be_loaded_there() {
+    let world = world(&["v1", "v2"]).await;
+    world.runners["engine-v1-2"].restart(&world.network, &[]);
+    world.runners["engine-v1-2"].publish_entry();
+    world.run_for(2 * SECOND).await;
+    let clients = start_streams(&world, &[1, 2, 3, 4]);
+    world.run_for(MID_STREAM).await;
+    world.runners["engine-v1-1"].crash(&world.network);
+    world.store.remove("runner/engine-v1-1");
+    let streams = results(clients).await;
+    assert_none_mixes_versions(&streams);
+    assert_all_whole(&streams);
+}
+
+fn random_runner(world: &World, random: &mut StdRng) -> RunnerStandIn {
+    let index = random.random_range(0..world.runners.len());
+    let runner = world.runners.values().nth(index);
+    runner.expect("the index is valid").clone()
+}
+
+/// One random fault, or the replacement of a runner by one of any version.
+fn strike(world: &mut World, random: &mut StdRng, killed: &mut Vec<u8>) {
+    match random.random_range(0..4) {
+        0 => {
+            let number = random.random_range(1..=GATEWAYS);
+            world.kill_gateway(number);
+            killed.push(number);
+        }
+        1 => {
+            let runner = random_runner(world, random);
+            runner.restart(&world.network, &["a"]);
+            runner.publish_entry();
+        }
+        2 => {
+            let replaced = random_runner(world, random);
+            replaced.crash(&world.network);
+            let version = ["v1", "v2", "v3"][random.random_range(0..3)];
+            let name = format!("engine-{}", world.runners.len());
+            world
+                .start_runner(&name, "engine", &["a"])
+                .set_software(version);
+        }
+        _ => {
+            let (one, other) = (
+                World::gateway_host(random.random_range(1..=GATEWAYS)),
+                World::gateway_host(random.random_range(1..=GATEWAYS)),
+            );
+            world.network.cut(one, other);
+        }
+    }
+}
+
+/// Streams begin steadily while gateways are killed, cut from each other and started again,
+/// and runners are restarted, at times with another version.
+#[tokio::test(start_paused = true)]
+async fn no_stream_mixes_versions_in_random_releases() {
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut world = world(&["v1", "v2"]).await;
+        let mut clients = Vec::new();
+        let mut killed: Vec<u8> = Vec::new();
+        for round in 0..60 {
+            for number in 0..3 {
+                let first = random.random_range(0..GATEWAYS);
+                let gateways: Vec<u8> = (0..GATEWAYS)
+                    .map(|step| (first + step) % GATEWAYS + 1)
+                    .collect();
+                let id = format!("stream-{round}-{number}");
+                clients.push(world.spawn_stream(&gateways, STREAM, &id));
+            }
+            if random.random_bool(0.7) {
+                strike(&mut world, &mut random, &mut killed);
+            }
+            world.run_for(SECOND / 4).await;
+            if random.random_bool(0.2) {
+                world.network.heal();
+            }
+            if killed.len() > 1 {
+                world.start_gateway(killed.remove(0)).await;
+            }
+        }
+        world.network.heal();
+        let streams = results(clients).await;
+        let resumed: usize = streams.iter().map(|stream| stream.resumed_tries).sum();
+        assert!(resumed > 10, "seed {seed}: only {resumed} tries resumed");
+        assert_none_mixes_versions(&streams);
+    }
+}
