Models and adapters are loaded at the version at which broken streams go on

What callers saw: a stream whose runner died was refused (503) until its client gave up, when the other runners of its version did not hold the model and a runner of another version did: the planner saw the model's demand met.

Nodes now tell the leader which models and adapters streams wait for at which version (a message of its own, which earlier builds drop); the planner places one replica at that version, within the policy's number, and counts it for all other requests of the model.

--- a/crates/catalog/src/request.rs
+++ b/crates/catalog/src/request.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Credential;
 
 /// Names a model and, optionally, one of its adapters.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ModelReference {
     /// Name of the model, as the caller asks for it.
     pub model: Arc<str>,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 mod slot_shares;
 mod software_history;
 mod split;
+mod stream_demand;
 mod unread;
 mod waiting;
 
@@ -52,4 +53,5 @@
 pub use query::{Acquired, AttemptKind, Grant, PermitId, Query, Refusal, RefusalReason, Ticket};
 pub use rate_limit::{AdvertisedLimit, RatePermitAnswer};
 pub use split::Splitter;
+pub use stream_demand::StreamDemandItem;
 pub use waiting::{DEADLINE_MARGIN, PATIENCE_FRACTION, RETRY_AFTER_DIVISOR};
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -72,6 +72,11 @@
         waiting.count()
     }
 
+    /// What the waiting requests need.
+    pub fn queries(&self) -> impl Iterator<Item = &Query> {
+        self.entries.iter().map(|entry| &entry.query)
+    }
+
     /// Number of waiting requests of all services together.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 use barleyspar_dispatch::{
     AdvertisedLimit, BrittleUpdate, BudgetLimits, DemandItem, DrainingUpdate, Grant, Inventory,
     LimitUpdate, Outcome, PermitId, PromptDemandItem, Query, RatePermitAnswer, Refusal, RunnerKey,
+    StreamDemandItem,
 };
 use barleyspar_prefill::PrefillUpdate;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -172,6 +173,8 @@
     pub demand: Vec<DemandItem>,
     /// Prompt tokens by model of the requests that this node serves.
     pub prompts: Vec<PromptDemandItem>,
+    /// Streams that wait at this node for a model at one software version.
+    pub streams: Vec<StreamDemandItem>,
     /// Rate limits that runners advertised, as updates for other nodes.
     pub limits: Vec<LimitUpdate>,
     /// Runners that signalled that they are draining, as updates for other nodes.
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -278,6 +278,7 @@
                     unreachable: self.dispatcher.unreachable_runners(now()),
                     demand: self.dispatcher.demand_items(now()),
                     prompts: self.dispatcher.prompt_demand_items(now()),
+                    streams: self.dispatcher.stream_demand_items(),
                     limits: self.dispatcher.limit_updates(now()),
                     draining: self.dispatcher.draining_updates(now()),
                     brittle: self.dispatcher.brittle_updates(now()),
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -5,6 +5,7 @@
 use barleyspar_callers::{QuarantineUpdate, QuotaAnswer, QuotaRequest};
 use barleyspar_dispatch::{
     BrittleUpdate, DemandItem, DrainingUpdate, Inventory, LimitUpdate, PromptDemandItem, RunnerKey,
+    StreamDemandItem,
 };
 use barleyspar_prefill::PrefillMessage;
 use serde::{Deserialize, Serialize};
@@ -78,6 +79,14 @@
         /// Prompt tokens asked at the sender, by model.
         items: Vec<PromptDemandItem>,
     },
+    /// Streams that wait for a model at one software version, sent to the placement leader.
+    /// Apart from the demand, for the same reason as [`Message::PromptDemand`].
+    StreamDemand {
+        /// Name of the sending node.
+        node: Arc<str>,
+        /// Streams that wait at the sender, by model and version.
+        items: Vec<StreamDemandItem>,
+    },
     /// Models and adapters that are loaded on runners, sent by the placement leader.
     Held {
         /// Loaded models and adapters, and the changes in progress by orders; one item for
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -192,6 +192,9 @@
             Some(Message::PromptDemand { node, items }) => {
                 self.placement.report_prompts(node, items);
             }
+            Some(Message::StreamDemand { node, items }) => {
+                self.placement.report_streams(node, items);
+            }
             Some(Message::Held {
                 inventories,
                 passed_on,
@@ -414,7 +417,9 @@
         if leader.node == node {
             self.placement
                 .report_demand(node.clone(), snapshot.demand, snapshot.unreachable);
-            self.placement.report_prompts(node, snapshot.prompts);
+            self.placement
+                .report_prompts(node.clone(), snapshot.prompts);
+            self.placement.report_streams(node, snapshot.streams);
             return;
         }
         let message = Message::Demand {
@@ -425,8 +430,15 @@
         // A datagram that cannot be sent counts as lost; the next one supersedes it.
         let _ = self.socket.send(&message.encode(), leader.address).await;
         if !snapshot.prompts.is_empty() {
-            let items = snapshot.prompts;
-            let message = Message::PromptDemand { node, items };
+            let message = Message::PromptDemand {
+                node: node.clone(),
+                items: snapshot.prompts,
+            };
+            let _ = self.socket.send(&message.encode(), leader.address).await;
+        }
+        if !snapshot.streams.is_empty() {
+            let items = snapshot.streams;
+            let message = Message::StreamDemand { node, items };
             let _ = self.socket.send(&message.encode(), leader.address).await;
         }
     }
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use barleyspar_catalog::{Configuration, Revision, Runner};
-use barleyspar_dispatch::{DemandItem, PromptDemandItem, RunnerKey};
+use barleyspar_dispatch::{DemandItem, PromptDemandItem, RunnerKey, StreamDemandItem};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -89,6 +89,7 @@
     SetEvacuated(BTreeSet<Arc<str>>),
     Demand(Arc<str>, Vec<DemandItem>, Vec<RunnerKey>),
     Prompts(Arc<str>, Vec<PromptDemandItem>),
+    Streams(Arc<str>, Vec<StreamDemandItem>),
     ReadingSpeeds(Vec<(RunnerKey, f64)>),
     Ordered(OrderResult),
     Reported(ReportResult),
@@ -158,4 +159,10 @@
     pub fn report_prompts(&self, node: Arc<str>, items: Vec<PromptDemandItem>) {
         self.send(Command::Prompts(node, items));
     }
+
+    /// Passes the streams that wait at `node` for a model at one software version to the
+    /// planner.
+    pub fn report_streams(&self, node: Arc<str>, items: Vec<StreamDemandItem>) {
+        self.send(Command::Streams(node, items));
+    }
 }
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -187,6 +187,10 @@
                 let valid_for = demand_valid_for(self.context.dispatch.member_count());
                 self.demand.update_prompts(node, items, valid_for, now());
             }
+            Command::Streams(node, items) => {
+                let valid_for = demand_valid_for(self.context.dispatch.member_count());
+                self.demand.update_streams(node, items, valid_for, now());
+            }
             Command::ReadingSpeeds(speeds) => self.runners.set_reading_speeds(&speeds),
             Command::Ordered(result) => self.handle_order_result(result),
             Command::Reported(result) => self.handle_report(result),
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -72,6 +72,7 @@
     RunnerView {
         id: format!("runner-{number}").into(),
         service: "engine".into(),
+        software: Default::default(),
         zone: format!("zone-{}", number % 3).into(),
         available: true,
         evacuated: false,
--- a/crates/loading/src/adapters.rs
+++ b/crates/loading/src/adapters.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{EngineSpec, OrderAction};
+use barleyspar_catalog::{EngineSpec, OrderAction, SoftwareVersion};
 
 use crate::demand::{ClusterDemand, ModelDemand};
 use crate::memory::{adapter_count, free_mb};
+use crate::stream_demand::VersionNeed;
 use crate::value::priority_weight;
 use crate::view::RunnerView;
 
@@ -25,6 +26,17 @@
 /// Names of a model and of one of its adapters.
 pub type AdapterKey = (Arc<str>, Arc<str>);
 
+/// An adapter that requests wait for and no suitable runner holds or loads.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MissingAdapter {
+    /// Name of the adapter's model.
+    pub model: Arc<str>,
+    /// Name of the adapter.
+    pub adapter: Arc<str>,
+    /// The software version that the runner must have; `None` for any.
+    pub software: Option<SoftwareVersion>,
+}
+
 /// Demand and capacity of one service, from which adapter orders are derived in one
 /// planning step.
 pub struct AdapterPlan<'a> {
@@ -36,24 +48,44 @@
     pub demand: &'a BTreeMap<AdapterKey, ModelDemand>,
     /// Demand history, which tells how long an adapter has been idle.
     pub cluster_demand: &'a ClusterDemand,
+    /// What broken streams wait for at the software version that began them, and how many.
+    pub unmet_by_version: &'a BTreeMap<VersionNeed, u32>,
     /// Time of the planning step.
     pub now: Instant,
 }
 
 impl AdapterPlan<'_> {
-    /// Returns the adapters with waiting requests that no runner holds or is loading,
-    /// most urgent first. Equal priorities are ordered by the number of waiting requests.
-    pub fn missing_adapters(&self, runners: &[RunnerView]) -> Vec<AdapterKey> {
-        let mut missing: Vec<_> = self
+    /// Returns the adapters with waiting requests that no runner holds or is loading, and
+    /// those that broken streams wait for at their software version, most urgent first. Equal
+    /// priorities are ordered by the number of waiting requests.
+    pub fn missing_adapters(&self, runners: &[RunnerView]) -> Vec<MissingAdapter> {
+        let by_demand = self
             .demand
             .iter()
             .filter(|((model, adapter), demand)| {
                 demand.waiting > 0 && !self.is_loaded_or_loading(runners, model, adapter)
             })
-            .map(|(key, demand)| (demand.priority, Reverse(demand.waiting), key.clone()))
-            .collect();
+            .map(|((model, adapter), demand)| {
+                let missing = MissingAdapter {
+                    model: model.clone(),
+                    adapter: adapter.clone(),
+                    software: None,
+                };
+                (demand.priority, Reverse(demand.waiting), missing)
+            });
+        let by_streams = self.unmet_by_version.iter().filter_map(|(need, waiting)| {
+            let missing = MissingAdapter {
+                model: need.wanted.model.clone(),
+                adapter: need.wanted.adapter.clone()?,
+                software: Some(need.software.clone()),
+            };
+            let key = (missing.model.clone(), missing.adapter.clone());
+            let priority = self.demand.get(&key)?.priority;
+            Some((priority, Reverse(*waiting), missing))
+        });
+        let mut missing: Vec<_> = by_demand.chain(by_streams).collect();
         missing.sort();
-        missing.into_iter().map(|(_, _, key)| key).collect()
+        missing.into_iter().map(|(_, _, missing)| missing).collect()
     }
 
     fn is_loaded_or_loading(&self, runners: &[RunnerView], model: &str, adapter: &str) -> bool {
@@ -61,53 +93,55 @@
             .iter()
             .filter(|runner| runner.service == *self.service && runner.accepts_requests())
             .any(|runner| {
-                let held = runner
-                    .loaded_model(model)
-                    .is_some_and(|held| held.adapters.iter().any(|name| &**name == adapter));
-                held || runner.is_loading_adapter(model, adapter)
+                runner.holds_adapter(model, adapter) || runner.is_loading_adapter(model, adapter)
             })
     }
 
-    /// Returns the next order towards loading `adapter` and the index of its runner: the
-    /// load itself, or the unload of an adapter of less value if all runners of `model`
-    /// are full. `None` if no runner holds `model` and accepts the order, if a place
+    /// Returns the next order towards loading the adapter `missing` and the index of its runner: the
+    /// load itself, or the unload of an adapter of less value if all runners of its model
+    /// are full. `None` if no runner holds the model and accepts the order, if a place
     /// becomes free for the adapter by the orders in progress, or if no adapter is worth
     /// evicting for it. A place that becomes free for it is reserved in `places`.
     pub fn next_order(
         &self,
         runners: &[RunnerView],
         places: &mut ReservedPlaces,
-        model: &Arc<str>,
-        adapter: &Arc<str>,
+        missing: &MissingAdapter,
     ) -> Option<(usize, OrderAction)> {
+        let MissingAdapter { model, adapter, .. } = missing;
         let size_mb = self.engine.models.get(model)?.adapter_mb;
-        if let Some(index) = self.runner_with_place(runners, model, size_mb) {
+        if let Some(index) = self.runner_with_place(runners, missing, size_mb) {
             let action = OrderAction::LoadAdapter {
                 model: model.clone(),
                 adapter: adapter.clone(),
             };
             return Some((index, action));
         }
-        if self.reserve_place(runners, places, model, size_mb) {
+        if self.reserve_place(runners, places, missing, size_mb) {
             return None;
         }
         let wanted_value = self.value(&(model.clone(), adapter.clone()));
-        let (index, (model, adapter)) = self.eviction(runners, model, wanted_value)?;
+        let (index, (model, adapter)) = self.eviction(runners, missing, wanted_value)?;
         places.reserve_at(index);
         Some((index, OrderAction::UnloadAdapter { model, adapter }))
     }
 
-    /// Returns the runners of the service that hold `model`, with their indices.
+    /// Returns the runners of the service that hold the model of `missing` and have the software
+    /// version at which the adapter is missing, with their indices.
     fn holders<'a>(
         &'a self,
         runners: &'a [RunnerView],
-        model: &'a str,
+        missing: &'a MissingAdapter,
     ) -> impl Iterator<Item = (usize, &'a RunnerView)> {
         runners
             .iter()
             .enumerate()
             .filter(|(_, runner)| runner.service == *self.service)
-            .filter(move |(_, runner)| runner.loaded_model(model).is_some())
+            .filter(|(_, runner)| {
+                let software = missing.software.as_ref();
+                software.is_none_or(|software| *software == runner.software)
+            })
+            .filter(|(_, runner)| runner.loaded_model(&missing.model).is_some())
     }
 
     /// Returns the runner that can load an adapter of `model` now: the one with the fewest
@@ -115,10 +149,10 @@
     fn runner_with_place(
         &self,
         runners: &[RunnerView],
-        model: &str,
+        missing: &MissingAdapter,
         size_mb: f64,
     ) -> Option<usize> {
-        self.holders(runners, model)
+        self.holders(runners, missing)
             .filter(|(_, runner)| runner.accepts_orders_once_read())
             .filter(|(_, runner)| runner.pending_adapters.len() < MAXIMUM_PENDING)
             .filter(|(_, runner)| self.free_places(runner, size_mb) > 0)
@@ -135,11 +169,11 @@
         &self,
         runners: &[RunnerView],
         places: &mut ReservedPlaces,
-        model: &str,
+        missing: &MissingAdapter,
         size_mb: f64,
     ) -> bool {
         let with_place = self
-            .holders(runners, model)
+            .holders(runners, missing)
             .filter(|(_, runner)| carries_out_adapter_orders(runner))
             .find(|(index, runner)| self.free_places(runner, size_mb) > places.reserved_at(*index));
         if let Some((index, _)) = with_place {
@@ -166,11 +200,11 @@
     fn eviction(
         &self,
         runners: &[RunnerView],
-        model: &str,
+        missing: &MissingAdapter,
         wanted_value: f64,
     ) -> Option<(usize, AdapterKey)> {
         let mut victims: Vec<_> = self
-            .holders(runners, model)
+            .holders(runners, missing)
             .filter(|(_, runner)| runner.accepts_orders_once_read())
             .filter(|(_, runner)| runner.pending_adapters.len() < MAXIMUM_PENDING)
             .flat_map(|(index, runner)| loaded_adapters(runner).map(move |key| (index, key)))
--- a/crates/loading/src/demand.rs
+++ b/crates/loading/src/demand.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_dispatch::{DemandItem, PromptDemandItem};
+use barleyspar_dispatch::{DemandItem, PromptDemandItem, StreamDemandItem};
 
 use crate::prompt_demand::{PromptDemand, is_plausible};
+use crate::stream_demand::StreamDemand;
 
 /// Demand of the whole cluster for a model, or for one of its adapters.
 #[derive(Debug, Clone, Copy, Default)]
@@ -62,6 +63,7 @@
     last_active: Vec<Option<Instant>>,
     prompts: HashMap<Arc<str>, NodePrompts>,
     ignored_prompt_reports: u64,
+    streams: StreamDemand,
 }
 
 #[derive(Debug)]
@@ -127,6 +129,23 @@
         self.rebuild_index();
     }
 
+    /// Replaces the streams that wait at `node` for a model at one software version. The report
+    /// expires after `valid_for` unless the node reports again.
+    pub fn update_streams(
+        &mut self,
+        node: Arc<str>,
+        items: Vec<StreamDemandItem>,
+        valid_for: Duration,
+        now: Instant,
+    ) {
+        self.streams.update(node, items, valid_for, now);
+    }
+
+    /// Returns the streams that wait for a model at one software version.
+    pub fn streams(&self) -> &StreamDemand {
+        &self.streams
+    }
+
     /// Returns the number of items that [`Self::update_prompts`] ignored.
     pub fn ignored_prompt_reports(&self) -> u64 {
         self.ignored_prompt_reports
@@ -178,6 +197,7 @@
         }
         let previous = std::mem::take(self);
         self.ignored_prompt_reports = previous.ignored_prompt_reports;
+        self.streams = previous.streams;
         for (node, demand) in previous.nodes {
             let items = demand.items.into_iter().map(|indexed| {
                 let (model, adapter) = (indexed.model, indexed.adapter);
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -16,6 +16,7 @@
 mod reading;
 mod replica_counts;
 mod store_concurrency;
+mod stream_demand;
 mod summary;
 mod unserved;
 mod value;
--- a/crates/loading/src/placement_index.rs
+++ b/crates/loading/src/placement_index.rs
@@ -8,7 +8,7 @@
 use barleyspar_domain::Mechanism;
 
 use crate::memory::free_mb;
-use crate::models::{EvictionCandidate, ModelPlan, Placement};
+use crate::models::{EvictionCandidate, ModelPlan, Placement, WantedReplica};
 use crate::replica_counts::ReplicaCounts;
 use crate::view::{RunnerView, WeightSource};
 
@@ -137,22 +137,25 @@
         }
     }
 
-    /// Returns the placement with the highest score for one more replica of `model`, or
-    /// `None` if no placement is worth its cost. A runner that accepts orders only later
+    /// Returns the placement with the highest score for the replica `wanted`, or `None` if no placement is worth its cost. A runner that accepts orders only later
     /// is considered too. Loads from the weight store are considered only if
     /// `allow_remote` is true.
     pub fn best_placement(
         &self,
         runners: &[RunnerView],
-        model: &Arc<str>,
+        wanted: &WantedReplica,
         allow_remote: bool,
     ) -> Option<Placement> {
-        let gain = self
-            .plan
-            .value(model)
-            .gain(self.counts.for_model(model).reachable);
+        let model = &wanted.model;
+        let gain = self.plan.gain(&self.counts, wanted);
         let copies = self.copies.get(model).map_or(&[][..], Vec::as_slice);
-        let placement = |index, source| self.placement(runners, index, model, source, gain);
+        let placement = |index, source| {
+            let runner: &RunnerView = &runners[index];
+            let is_allowed = wanted.allows_version_of(runner);
+            is_allowed
+                .then(|| self.placement(runners, index, model, source, gain))
+                .flatten()
+        };
         let local = copies
             .iter()
             .filter_map(|(index, source)| placement(*index, *source));
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -12,11 +12,12 @@
 use crate::decisions::{PolicyDecisions, PolicyQuery};
 use crate::demand::ClusterDemand;
 use crate::load_rate::{LoadRateLimiter, LoadRateLimits};
-use crate::models::{ModelPlan, Placement};
+use crate::models::{ModelPlan, Placement, WantedReplica};
 use crate::over_limit::mark_over_limit;
 use crate::placement_index::PlacementIndex;
 use crate::reading::ReadingSpeeds;
 use crate::store_concurrency::StoreConcurrency;
+use crate::stream_demand::models_to_load;
 use crate::summary::{StepSummary, summarize};
 use crate::unserved::{UnservedRequests, reachable_models};
 use crate::view::{RunnerView, WeightSource};
@@ -156,6 +157,7 @@
                 .filter(|(_, demand)| demand.is_active() || demand.rate > ADAPTER_IN_USE_RATE)
                 .map(|((model, _), _)| model.clone())
                 .collect();
+            let unmet = cluster_demand.streams().unmet(&service.name, runners, now);
             // Adapters are planned first: they load in milliseconds, but would wait for
             // seconds behind a model load at the same runner.
             let plan = AdapterPlan {
@@ -163,6 +165,7 @@
                 engine,
                 demand: &adapters,
                 cluster_demand,
+                unmet_by_version: &unmet,
                 now,
             };
             self.plan_adapters(&plan, runners, &mut orders);
@@ -185,10 +188,12 @@
                 runners,
             };
             let decisions = self.decisions.decide(&self.settings.policy, &query);
+            let wanted_by_streams = models_to_load(&unmet, &service.name, runners);
             let plan = ModelPlan {
                 service: &service.name,
                 engine,
                 demand: &models,
+                wanted_by_streams: &wanted_by_streams,
                 unserved: &state.unserved.by_model().clone(),
                 decisions: &decisions,
                 reading_speeds: &reading_speeds,
@@ -235,8 +240,8 @@
         orders: &mut Vec<PlannedOrder>,
     ) {
         let mut places = ReservedPlaces::default();
-        for (model, adapter) in plan.missing_adapters(runners) {
-            let order = plan.next_order(runners, &mut places, &model, &adapter);
+        for missing in plan.missing_adapters(runners) {
+            let order = plan.next_order(runners, &mut places, &missing);
             let Some((index, action)) = order else {
                 continue;
             };
@@ -250,7 +255,7 @@
                 runner: runner.id.clone(),
                 action,
                 source: WeightSource::Memory,
-                wanted_by: model,
+                wanted_by: missing.model,
             });
         }
     }
@@ -272,26 +277,30 @@
         // Number of loads from the store that start soon, after the unloads ordered in
         // this step.
         let mut making_room = 0;
-        let mut candidates: Vec<(Placement, Arc<str>)> = plan
-            .models_lacking_replicas(placements.counts())
+        let mut candidates: Vec<(Placement, WantedReplica)> = plan
+            .wanted_replicas(placements.counts())
             .into_iter()
-            .filter_map(|model| {
+            .filter_map(|wanted| {
                 let allow_remote = may_load_from_store(plan, state, making_room);
-                let placement = placements.best_placement(runners, &model, allow_remote)?;
-                Some((placement, model))
+                let placement = placements.best_placement(runners, &wanted, allow_remote)?;
+                Some((placement, wanted))
             })
             .collect();
-        while let Some((placement, model)) = pop_best(&mut candidates) {
-            // Orders given earlier in this step may have changed the model's best
-            // placement and its score.
+        while let Some((placement, wanted)) = pop_best(&mut candidates) {
+            // Orders given earlier in this step may have made the replica unnecessary, or
+            // changed its best placement and its score.
+            if !plan.is_wanted(placements.counts(), &wanted) {
+                continue;
+            }
             let allow_remote = may_load_from_store(plan, state, making_room);
-            let Some(current) = placements.best_placement(runners, &model, allow_remote) else {
+            let Some(current) = placements.best_placement(runners, &wanted, allow_remote) else {
                 continue;
             };
             if current.score < placement.score {
-                candidates.push((current, model));
+                candidates.push((current, wanted));
                 continue;
             }
+            let model = wanted.model.clone();
             if !runners[current.runner].accepts_orders() {
                 self.request_report_if_unread(&runners[current.runner]);
                 continue;
@@ -314,10 +323,11 @@
                 action,
             });
             let allow_remote = may_load_from_store(plan, state, making_room);
-            if plan.lacks_replica(placements.counts(), &model)
-                && let Some(next) = placements.best_placement(runners, &model, allow_remote)
+            if wanted.for_streams.is_none()
+                && plan.is_wanted(placements.counts(), &wanted)
+                && let Some(next) = placements.best_placement(runners, &wanted, allow_remote)
             {
-                candidates.push((next, model));
+                candidates.push((next, wanted));
             }
         }
         summary.orders = orders.len() - orders_before;
@@ -406,10 +416,18 @@
     ready - making_room as f64 >= 1.0 && (!limited || state.store_loads.allows_load(making_room))
 }
 
-fn pop_best(candidates: &mut Vec<(Placement, Arc<str>)>) -> Option<(Placement, Arc<str>)> {
+/// Removes and returns the candidate to place first. One that broken streams wait for comes
+/// before the others, since it serves all other requests of its model as well.
+fn pop_best(
+    candidates: &mut Vec<(Placement, WantedReplica)>,
+) -> Option<(Placement, WantedReplica)> {
     let best = (0..candidates.len()).max_by(|a, b| {
         let (a, b) = (&candidates[*a], &candidates[*b]);
-        a.0.score.total_cmp(&b.0.score).then_with(|| b.1.cmp(&a.1))
+        let is_for_streams = |wanted: &WantedReplica| wanted.for_streams.is_some();
+        is_for_streams(&a.1)
+            .cmp(&is_for_streams(&b.1))
+            .then_with(|| a.0.score.total_cmp(&b.0.score))
+            .then_with(|| b.1.model.cmp(&a.1.model))
     })?;
     Some(candidates.swap_remove(best))
 }
--- a/crates/loading/src/summary.rs
+++ b/crates/loading/src/summary.rs
@@ -71,7 +71,7 @@
     });
     StepSummary {
         service: plan.service.clone(),
-        lacking: plan.models_lacking_replicas(counts).len(),
+        lacking: plan.wanted_replicas(counts).len(),
         orders: 0,
         store_loads: store.loads_in_progress(),
         store_bound: store.concurrency_limit(),
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{LoadedModel, ModelSpec, OrderAction, Runner, RunnerState, WeightCopies};
+use barleyspar_catalog::{
+    LoadedModel, ModelSpec, OrderAction, Runner, RunnerState, SoftwareVersion, WeightCopies,
+};
 
 /// Where a load reads the model's weights from, fastest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,6 +37,8 @@
     pub id: Arc<str>,
     /// Name of the service that the runner belongs to.
     pub service: Arc<str>,
+    /// Version of the runner's software.
+    pub software: SoftwareVersion,
     /// Zone in which the runner is placed, by which policies permit replicas on it.
     pub zone: Arc<str>,
     /// Whether the runner accepts new work: neither its discovery entry nor its own
@@ -88,6 +92,7 @@
         Self {
             id: runner.id.clone(),
             service: runner.service.clone(),
+            software: runner.software.clone(),
             zone: runner.zone.clone(),
             available: runner.state == RunnerState::Available,
             evacuated: false,
@@ -136,6 +141,12 @@
         self.loaded_model(model).is_some() || self.is_loading(model)
     }
 
+    /// Returns whether the adapter is loaded.
+    pub fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
+        let held = self.loaded_model(model);
+        held.is_some_and(|held| held.adapters.iter().any(|name| &**name == adapter))
+    }
+
     /// Returns whether the order in progress loads the model.
     pub fn is_loading(&self, model: &str) -> bool {
         matches!(&self.order_in_progress, Some(OrderAction::LoadModel { model: loading }) if &**loading == model)
