--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -29,6 +29,8 @@
     pub fingerprint: Fingerprint,
     /// How far the runner had processed the request.
     pub progress: Progress,
+    /// Ids of the parts of the request's prompt that other requests may share, in order.
+    pub parts: Arc<[u64]>,
     decision_sender: DecisionSender,
 }
 
@@ -46,12 +48,14 @@
         request: Arc<str>,
         fingerprint: Fingerprint,
         progress: Progress,
+        parts: Arc<[u64]>,
     ) -> (Self, ResendDecision) {
         let (decision_sender, resend_decision) = oneshot::channel();
         let broken = Self {
             request,
             fingerprint,
             progress,
+            parts,
             decision_sender,
         };
         (broken, resend_decision)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -420,7 +420,9 @@
     /// runner crashed. `progress`: how far the request had come there.
     pub fn report_broken_connection(&mut self, runner: &Arc<Runner>, progress: Progress) {
         let fingerprint = self.outgoing.fingerprint;
-        let (broken, resend_decision) = BrokenRequest::new(self.id().into(), fingerprint, progress);
+        let parts = self.facts.shared_prefix.as_slice().into();
+        let (broken, resend_decision) =
+            BrokenRequest::new(self.id().into(), fingerprint, progress, parts);
         self.resend_decision = Some(resend_decision);
         self.context
             .crashes
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -244,10 +244,17 @@
         fingerprint = %broken.fingerprint,
         runner,
         progress = broken.progress.name(),
+        parts = part_ids(&broken.parts),
         served_lately
     );
 }
 
+/// Returns the ids of parts of a prompt as callers write them, joined by commas.
+fn part_ids(parts: &[u64]) -> String {
+    let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
 /// Logs that a request was quarantined for `remaining` because it crashes runners. `source`:
 /// the limit owner, which decided it, or another node, which reported it.
 pub fn quarantined(request: Fingerprint, remaining: Duration, source: &'static str) {
