--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -23,6 +23,9 @@
     pub const MODEL: &str = "model";
     /// Request header: adapter of the model that the request names.
     pub const ADAPTER: &str = "adapter";
+    /// Request header: ids of the parts of the prompt that other requests may share, as decimal
+    /// numbers joined by commas.
+    pub const PARTS: &str = "parts";
     /// Header of calls to a runner: id of the runner that the gateway means to call.
     pub const RUNNER: &str = "runner";
     /// Request header: id of the last event that the client has; the stream continues after
@@ -135,7 +138,9 @@
             }),
             prompt_tokens: prompt_tokens(head.uri.path()),
             answer_tokens: 100,
-            shared_prefix: Vec::new(),
+            shared_prefix: header_text(headers, names::PARTS)
+                .map(|ids| ids.split(',').filter_map(|id| id.parse().ok()).collect())
+                .unwrap_or_default(),
             last_event_id: header_text(headers, names::AFTER_EVENT),
             resumes: header_text(headers, names::RESUMES),
             credential: header_text(headers, names::CREDENTIAL)
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -67,6 +67,28 @@
     LongEvents(usize),
 }
 
+/// What a request has that crashes the runner as soon as it begins to run it.
+#[derive(Debug, Clone)]
+enum CrashTrigger {
+    /// This body.
+    Body(&'static str),
+    /// Any of these parts in its prompt.
+    Parts(Vec<u64>),
+}
+
+impl CrashTrigger {
+    fn is_in(&self, headers: &HeaderMap, body: &Bytes) -> bool {
+        match self {
+            Self::Body(crashing) => **crashing == *body,
+            Self::Parts(crashing) => {
+                let ids = headers.get(names::PARTS).and_then(|ids| ids.to_str().ok());
+                let mut ids = ids.unwrap_or_default().split(',');
+                ids.any(|id| crashing.iter().any(|part| part.to_string() == id))
+            }
+        }
+    }
+}
+
 fn loaded_model(model: &&str) -> LoadedModel {
     LoadedModel {
         model: (*model).into(),
@@ -105,8 +127,8 @@
 struct State {
     record: Runner,
     fault: Option<Fault>,
-    /// Network of the runner, and the body of requests that crash it.
-    crash_trigger: Option<(MemoryNetwork, &'static str)>,
+    /// Network of the runner, and what crashes it.
+    crash_trigger: Option<(MemoryNetwork, CrashTrigger)>,
     /// Times of the crashes that requests, or rejections, caused.
     crash_times: Vec<Instant>,
     runs: Vec<Run>,
@@ -325,7 +347,14 @@
     /// Makes the runner crash when it runs a request with this body. It restarts
     /// `RESTART_AFTER` later, with the models that it had loaded.
     pub fn crash_on_body(&self, network: &MemoryNetwork, body: &'static str) {
-        self.lock().crash_trigger = Some((network.clone(), body));
+        self.lock().crash_trigger = Some((network.clone(), CrashTrigger::Body(body)));
+    }
+
+    /// Makes the runner crash when it runs a request with one of these parts in its prompt,
+    /// otherwise as [`Self::crash_on_body`].
+    pub fn crash_on_parts(&self, network: &MemoryNetwork, parts: &[u64]) {
+        let trigger = CrashTrigger::Parts(parts.to_vec());
+        self.lock().crash_trigger = Some((network.clone(), trigger));
     }
 
     /// Times at which requests, or rejections, crashed the runner.
@@ -333,15 +362,16 @@
         self.lock().crash_times.clone()
     }
 
-    fn triggers_crash(&self, body: &Bytes) -> bool {
+    fn triggers_crash(&self, headers: &HeaderMap, body: &Bytes) -> bool {
         let state = self.lock();
         let trigger = state.crash_trigger.as_ref();
-        trigger.is_some_and(|(_, crashing_body)| **body == *crashing_body.as_bytes())
+        trigger.is_some_and(|(_, trigger)| trigger.is_in(headers, body))
     }
 
-    /// Crashes the runner after [`CRASH_AFTER`] and restarts it, if `body` triggers a crash.
-    fn crash_if_triggered(&self, body: &Bytes) {
-        if !self.triggers_crash(body) {
+    /// Crashes the runner after [`CRASH_AFTER`] and restarts it, if the request triggers a
+    /// crash.
+    fn crash_if_triggered(&self, headers: &HeaderMap, body: &Bytes) {
+        if !self.triggers_crash(headers, body) {
             return;
         }
         let Some((network, _)) = self.lock().crash_trigger.clone() else {
@@ -527,7 +557,7 @@
             ));
         }
         let run = RunGuard::begin(&self, &request_id, headers, &body);
-        self.crash_if_triggered(&body);
+        self.crash_if_triggered(headers, &body);
         match fault {
             Some(Fault::ResetAfterRun) => {
                 sleep(PLAIN_RUN_TIME).await;
@@ -545,7 +575,7 @@
             return Ok(stream_response(run, &request_id, (after, software), fault));
         }
         sleep(PLAIN_RUN_TIME).await;
-        if self.triggers_crash(&body) {
+        if self.triggers_crash(headers, &body) {
             std::future::pending::<()>().await;
         }
         run.complete();
