A part of prompts that crashes runners is held after three crashes

Cause: crashes were counted by whole requests, and no two of these were alike; what they had in common, a part of their prompts, was counted by nobody. Evidence: at each of the eleven crashes with logs exactly one request had just started, each with another fingerprint, and each quarantine held.

Each node now tells all others of a crash under a request that had just started, with the parts of its prompt; an answer that begins clears all parts of its request, at all nodes. A part at three separate crashes, of two requests at least, without an answer in between is quarantined by the mechanism that holds requests (same list, same news); five, where answers with it began within a minute. Crashes within 0.1 s count once (a rack); a crash that a held part explains counts against no other; a node that saw an answer since the last crash refutes the news of a quarantine.

Weighed: a count by part at its owner (an acquittal lies at other nodes than the crashes), all clearings told (each answer's parts to all nodes). Crashes are few, so their news goes to all, and only clearings of suspects travel.

--- a/crates/callers/src/fingerprint.rs
+++ b/crates/callers/src/fingerprint.rs
@@ -1,4 +1,5 @@
-//! Fingerprints, which identify a request across its caller's retries.
+//! Fingerprints, which identify a request across its caller's retries, or a part of prompts
+//! across requests.
 
 use std::fmt;
 
@@ -7,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Identifies a request by the parts that are the same in each retry by its caller: host,
-/// path and query, credential and body. A retry's id and deadline are not included.
+/// path and query, credential and body. A retry's id and deadline are not included. Also
+/// identifies a part of prompts ([`Self::of_part`]).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint(u64);
 
@@ -17,6 +19,12 @@
     pub fn of(host: &str, target: &str, caller: Option<&Credential>, body: &[u8]) -> Self {
         Self(rendezvous_weight(&(host, target, caller), body))
     }
+
+    /// Returns the fingerprint of the part `id` of prompts for `service`, which differs from that
+    /// of any request.
+    pub fn of_part(service: &str, id: u64) -> Self {
+        Self(rendezvous_weight(&("part", service), &id))
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -3,7 +3,8 @@
 //! A node accepts credentials only while its view of the configuration is fresh enough
 //! ([`authorize`]). The limits ([`QuotaOwner`], [`QuotaLedger`]) are tenants' quotas, the
 //! rate limits that runners advertise, and the number of runner crashes at which a request
-//! may be present ([`Progress`], [`Quarantine`]).
+//! may be present ([`Progress`], [`Quarantine`]). Parts of prompts that crash runners are found
+//! by what many crashes have in common ([`Suspects`]).
 //!
 //! All functions are deterministic in their arguments: they do no I/O and read no clock.
 
@@ -16,6 +17,7 @@
 mod owner;
 mod quarantine;
 mod served;
+mod suspects;
 
 pub use access::{AccessBounds, ConfigurationView, Denial, authorize};
 pub use bucket::{QuotaLimit, TokenBucket, request_cost};
@@ -26,3 +28,4 @@
 pub use owner::{QuotaOwner, VisibleNodes};
 pub use quarantine::{Quarantine, QuarantineUpdate};
 pub use served::RecentlyServed;
+pub use suspects::{CrashReport, MAX_PARTS_OF_REQUEST, PART_HELD_FOR, Suspects};
--- a/crates/callers/src/quarantine.rs
+++ b/crates/callers/src/quarantine.rs
@@ -60,6 +60,11 @@
         true
     }
 
+    /// Ends the quarantine of `request`. Returns whether it was quarantined.
+    pub fn remove(&mut self, request: Fingerprint) -> bool {
+        self.entries.remove(&request).is_some()
+    }
+
     fn remove_first_to_end(&mut self) {
         let first_to_end = self.entries.iter().min_by_key(|(_, entry)| entry.until);
         if let Some(request) = first_to_end.map(|(request, _)| *request) {
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -5,14 +5,23 @@
 //! runner crashed or only the connection broke. The owner of the request's limit
 //! ([`crate::quota`]) counts the crashes seen by all nodes. A request involved in too
 //! many crashes is put in quarantine, and nodes send each other quarantine updates.
+//!
+//! Requests that differ may have the part of their prompts in common that crashes runners. Nodes
+//! report crashes to each other, and answers that clear a part ([`Suspects`]); each judges
+//! for itself, and the parts found guilty are quarantined like requests.
+//!
+//! [`Suspects`]: barleyspar_callers::Suspects
 
 mod task;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_callers::{Fingerprint, Progress, Quarantine, QuarantineUpdate};
+use barleyspar_callers::{
+    CrashReport, Fingerprint, MAX_PARTS_OF_REQUEST, Progress, Quarantine, QuarantineUpdate,
+};
 use barleyspar_catalog::Runner;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -20,17 +29,62 @@
 
 pub use task::CrashTask;
 
+/// By what a request may be quarantined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineKeys {
+    /// Fingerprint that identifies equal requests on all nodes.
+    pub request: Fingerprint,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl QuarantineKeys {
+    /// Returns the keys of the request `request` to `service`, whose prompt has the shared
+    /// parts `part_ids`.
+    pub fn new(request: Fingerprint, service: &str, part_ids: &[u64]) -> Self {
+        let part_ids = part_ids.iter().take(MAX_PARTS_OF_REQUEST);
+        Self {
+            request,
+            parts: part_ids
+                .map(|id| Fingerprint::of_part(service, *id))
+                .collect(),
+        }
+    }
+
+    fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        [self.request].into_iter().chain(self.parts.iter().copied())
+    }
+}
+
+/// The quarantine that keeps a request from runners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AppliedQuarantine {
+    /// The request's fingerprint, or that of a part of its prompt.
+    pub key: Fingerprint,
+    /// Time until the quarantine ends.
+    pub remaining: Duration,
+}
+
+/// News of crashes and answers, which nodes send to each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashNews {
+    /// A runner crashed under a request that it had just started.
+    Crashed(CrashReport),
+    /// Answers began to requests with these parts, which were suspected or held.
+    Answered(Vec<Fingerprint>),
+}
+
 /// A request whose connection to its runner broke.
 #[derive(Debug)]
 pub struct BrokenRequest {
     /// Id that the client gave to the request, for the log; `-` if it gave none.
     pub request: Arc<str>,
-    /// Fingerprint that identifies equal requests on all nodes.
-    pub fingerprint: Fingerprint,
     /// How far the runner had processed the request.
     pub progress: Progress,
     /// Ids of the parts of the request's prompt that other requests may share, in order.
     pub parts: Arc<[u64]>,
+    /// By what the request may be quarantined.
+    pub keys: Arc<QuarantineKeys>,
     decision_sender: DecisionSender,
 }
 
@@ -46,16 +100,16 @@
     /// decision on resending the request is known.
     pub fn new(
         request: Arc<str>,
-        fingerprint: Fingerprint,
+        keys: Arc<QuarantineKeys>,
         progress: Progress,
         parts: Arc<[u64]>,
     ) -> (Self, ResendDecision) {
         let (decision_sender, resend_decision) = oneshot::channel();
         let broken = Self {
             request,
-            fingerprint,
             progress,
             parts,
+            keys,
             decision_sender,
         };
         (broken, resend_decision)
@@ -68,6 +122,8 @@
     CrashCounted(BrokenRequest, QuotaDecision),
     RequestServed(Fingerprint),
     QuarantineUpdate(Vec<QuarantineUpdate>),
+    AnswerBegan(Arc<QuarantineKeys>),
+    News(CrashNews),
 }
 
 /// A handle to the crash task of this node; clones share the task.
@@ -98,21 +154,36 @@
         }
     }
 
-    /// Returns the remaining time of the quarantine of `request`; `None` if it is not
-    /// quarantined.
-    pub fn remaining_quarantine(&self, request: Fingerprint) -> Option<Duration> {
+    /// Reports that the answer to a request began, which clears the parts of its prompt.
+    pub fn report_answer_began(&self, keys: Arc<QuarantineKeys>) {
+        if !keys.parts.is_empty() {
+            self.send(Command::AnswerBegan(keys));
+        }
+    }
+
+    /// Applies news received from another node.
+    pub fn apply_news(&self, news: CrashNews) {
+        self.send(Command::News(news));
+    }
+
+    /// Returns the quarantine of the request or of a part of its prompt; `None` if there is
+    /// none.
+    pub fn applied_quarantine(&self, keys: &QuarantineKeys) -> Option<AppliedQuarantine> {
         let now = Instant::now().into_std();
-        self.quarantine.borrow().remaining(request, now)
+        let quarantine = self.quarantine.borrow();
+        keys.all().find_map(|key| {
+            let remaining = quarantine.remaining(key, now)?;
+            Some(AppliedQuarantine { key, remaining })
+        })
     }
 
-    /// Waits until `request` is quarantined, and returns the remaining time of the
-    /// quarantine.
-    pub async fn wait_until_quarantined(&self, request: Fingerprint) -> Duration {
+    /// Waits until the request, or a part of its prompt, is quarantined.
+    pub async fn wait_until_quarantined(&self, keys: &QuarantineKeys) -> AppliedQuarantine {
         let mut quarantine = self.quarantine.clone();
         loop {
             quarantine.borrow_and_update();
-            if let Some(remaining) = self.remaining_quarantine(request) {
-                return remaining;
+            if let Some(applied) = self.applied_quarantine(keys) {
+                return applied;
             }
             if quarantine.changed().await.is_err() {
                 // The crash task, which publishes the quarantine, has ended. It ends only with
--- a/crates/gateway/src/crashes/task.rs
+++ b/crates/gateway/src/crashes/task.rs
@@ -5,14 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_callers::{Fingerprint, Quarantine, QuarantineUpdate, RecentlyServed};
+use barleyspar_callers::{
+    CrashReport, Fingerprint, PART_HELD_FOR, Progress, Quarantine, QuarantineUpdate,
+    RecentlyServed, Suspects,
+};
 use barleyspar_catalog::Runner;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::context::{CONNECT_TIMEOUT, Context};
-use crate::crashes::{BrokenRequest, Command, CrashInbox};
+use crate::crashes::{BrokenRequest, Command, CrashInbox, CrashNews};
 use crate::journal;
+use crate::peers::PeerHandle;
 use crate::quota::QuotaDecision;
 use crate::upstream::ConnectError;
 
@@ -25,17 +29,21 @@
     /// id.
     awaiting_probe: HashMap<Arc<str>, Vec<BrokenRequest>>,
     recently_served: RecentlyServed,
+    suspects: Suspects,
+    peers: PeerHandle,
     quarantine: watch::Sender<Quarantine>,
 }
 
 impl CrashTask {
     /// Creates the task of the node with this context.
-    pub fn new(context: Context, inbox: CrashInbox) -> Self {
+    pub fn new(context: Context, peers: PeerHandle, inbox: CrashInbox) -> Self {
         Self {
             context,
             inbox: inbox.0,
             awaiting_probe: HashMap::new(),
             recently_served: RecentlyServed::default(),
+            suspects: Suspects::default(),
+            peers,
             quarantine: inbox.1,
         }
     }
@@ -49,6 +57,11 @@
                 Command::CrashCounted(broken, decision) => self.crash_counted(broken, decision),
                 Command::RequestServed(request) => self.recently_served.add(request, now()),
                 Command::QuarantineUpdate(updates) => self.apply_updates(&updates),
+                Command::AnswerBegan(keys) => self.answer_began(&keys.parts),
+                Command::News(CrashNews::Crashed(report)) => self.judge_parts(&report),
+                Command::News(CrashNews::Answered(parts)) => {
+                    self.clear_parts(&parts);
+                }
             }
         }
     }
@@ -75,40 +88,96 @@
     /// Counts the crash of `runner` against the request, unless this node recently served the
     /// same request successfully: it is then unlikely to be the cause, and many callers may
     /// send it.
-    fn count_crash(&self, broken: BrokenRequest, runner: &Arc<str>) {
-        let served_lately = self.recently_served.contains(broken.fingerprint, now());
+    fn count_crash(&mut self, broken: BrokenRequest, runner: &Arc<str>) {
+        let served_lately = self.recently_served.contains(broken.keys.request, now());
         journal::runner_crashed(runner, &broken, served_lately);
+        self.report_started(&broken, runner);
         if !served_lately {
             let counting = count_at_owner(self.context.clone(), broken, runner.clone());
             crate::tasks::spawn(counting);
         }
     }
 
+    /// Reports the crash to all nodes, this one included, if the runner had just started the
+    /// request and a part of its prompt may be the cause.
+    fn report_started(&mut self, broken: &BrokenRequest, runner: &Arc<str>) {
+        let parts = &broken.keys.parts;
+        if broken.progress != Progress::Started || parts.is_empty() {
+            return;
+        }
+        let report = CrashReport {
+            runner: runner.clone(),
+            request: broken.keys.request,
+            parts: parts.clone(),
+        };
+        self.judge_parts(&report);
+        self.peers.publish_crash_news(CrashNews::Crashed(report));
+    }
+
+    /// Counts a crash against the parts of a prompt, and quarantines those found to be the
+    /// cause.
+    fn judge_parts(&mut self, report: &CrashReport) {
+        for part in self.suspects.record_crash(report, now()) {
+            self.quarantine(part, PART_HELD_FOR, "crashes");
+        }
+    }
+
+    /// Clears the parts of a request whose answer began at this node, and tells the others of
+    /// those that were suspected.
+    fn answer_began(&mut self, parts: &[Fingerprint]) {
+        let cleared = self.clear_parts(parts);
+        if !cleared.is_empty() {
+            self.peers.publish_crash_news(CrashNews::Answered(cleared));
+        }
+    }
+
+    /// Clears parts with which an answer began. Returns those that were suspected or held.
+    fn clear_parts(&mut self, parts: &[Fingerprint]) -> Vec<Fingerprint> {
+        let cleared = self.suspects.record_answer(parts, now());
+        for part in &cleared {
+            let remove = |quarantine: &mut Quarantine| quarantine.remove(*part);
+            if self.quarantine.send_if_modified(remove) {
+                journal::quarantine_ended(*part);
+            }
+        }
+        cleared
+    }
+
     /// Quarantines the request if the limit owner denied resending it after a crash. Then
     /// signals that the decision on resending is known.
     fn crash_counted(&self, broken: BrokenRequest, decision: QuotaDecision) {
         if let QuotaDecision::Denied(remaining) = decision {
-            self.quarantine_request(broken.fingerprint, remaining);
+            self.quarantine(broken.keys.request, remaining, "owner");
         }
         drop(broken.decision_sender);
     }
 
-    fn quarantine_request(&self, request: Fingerprint, remaining: Duration) {
+    /// Quarantines a request or a part of prompts. `source` says who decided that.
+    fn quarantine(&self, key: Fingerprint, remaining: Duration, source: &'static str) {
         let now = now();
         let Some(until) = now.checked_add(remaining) else {
             return;
         };
-        let add = |quarantine: &mut Quarantine| quarantine.add(request, until, now);
+        let add = |quarantine: &mut Quarantine| quarantine.add(key, until, now);
         if self.quarantine.send_if_modified(add) {
-            journal::quarantined(request, remaining, "owner");
+            journal::quarantined(key, remaining, source);
         }
     }
 
-    fn apply_updates(&self, updates: &[QuarantineUpdate]) {
+    /// Applies quarantines of other nodes, except those of parts with which an answer began
+    /// since: the others then learn of that.
+    fn apply_updates(&mut self, updates: &[QuarantineUpdate]) {
         let now = now();
+        let (updates, refuted): (Vec<QuarantineUpdate>, Vec<QuarantineUpdate>) = updates
+            .iter()
+            .partition(|update| self.suspects.agrees_to_hold(update.request, now));
+        if !refuted.is_empty() {
+            let parts = refuted.iter().map(|update| update.request).collect();
+            self.peers.publish_crash_news(CrashNews::Answered(parts));
+        }
         let mut added = Vec::new();
         self.quarantine.send_if_modified(|quarantine| {
-            added = quarantine.apply_updates(updates, now);
+            added = quarantine.apply_updates(&updates, now);
             !added.is_empty()
         });
         for request in added {
@@ -140,7 +209,7 @@
 /// Has the limit owner count the crash of `runner` against the request, and sends the
 /// decision to the crash task.
 async fn count_at_owner(context: Context, broken: BrokenRequest, runner: Arc<str>) {
-    let (request, weight) = (broken.fingerprint, broken.progress.weight());
+    let (request, weight) = (broken.keys.request, broken.progress.weight());
     let decision = context.quota.count_crash(request, weight, runner).await;
     context
         .crashes
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::attempt::{AttemptError, Outgoing};
 use crate::context::Context;
-use crate::crashes::{BrokenRequest, ResendDecision};
+use crate::crashes::{AppliedQuarantine, BrokenRequest, QuarantineKeys, ResendDecision};
 use crate::event_gaps::EventGaps;
 use crate::inflight::InFlightGuard;
 use crate::journal;
@@ -99,6 +99,7 @@
     /// Number of attempts that failed before any byte was sent.
     unsent_attempts: u32,
     resend_decision: Option<ResendDecision>,
+    quarantine_keys: Arc<QuarantineKeys>,
     ended: bool,
     _in_flight: InFlightGuard,
 }
@@ -124,6 +125,8 @@
             let service = table.configuration().services.get(&service)?;
             Some(service.engine.as_ref()?.cache_tokens)
         });
+        let quarantine_keys =
+            QuarantineKeys::new(outgoing.fingerprint, &service, &facts.shared_prefix);
         Self {
             context,
             route,
@@ -146,6 +149,7 @@
             rejections: 0,
             unsent_attempts: 0,
             resend_decision: None,
+            quarantine_keys: Arc::new(quarantine_keys),
             ended: false,
             _in_flight: in_flight,
         }
@@ -176,28 +180,25 @@
     /// Returns the remaining time for which the request must not be sent to any runner;
     /// `None` if it is not quarantined. Logs a quarantine.
     pub fn remaining_quarantine(&self) -> Option<Duration> {
-        let remaining = self
+        let applied = self
             .context
             .crashes
-            .remaining_quarantine(self.outgoing.fingerprint);
-        remaining.inspect(|remaining| self.log_quarantine(*remaining))
+            .applied_quarantine(&self.quarantine_keys);
+        applied.map(|applied| self.log_quarantine(applied))
     }
 
     /// Waits until the request is quarantined, and returns the remaining time of the
     /// quarantine. Logs it.
     pub async fn wait_until_quarantined(&self) -> Duration {
-        let fingerprint = self.outgoing.fingerprint;
-        let remaining = self
-            .context
-            .crashes
-            .wait_until_quarantined(fingerprint)
-            .await;
-        self.log_quarantine(remaining);
-        remaining
+        let crashes = &self.context.crashes;
+        let applied = crashes.wait_until_quarantined(&self.quarantine_keys).await;
+        self.log_quarantine(applied)
     }
 
-    fn log_quarantine(&self, remaining: Duration) {
-        journal::quarantine_applied(self.id(), self.outgoing.fingerprint, remaining);
+    /// Logs a quarantine that keeps the request from runners, and returns its remaining time.
+    fn log_quarantine(&self, applied: AppliedQuarantine) -> Duration {
+        journal::quarantine_applied(self.id(), applied);
+        applied.remaining
     }
 
     /// Logs that the request was admitted under the configuration `version`.
@@ -257,6 +258,13 @@
         }
     }
 
+    /// Reports that a runner began to write an answer, so that the request's parts are not
+    /// suspected of crashing runners.
+    pub fn report_answer_began(&self) {
+        let keys = self.quarantine_keys.clone();
+        self.context.crashes.report_answer_began(keys);
+    }
+
     /// Records the time of an event that is now sent to the client, and its gap to the
     /// event before.
     pub fn record_event(&mut self) {
@@ -419,10 +427,9 @@
     /// Reports that the connection to `runner` broke, so that it is examined whether the
     /// runner crashed. `progress`: how far the request had come there.
     pub fn report_broken_connection(&mut self, runner: &Arc<Runner>, progress: Progress) {
-        let fingerprint = self.outgoing.fingerprint;
         let parts = self.facts.shared_prefix.as_slice().into();
-        let (broken, resend_decision) =
-            BrokenRequest::new(self.id().into(), fingerprint, progress, parts);
+        let keys = self.quarantine_keys.clone();
+        let (broken, resend_decision) = BrokenRequest::new(self.id().into(), keys, progress, parts);
         self.resend_decision = Some(resend_decision);
         self.context
             .crashes
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -16,7 +16,7 @@
 use crate::answers::OwnAnswer;
 use crate::attempt::AttemptError;
 use crate::context::Context;
-use crate::crashes::BrokenRequest;
+use crate::crashes::{AppliedQuarantine, BrokenRequest};
 use crate::dispatch::Permit;
 use crate::upstream::ConnectError;
 
@@ -241,7 +241,7 @@
     tracing::warn!(
         event = "runner_crashed",
         request = &*broken.request,
-        fingerprint = %broken.fingerprint,
+        fingerprint = %broken.keys.request,
         runner,
         progress = broken.progress.name(),
         parts = part_ids(&broken.parts),
@@ -255,24 +255,31 @@
     ids.join(",")
 }
 
-/// Logs that a request was quarantined for `remaining` because it crashes runners. `source`:
-/// the limit owner, which decided it, or another node, which reported it.
-pub fn quarantined(request: Fingerprint, remaining: Duration, source: &'static str) {
+/// Logs that a request, or a part of prompts, was quarantined for `remaining` because it crashes
+/// runners. `source`: the limit owner, which decided it, another node, which reported it, or
+/// the crashes that all nodes reported.
+pub fn quarantined(key: Fingerprint, remaining: Duration, source: &'static str) {
     tracing::warn!(
         event = "quarantined",
-        fingerprint = %request,
+        fingerprint = %key,
         left_ms = milliseconds(remaining),
         source
     );
 }
 
-/// Logs that a request is not sent to a runner because it is quarantined for `remaining`.
-pub fn quarantine_applied(request: &str, fingerprint: Fingerprint, remaining: Duration) {
+/// Logs that a part of prompts is not quarantined any more, because an answer with it began.
+pub fn quarantine_ended(part: Fingerprint) {
+    tracing::info!(event = "quarantine_ended", fingerprint = %part);
+}
+
+/// Logs that a request is not sent to a runner because it, or a part of its prompt, is
+/// quarantined.
+pub fn quarantine_applied(request: &str, applied: AppliedQuarantine) {
     tracing::warn!(
         event = "quarantine_met",
         request,
-        %fingerprint,
-        left_ms = milliseconds(remaining)
+        fingerprint = %applied.key,
+        left_ms = milliseconds(applied.remaining)
     );
 }
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -10,6 +10,7 @@
 use barleyspar_prefill::PrefillMessage;
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::CrashNews;
 use crate::origins::OriginMessage;
 use crate::peers::{LoadSum, MemberRecord};
 
@@ -113,6 +114,14 @@
     Brittle(Vec<BrittleUpdate>),
     /// A message about the software version that began a stream.
     Origin(OriginMessage),
+    /// News by which nodes find the parts of prompts that crash runners.
+    Crashes {
+        /// A crash, or answers that began.
+        news: CrashNews,
+        /// Whether a relay has forwarded the message already, so that the receiver does
+        /// not forward it again.
+        passed_on: bool,
+    },
 }
 
 impl Message {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -326,6 +326,7 @@
     };
     let planner = Planner::new(placement_options.planner_settings(load_rate_limits), now);
     let quota_task = QuotaTask::new(context.clone(), peer_handle.clone(), quota_inbox);
+    let crash_task = CrashTask::new(context.clone(), peer_handle.clone(), crash_inbox);
     let origin_task = OriginTask::new(context.clone(), peer_handle.clone(), origin_inbox);
     let prefill_task =
         PrefillTask::new(context.clone(), peer_handle.clone(), prefill, prefill_inbox);
@@ -378,10 +379,7 @@
     if uses_prefill {
         tasks.spawn("prefill", prefill_task.run());
     }
-    tasks.spawn(
-        "crashes",
-        CrashTask::new(context.clone(), crash_inbox).run(),
-    );
+    tasks.spawn("crashes", crash_task.run());
     tasks.spawn("origins", origin_task.run());
     tasks.spawn(
         "rate_permits",
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::crashes::CrashNews;
 use crate::messages::Message;
 
 pub use members::MemberRecord;
@@ -33,6 +34,7 @@
     RetainMembers(Vec<Arc<str>>),
     PublishInventories(Vec<Inventory>),
     PublishPrefillUpdates(Vec<PrefillUpdate>),
+    PublishCrashNews(CrashNews),
     Send(Arc<str>, Box<Message>),
 }
 
@@ -84,6 +86,12 @@
         self.send(Command::PublishPrefillUpdates(updates));
     }
 
+    /// Sends news of a crash or of answers to all other nodes, through relays if messages go
+    /// through them.
+    pub fn publish_crash_news(&self, news: CrashNews) {
+        self.send(Command::PublishCrashNews(news));
+    }
+
     /// Sends `message` to the node `name` once, without acknowledgement; does nothing
     /// if it is no member.
     pub fn send_message(&self, name: Arc<str>, message: Message) {
--- a/crates/gateway/src/peers/relaying.rs
+++ b/crates/gateway/src/peers/relaying.rs
@@ -9,6 +9,7 @@
 use barleyspar_prefill::{PrefillMessage, PrefillUpdate};
 use tokio::time::Instant;
 
+use crate::crashes::CrashNews;
 use crate::messages::{ClusterUpdates, Message};
 use crate::peers::LoadSum;
 use crate::peers::members::NodeKey;
@@ -213,3 +214,8 @@
 pub(super) fn prefill_updates(updates: Vec<PrefillUpdate>, passed_on: bool) -> Message {
     Message::Prefill(PrefillMessage::Updates { updates, passed_on })
 }
+
+/// Returns the message of news of crashes; `passed_on` tells receivers not to forward it.
+pub(super) fn crash_news(news: CrashNews, passed_on: bool) -> Message {
+    Message::Crashes { news, passed_on }
+}
--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -15,7 +15,7 @@
 use crate::network::Datagrams;
 use crate::peers::members::Members;
 use crate::peers::relay::{RELAY_INTERVAL, RelayState};
-use crate::peers::relaying::{held, prefill_updates};
+use crate::peers::relaying::{crash_news, held, prefill_updates};
 use crate::peers::times::{
     MEMBER_TIMEOUT, MIN_INTERVAL, URGENT_INTERVAL, VALID_INTERVALS, demand_interval,
 };
@@ -213,6 +213,12 @@
             Some(Message::Brittle(updates)) => {
                 self.context.dispatch.apply_brittle_updates(updates);
             }
+            Some(Message::Crashes { news, passed_on }) => {
+                if !passed_on {
+                    self.forward(&crash_news(news.clone(), true)).await;
+                }
+                self.context.crashes.apply_news(news);
+            }
             Some(Message::Origin(message)) => self.context.origins.handle_message(message),
             Some(Message::Prefill(message)) => self.receive_prefill(message).await,
             None => tracing::info!(event = "datagram_unreadable", bytes = bytes.len()),
@@ -327,6 +333,10 @@
                 self.publish(|passed_on| prefill_updates(updates.clone(), passed_on))
                     .await;
             }
+            Command::PublishCrashNews(news) => {
+                self.publish(|passed_on| crash_news(news.clone(), passed_on))
+                    .await;
+            }
             Command::Send(name, message) => self.send_to(&message, [name].iter()).await,
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -213,6 +213,7 @@
                 answered
                     .permit
                     .report_interim_outcome(Outcome::PromptRead { first_byte });
+                self.exchange.report_answer_began();
                 let software = &answered.permit.runner().software;
                 self.exchange.record_origin(software);
             }
