An answer of the store without end is cut off at 32 MB

What would be seen: a store, or what answers in its place, that sends bytes without end fills a gateway's memory: the reader bounded the time of each part, not the sum.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -23,6 +23,9 @@
 
 /// Maximum duration of one call, even while its answer keeps arriving.
 const MAX_CALL_TIME: Duration = Duration::from_secs(40);
+/// Largest body of an answer. The entries of all runners of a large site, in one answer, are a
+/// fifth of it.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
 /// A client of the store, with a pool of idle connections. A connection on which a call
 /// was not fully answered is not used again.
@@ -201,7 +204,8 @@
         Ok((connection, response))
     }
 
-    /// Reads a body, waiting up to `answer_timeout` for each part.
+    /// Reads a body of at most [`MAX_ANSWER_BYTES`], waiting up to `answer_timeout` for each
+    /// part.
     async fn read_body(
         &self,
         mut body: Incoming,
@@ -217,6 +221,10 @@
             if let Ok(part) = frame.into_data() {
                 bytes.extend_from_slice(&part);
             }
+            if bytes.len() > MAX_ANSWER_BYTES {
+                let cause = format!("the answer exceeds {MAX_ANSWER_BYTES} bytes");
+                return Err(StoreError::Unanswered(cause));
+            }
         }
         Ok(bytes.freeze())
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod network;
 mod runner;
 mod runner_body;
+mod scripted_server;
 mod store;
 mod stream_client;
 mod world;
@@ -16,6 +17,7 @@
 pub use dialect::{NativeDialect, encode, names};
 pub use network::{Cut, MemoryNetwork};
 pub use runner::{Call, Fault, RequestedPause, Run, RunnerIdentity, RunnerStandIn};
+pub use scripted_server::{Script, ScriptedServer};
 pub use store::{StoreData, StoreStandIn};
 pub use stream_client::FollowedStream;
 pub use world::{
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Returns the address at which the store listens.
+    pub fn store_address() -> SocketAddr {
+        STORE_ADDRESS
+    }
+
     /// Returns the address of the store's host, for faults of the network.
     pub fn store_host() -> IpAddr {
         STORE_ADDRESS.ip()
