A gateway that gets most requests may use connections beyond its equal share

What callers saw: while most new connections went to one gateway, a quarter of its streams was refused: each gateway may have an equal part of a runner's connection limit open (32 of 370 with nine gateways), however many of the 64 slots its requests could use; the others' parts lay idle. Now a gateway may have a tenth of the limit more in use; such a connection is closed after its request, and idle ones make room first. What all have in use is bounded by the slots.

Weighed: lending by an owner (exact, one more exchange before a connection), calls through a peer with room (two hops for most requests), connections closed unread (callers lose their first try).

Tests of gateway and stand-ins pass.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -20,7 +20,7 @@
 use crate::quota::QuotaHandle;
 use crate::reachability::Reachability;
 use crate::tunnel::{self, TunnelPeers};
-use crate::upstream::{Checkout, ConnectError, Connection, Pool, open_stream};
+use crate::upstream::{Checkout, ConnectError, Connection, ConnectionShare, Pool, open_stream};
 
 /// Timeout for opening a connection to a runner.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -221,18 +221,40 @@
         result
     }
 
-    /// Returns the number of connections that this node may have to one runner of
-    /// `service`: an equal share of the service's limit, at least 1.
-    fn connection_share(&self, service: &str) -> u32 {
+    /// Returns a connection to `runner` to the pool after an answer was read completely from it.
+    /// `keep_alive_seconds`: the keep-alive time that the runner announced, if any.
+    pub fn put_back(
+        &self,
+        runner: &Runner,
+        connection: Connection,
+        keep_alive_seconds: Option<u64>,
+    ) {
+        let kept = self.connection_share(&runner.service).kept;
+        self.pool
+            .put_back(&runner.id, connection, keep_alive_seconds, kept);
+    }
+
+    /// Returns the numbers of connections that this node may have to one runner of `service`:
+    /// an equal share of the service's limit, at least 1, and a lent part beyond it for
+    /// connections in use. What all nodes have in use together is bounded by the runner's
+    /// slots, whichever of them has the requests.
+    fn connection_share(&self, service: &str) -> ConnectionShare {
         /// Fraction of the service's connection limit that is divided among the known nodes.
-        /// The remainder covers nodes that do not know of each other yet.
-        const USED_FRACTION: f64 = 0.8;
+        const KEPT_FRACTION: f64 = 0.8;
+        /// Fraction that a node may use beyond its share. The remainder covers nodes that do
+        /// not know of each other yet, and two that use lent connections at a time.
+        const LENT_FRACTION: f64 = 0.1;
         let routes = self.routes.borrow();
         let limit = routes
             .as_ref()
             .and_then(|table| table.configuration().services.get(service))
             .map_or(u32::MAX, |service| service.connection_limit);
-        let share = f64::from(limit) * USED_FRACTION / f64::from(self.dispatch.member_count());
-        (share as u32).max(1)
+        let limit = f64::from(limit);
+        let share = limit * KEPT_FRACTION / f64::from(self.dispatch.member_count());
+        let kept = (share as u32).max(1);
+        ConnectionShare {
+            kept,
+            in_use: kept.saturating_add((limit * LENT_FRACTION) as u32),
+        }
     }
 }
--- a/crates/gateway/src/crashes/task.rs
+++ b/crates/gateway/src/crashes/task.rs
@@ -195,7 +195,7 @@
     let crashed = match context.open_connection(&runner, CONNECT_TIMEOUT).await {
         Ok(connection) => {
             // The connection is kept for the next request.
-            context.pool.put_back(&runner.id, connection, None);
+            context.put_back(&runner, connection, None);
             false
         }
         Err(ConnectError::ConnectionLimitReached | ConnectError::TimedOut) => false,
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -158,7 +158,7 @@
     match exchange(context, runner, call_name, &mut connection, request).await {
         Ok((status, facts, body)) => {
             let keep_alive = facts.keep_alive_seconds;
-            context.pool.put_back(&runner.id, connection, keep_alive);
+            context.put_back(runner, connection, keep_alive);
             Ok((status, body))
         }
         Err(error) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -120,9 +120,8 @@
 /// Ends an attempt whose answer was read completely: reports `outcome` and returns the
 /// connection to the pool.
 pub fn finish_attempt(exchange: &Exchange, answered: Answered, outcome: Outcome) {
-    let runner = answered.permit.runner().id.clone();
-    exchange.context.pool.put_back(
-        &runner,
+    exchange.context.put_back(
+        answered.permit.runner(),
         answered.connection,
         answered.facts.keep_alive_seconds,
     );
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -308,8 +308,8 @@
     )
     .await
     {
-        let pool = &exchange.context.pool;
-        pool.put_back(runner, connection, facts.keep_alive_seconds);
+        let context = &exchange.context;
+        context.put_back(permit.runner(), connection, facts.keep_alive_seconds);
     }
     permit.finish(outcome);
     if exchange.record_rejection(runner, outcome) && !exchange.remaining_time().is_zero() {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -5,4 +5,4 @@
 mod tracked;
 
 pub use connection::{ConnectError, Connection, open_stream};
-pub use pool::{Checkout, OpenSlot, Pool};
+pub use pool::{Checkout, ConnectionShare, OpenSlot, Pool};
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -6,6 +6,17 @@
 
 use crate::upstream::Connection;
 
+/// Numbers of connections that this node may have open to one runner. All nodes share the
+/// runner's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionShare {
+    /// Number up to which connections may be open, in use or idle: this node's equal share.
+    pub kept: u32,
+    /// Number up to which connections may be in use while this node has more requests than
+    /// others; those beyond `kept` are closed after their request.
+    pub in_use: u32,
+}
+
 /// Counts one open connection to a runner against this node's share. Dropping it frees the
 /// share.
 #[derive(Debug)]
@@ -35,9 +46,16 @@
 }
 
 impl RunnerConnections {
-    /// Reserves a slot for one more connection; `None` if `share` connections are open.
-    fn reserve(&self, share: u32) -> Option<OpenSlot> {
-        if self.open.load(Ordering::Relaxed) >= share {
+    fn open_count(&self) -> u32 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Reserves a slot for one more connection; `None` if as many are open as `share` allows.
+    /// Beyond the kept ones, idle connections are closed to make room.
+    fn reserve(&mut self, share: ConnectionShare) -> Option<OpenSlot> {
+        let excess = (self.open_count() + 1).saturating_sub(share.kept) as usize;
+        self.idle.drain(..excess.min(self.idle.len()));
+        if self.open_count() >= share.in_use.max(share.kept) {
             return None;
         }
         self.open.fetch_add(1, Ordering::Relaxed);
@@ -61,8 +79,8 @@
     }
 
     /// Returns an idle connection to the runner with the id `runner`, or the slot for a new
-    /// one if fewer than `share` are open.
-    pub fn checkout(&self, runner: &Arc<str>, share: u32) -> Checkout {
+    /// one if `share` allows one more.
+    pub fn checkout(&self, runner: &Arc<str>, share: ConnectionShare) -> Checkout {
         self.with_entries(|entries| {
             let entry = entries.entry(runner.clone()).or_default();
             entry.idle.retain(Connection::is_alive);
@@ -74,26 +92,30 @@
     }
 
     /// Reserves the slot for a new connection to `runner`, even if there are idle ones;
-    /// `None` if `share` connections are open.
-    pub fn reserve(&self, runner: &Arc<str>, share: u32) -> Option<OpenSlot> {
+    /// `None` if `share` allows no more.
+    pub fn reserve(&self, runner: &Arc<str>, share: ConnectionShare) -> Option<OpenSlot> {
         self.with_entries(|entries| entries.entry(runner.clone()).or_default().reserve(share))
     }
 
     /// Returns a connection to the pool after an answer was read completely from it. One that
     /// goes through a peer is closed instead: the peer decides anew for each request whether it
-    /// may call the runner. `keep_alive_seconds`: the keep-alive time that the runner announced, if any.
+    /// may call the runner. So is one beyond the `kept` ones of this node's share.
+    /// `keep_alive_seconds`: the keep-alive time that the runner announced, if any.
     pub fn put_back(
         &self,
         runner: &Arc<str>,
         mut connection: Connection,
         keep_alive_seconds: Option<u64>,
+        kept: u32,
     ) {
         connection.mark_idle(keep_alive_seconds);
         if connection.is_closed() || connection.peer().is_some() {
             return;
         }
         self.with_entries(|entries| {
-            if let Some(entry) = entries.get_mut(runner) {
+            if let Some(entry) = entries.get_mut(runner)
+                && entry.open_count() <= kept
+            {
                 entry.idle.push(connection);
             }
         });
