--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -21,7 +21,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
@@ -143,6 +143,9 @@
     orders: Vec<(Instant, Order)>,
     /// Number of the next orders that the runner leaves unanswered.
     lose_order_answers: u32,
+    /// Whether the process stands still: it answers nothing, and takes up what it received
+    /// meanwhile once it goes on.
+    paused: watch::Sender<bool>,
     /// Number of orders accepted in this incarnation.
     sequence: u64,
     /// Highest fencing token received in this incarnation.
@@ -241,6 +244,7 @@
                 brittle: None,
                 orders: Vec::new(),
                 lose_order_answers: 0,
+                paused: watch::Sender::new(false),
                 sequence: 0,
                 highest_token: 0,
                 busy: false,
@@ -406,6 +410,18 @@
         self.lock().lose_order_answers = count;
     }
 
+    /// Makes the runner's process stand still, or go on.
+    pub fn set_paused(&self, paused: bool) {
+        self.lock().paused.send_replace(paused);
+    }
+
+    /// Waits until the process does not stand still.
+    pub(super) async fn wait_while_paused(&self) {
+        let mut paused = self.lock().paused.subscribe();
+        // The sender lives as long as the runner.
+        let _ = paused.wait_for(|paused| !paused).await;
+    }
+
     /// Number of requests whose runs have begun and not ended, streams included.
     pub fn running_requests(&self) -> usize {
         self.lock().running_requests
@@ -499,6 +515,9 @@
             ));
         }
         let path = head.uri.path();
+        if path != names::ORDER_PATH {
+            self.wait_while_paused().await;
+        }
         let is_request = ![names::REPORT_PATH, names::ORDER_PATH].contains(&path);
         let at = Instant::now();
         self.lock().calls.push(Call {
--- a/crates/standin/src/runner/orders.rs
+++ b/crates/standin/src/runner/orders.rs
@@ -19,10 +19,9 @@
     /// Answers an order; an accepted one is carried out in the background.
     pub(super) async fn order(self, body: &[u8]) -> Result<Response<RunnerBody>, ConnectionBroken> {
         let order: Order = decode(body).expect("orders are well formed");
-        let code = self.accept_order(&order);
-        if code == StatusCode::ACCEPTED {
-            tokio::spawn(self.clone().carry_out(order.action));
-        }
+        // Carried out even if the caller has closed its connection meanwhile.
+        let taken = tokio::spawn(self.clone().take_order(order));
+        let code = taken.await.map_err(|_| ConnectionBroken)?;
         let answer_is_lost = {
             let mut state = self.lock();
             let is_lost = state.lose_order_answers > 0;
@@ -35,6 +34,15 @@
         Ok(status_response(code, Bytes::new()))
     }
 
+    async fn take_order(self, order: Order) -> StatusCode {
+        self.wait_while_paused().await;
+        let code = self.accept_order(&order);
+        if code == StatusCode::ACCEPTED {
+            tokio::spawn(self.carry_out(order.action));
+        }
+        code
+    }
+
     /// Records an order. Returns the status code that says whether it is accepted; an accepted
     /// order changes the runner's sequence number.
     fn accept_order(&self, order: &Order) -> StatusCode {
