A load that a silent runner may still carry out counts towards the policy's replicas

Cause: a load left unanswered was forgotten with the report or the leader that sent it.

Each node now remembers which loads the leader published as ordered; a successor counts those of runners whose report does not show their end, and a leader counts its own that were left unanswered, for as long as the runner answers nothing and a second more. A further replica is placed only if the policy's number holds with all of them; a new order at the same runner supersedes its own. Not covered: a runner that answers reports and carries an order out seconds later.

Tried first: counted for 13 s after each unanswered order; a_partitioned_leader_without_callers_hands_over_in_time failed (the model was not loaded in time). late_orders: failed before (3 replicas), passes.

--- a/crates/gateway/src/peers/task.rs
+++ b/crates/gateway/src/peers/task.rs
@@ -202,6 +202,7 @@
                 if !passed_on {
                     self.forward(&held(inventories.clone(), true)).await;
                 }
+                self.placement.note_inventories(inventories.clone());
                 for inventory in inventories {
                     self.context.dispatch.apply_inventory(inventory);
                 }
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use barleyspar_catalog::{Configuration, Revision, Runner};
-use barleyspar_dispatch::{DemandItem, PromptDemandItem, RunnerKey, StreamDemandItem};
+use barleyspar_dispatch::{DemandItem, Inventory, PromptDemandItem, RunnerKey, StreamDemandItem};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -90,6 +90,7 @@
     Demand(Arc<str>, Vec<DemandItem>, Vec<RunnerKey>),
     Prompts(Arc<str>, Vec<PromptDemandItem>),
     Streams(Arc<str>, Vec<StreamDemandItem>),
+    Inventories(Vec<Inventory>),
     ReadingSpeeds(Vec<(RunnerKey, f64)>),
     Ordered(OrderResult),
     Reported(ReportResult),
@@ -160,6 +161,12 @@
         self.send(Command::Prompts(node, items));
     }
 
+    /// Passes the inventories that the leader published. Should this node lead next, it knows
+    /// from them which loads were ordered.
+    pub fn note_inventories(&self, inventories: Vec<Inventory>) {
+        self.send(Command::Inventories(inventories));
+    }
+
     /// Passes the streams that wait at `node` for a model at one software version to the
     /// planner.
     pub fn report_streams(&self, node: Arc<str>, items: Vec<StreamDemandItem>) {
--- a/crates/gateway/src/placement/runners.rs
+++ b/crates/gateway/src/placement/runners.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{Configuration, Runner, RunnerLimit, RunnerState};
-use barleyspar_dispatch::{RunnerKey, runner_key};
+use barleyspar_dispatch::{Inventory, RunnerKey, runner_key};
+use barleyspar_loading::PossibleLoad;
 use tokio::time::Instant;
 
 use crate::dispatch::{AdvertisedLimits, DrainingRunners};
-use crate::placement::tracked_runner::TrackedRunner;
+use crate::placement::tracked_runner::{TrackedRunner, note_possible_load};
 
 /// Maximum number of runners for which a new leader reads all reports at once. Each
 /// read costs a connection and a probe; with more runners, a report is read when the
@@ -32,6 +33,9 @@
     known: BTreeMap<Arc<str>, Arc<Runner>>,
     tracked: BTreeMap<Arc<str>, TrackedRunner>,
     evacuated: BTreeSet<Arc<str>>,
+    /// The last load that a leader published as ordered, by runner: model, and number of orders
+    /// that the runner had accepted before.
+    published_loads: BTreeMap<Arc<str>, (Arc<str>, u64)>,
 }
 
 impl Runners {
@@ -40,6 +44,26 @@
     pub fn start_leading(&mut self, configuration: &Configuration) {
         self.tracked.clear();
         self.track_engines(configuration);
+        for (id, (model, sequence)) in &self.published_loads {
+            if let Some(entry) = self.tracked.get_mut(id) {
+                note_possible_load(&mut entry.view, model, *sequence);
+            }
+        }
+    }
+
+    /// Notes which load the leader has ordered at a runner, by the inventory that it published;
+    /// one without a load ends the one before.
+    pub fn note_published(&mut self, inventory: &Inventory) {
+        let id = inventory.runner.clone();
+        match &inventory.loading {
+            Some(loading) if self.known.contains_key(&id) => {
+                let load = (loading.model.clone(), inventory.sequence);
+                self.published_loads.insert(id, load);
+            }
+            _ => {
+                self.published_loads.remove(&id);
+            }
+        }
     }
 
     /// Stops leading: drops the state of reports and orders.
@@ -120,6 +144,7 @@
     pub fn remove(&mut self, id: &str) {
         self.known.remove(id);
         self.tracked.remove(id);
+        self.published_loads.remove(id);
     }
 
     /// Drops all runners whose ids are not in `kept`.
@@ -127,6 +152,7 @@
         let kept: BTreeSet<&Arc<str>> = kept.iter().collect();
         self.known.retain(|id, _| kept.contains(id));
         self.tracked.retain(|id, _| kept.contains(id));
+        self.published_loads.retain(|id, _| kept.contains(id));
     }
 
     /// Sets the zones under evacuation. Their runners get no requests, so nothing is
@@ -172,6 +198,19 @@
         }
     }
 
+    /// Forgets the loads left unanswered that are not expected any more.
+    pub fn forget_late_loads(&mut self) {
+        let now = Instant::now().into_std();
+        for entry in self.tracked.values_mut() {
+            let view = &mut entry.view;
+            let answers = view.report_known;
+            let is_over = |possible: &PossibleLoad| answers && possible.until <= now;
+            if view.possible_load.as_ref().is_some_and(is_over) {
+                view.possible_load = None;
+            }
+        }
+    }
+
     /// Schedules a read of the reports of the runners in `unreachable`, which some node
     /// cannot reach, unless one was read within [`UNREACHABLE_REPORT_PAUSE`].
     pub fn reread_unreachable(&mut self, unreachable: &[RunnerKey]) {
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Configuration, Order, OrderAnswer};
+use barleyspar_catalog::{Configuration, Order, OrderAction, OrderAnswer};
 use barleyspar_loading::{ClusterDemand, Lease, PlannedOrder, Planner, RunnerView};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -19,7 +19,9 @@
 use crate::placement::reading_speeds::ReadingSpeedsReader;
 use crate::placement::runners::Runners;
 use crate::placement::summary::log_step;
-use crate::placement::tracked_runner::{apply_accepted_order, apply_report, load_time};
+use crate::placement::tracked_runner::{
+    apply_accepted_order, apply_report, load_time, note_possible_load,
+};
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
 
 /// Time after which the leader's task takes a step even if nothing has changed.
@@ -191,6 +193,11 @@
                 let valid_for = demand_valid_for(self.context.dispatch.member_count());
                 self.demand.update_streams(node, items, valid_for, now());
             }
+            Command::Inventories(inventories) => {
+                for inventory in &inventories {
+                    self.runners.note_published(inventory);
+                }
+            }
             Command::ReadingSpeeds(speeds) => self.runners.set_reading_speeds(&speeds),
             Command::Ordered(result) => self.handle_order_result(result),
             Command::Reported(result) => self.handle_report(result),
@@ -307,6 +314,7 @@
             .set_draining(&self.context.dispatch.draining_runners());
         self.runners
             .set_limits(&self.context.dispatch.advertised_limits());
+        self.runners.forget_late_loads();
         let mut views: Vec<RunnerView> = self
             .runners
             .tracked()
@@ -425,6 +433,11 @@
                 entry.report_at = later(entry.report_retry_delay());
             }
             Ok(_) | Err(CallError::Unanswered(_)) => {
+                if let (Err(_), OrderAction::LoadModel { model }) =
+                    (&result.answer, &result.order.action)
+                {
+                    note_possible_load(&mut entry.view, model, result.order.expected_sequence);
+                }
                 entry.view.report_known = false;
                 entry.report_at = later(REPORT_LAG);
             }
--- a/crates/gateway/src/placement/tracked_runner.rs
+++ b/crates/gateway/src/placement/tracked_runner.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{Configuration, Order, OrderAction, Report, Runner};
-use barleyspar_loading::RunnerView;
+use barleyspar_loading::{PossibleLoad, RunnerView};
 use tokio::time::Instant;
 
 /// Delay before a report is read again while the runner is carrying out an order. A
@@ -18,6 +18,11 @@
 /// overdue.
 const ASSUMED_BUSY_FOR: Duration = Duration::from_secs(1);
 
+/// Time after which an order that a runner left unanswered is not expected any more, once the
+/// runner answers reports: a process that stood still takes up what it has received at once.
+/// While a runner answers nothing, the order is expected without a limit.
+const LATE_ORDER_TIME: Duration = Duration::from_secs(1);
+
 /// A runner that the leader may give orders, with the state of its reports and orders.
 pub struct TrackedRunner {
     /// The runner's entry in the store.
@@ -64,6 +69,16 @@
     }
 }
 
+/// Notes that the runner may still load `model`, which it was ordered when it had accepted
+/// `sequence` orders, and which it has not answered.
+pub fn note_possible_load(view: &mut RunnerView, model: &Arc<str>, sequence: u64) {
+    view.possible_load = Some(PossibleLoad {
+        model: model.clone(),
+        sequence,
+        until: (Instant::now() + LATE_ORDER_TIME).into_std(),
+    });
+}
+
 /// Applies a report with a sequence number no lower than the known one.
 pub fn apply_report(entry: &mut TrackedRunner, report: Report) {
     let view = &mut entry.view;
@@ -76,6 +91,16 @@
     if !report.copies.memory.is_empty() || !report.copies.disk.is_empty() {
         view.copies = report.copies;
     }
+    if let Some(possible) = view.possible_load.take() {
+        if report.sequence > possible.sequence {
+            if view.busy && view.order_in_progress.is_none() {
+                let model = possible.model;
+                view.order_in_progress = Some(OrderAction::LoadModel { model });
+            }
+        } else {
+            view.possible_load = Some(possible);
+        }
+    }
     if !entry.order_in_progress && !view.busy {
         view.order_in_progress = None;
         view.busy_until = None;
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -92,6 +92,7 @@
         },
         order_in_progress: None,
         busy_until: None,
+        possible_load: None,
         tokens_per_second: None,
     }
 }
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -28,4 +28,4 @@
 pub use memory::{free_mb, used_mb};
 pub use planner::{PlannedOrder, Planner, PlannerSettings};
 pub use summary::{MostWanted, StepSummary};
-pub use view::{RunnerView, WeightSource};
+pub use view::{PossibleLoad, RunnerView, WeightSource};
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -178,7 +178,7 @@
     }
 
     /// Returns the maximum number of replicas of `model`, unreachable ones included.
-    fn replica_limit(&self, model: &str) -> usize {
+    pub fn replica_limit(&self, model: &str) -> usize {
         self.decisions
             .get(model)
             .map_or(0, |decision| decision.maximum)
--- a/crates/loading/src/placement_index.rs
+++ b/crates/loading/src/placement_index.rs
@@ -218,6 +218,7 @@
             && (runner.report_known || runner.report_unread)
             && may_order
             && runner.loaded_model(model).is_none()
+            && self.leaves_policy_kept(runner, model)
             && self
                 .plan
                 .decisions
@@ -225,6 +226,15 @@
                 .is_some_and(|decision| decision.allows_zone(&runner.zone))
     }
 
+    /// Whether the policy's number of replicas holds even if all loads are carried out that
+    /// runners left unanswered. One at `runner` itself is superseded by a new order there.
+    fn leaves_policy_kept(&self, runner: &RunnerView, model: &str) -> bool {
+        let replicas = self.counts.for_model(model);
+        let superseded = usize::from(runner.may_load(model) && !runner.is_loading(model));
+        let elsewhere = replicas.possible.saturating_sub(superseded);
+        replicas.total + elsewhere < self.plan.replica_limit(model)
+    }
+
     fn capacity(&self, runner: &RunnerView) -> RunnerCapacity {
         RunnerCapacity {
             free_mb: free_mb(runner, self.plan.engine),
--- a/crates/loading/src/replica_counts.rs
+++ b/crates/loading/src/replica_counts.rs
@@ -12,6 +12,8 @@
 pub struct Replicas {
     /// Replicas that are loaded or being loaded, on runners that are not draining.
     pub total: usize,
+    /// Loads on further runners that these may still carry out, by orders left unanswered.
+    pub possible: usize,
     /// Replicas on runners that answer, have capacity left under their rate limit for the
     /// model, and are not in an evacuated zone.
     pub reachable: usize,
@@ -48,6 +50,12 @@
                 }
                 _ => {}
             }
+            if let Some(possible) = &runner.possible_load
+                && !runner.holds_or_loads(&possible.model)
+            {
+                let replicas = counts.replicas.entry(possible.model.clone());
+                replicas.or_default().possible += 1;
+            }
         }
         counts
     }
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -30,6 +30,18 @@
     }
 }
 
+/// A load that a runner may still carry out. It checks then that it has accepted no other order
+/// meanwhile.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PossibleLoad {
+    /// Name of the model.
+    pub model: Arc<str>,
+    /// Number of orders that the runner had accepted when the load was ordered.
+    pub sequence: u64,
+    /// When it is not expected any more, if the runner answers by then.
+    pub until: Instant,
+}
+
 /// A model runner with the content of its latest report and the order in progress.
 #[derive(Debug, Clone)]
 pub struct RunnerView {
@@ -81,6 +93,9 @@
     pub order_in_progress: Option<OrderAction>,
     /// When the order in progress is expected to end; `None` if unknown.
     pub busy_until: Option<Instant>,
+    /// A load that the runner may have been ordered without an answer, by this leader or a former
+    /// one, and may still carry out; `None` if there is none.
+    pub possible_load: Option<PossibleLoad>,
     /// Prompt tokens that the runner reads a second, learned from its answers; `None` if
     /// it is not known.
     pub tokens_per_second: Option<f64>,
@@ -109,6 +124,7 @@
             copies: runner.copies.clone(),
             order_in_progress: None,
             busy_until: None,
+            possible_load: None,
             tokens_per_second: None,
         }
     }
@@ -147,6 +163,12 @@
         held.is_some_and(|held| held.adapters.iter().any(|name| &**name == adapter))
     }
 
+    /// Returns whether the runner may still load the model, by an order that it left unanswered.
+    pub fn may_load(&self, model: &str) -> bool {
+        let possible = self.possible_load.as_ref();
+        possible.is_some_and(|possible| *possible.model == *model)
+    }
+
     /// Returns whether the order in progress loads the model.
     pub fn is_loading(&self, model: &str) -> bool {
         matches!(&self.order_in_progress, Some(OrderAction::LoadModel { model: loading }) if &**loading == model)
--- a/crates/loading/tests/common/mod.rs
+++ b/crates/loading/tests/common/mod.rs
@@ -81,6 +81,7 @@
         copies: WeightCopies::default(),
         order_in_progress: None,
         busy_until: None,
+        possible_load: None,
         tokens_per_second: None,
     }
 }
