Soak: clients that follow streams over their tries, runners of two software versions

A follower takes a broken stream up at any gateway, naming the try that began it; checked: one version and each event once in a stream. Each process of a runner has an id of its own and the other version than the one before. Parts of prompts that crash runners are not in the soak yet.

--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -5,6 +5,7 @@
 mod gateways;
 mod requests;
 mod runners;
+mod streams;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -40,6 +41,8 @@
         requests::refusals_are_true(observations, &runs),
         requests::answers_are_right(observations),
         requests::answers_come_in_time(observations),
+        streams::streams_keep_their_software_version(observations),
+        streams::streams_lack_and_repeat_no_event(observations),
         requests::planned_stops_cut_nothing(observations, &runs),
         requests::kept_connections_are_answered(observations, &runs),
         gateways::planned_stops_end_in_time(observations),
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -2,8 +2,8 @@
 use crate::checks::gateways::the_site_recovers;
 use crate::checks::requests::TOLERATED_LOSSES;
 use crate::observations::{
-    Attempt, AttemptOutcome, CopyObservation, Expected, FaultRecord, RequestKind, RouteProbe,
-    RunnerObservation, StoreChange, StoreObservation,
+    Attempt, AttemptOutcome, CopyObservation, Expected, FaultRecord, FollowedStream, RequestKind,
+    RouteProbe, RunnerObservation, StoreChange, StoreObservation,
 };
 use crate::site::{OTHER_PLAIN, PLAIN, RETRY_EXTRA};
 
@@ -369,3 +369,32 @@
     let violations = the_site_recovers(&observations, seconds(30));
     assert_eq!(violations.len(), 1, "{violations:?}");
 }
+
+fn followed(event_ids: &[u64], software: &[&str]) -> FollowedStream {
+    FollowedStream {
+        id: "f".into(),
+        event_ids: event_ids.to_vec(),
+        software: software.iter().map(|name| (*name).to_owned()).collect(),
+        resumed_tries: 1,
+    }
+}
+
+#[test]
+fn a_stream_of_two_software_versions_is_noticed() {
+    let mut observations = Observations::default();
+    let streams = &mut observations.streams;
+    streams.push(followed(&[1, 2, 3], &["v1", "v1", "v1"]));
+    assert!(broken(&observations).is_empty());
+    let mixed = followed(&[1, 2, 3], &["v1", "v2", "v2"]);
+    observations.streams.push(mixed);
+    assert_eq!(broken(&observations), ["one_software_version"]);
+}
+
+#[test]
+fn a_stream_that_lacks_or_repeats_an_event_is_noticed() {
+    for event_ids in [[1, 3, 4], [1, 2, 2]] {
+        let mut observations = Observations::default();
+        observations.streams.push(followed(&event_ids, &["v1"; 3]));
+        assert_eq!(broken(&observations), ["whole_streams"]);
+    }
+}
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -30,13 +30,13 @@
 /// Time after the deadline that it named for which a client still waits for an answer.
 pub const ANSWER_SLACK: Duration = Duration::from_secs(1);
 /// Time that a client gives a new connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest number of attempts at one request.
 const MOST_ATTEMPTS: u32 = 2;
 /// Longest time between two requests of a client, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 150;
 /// Number of events of a complete stream.
-const STREAM_EVENTS: u64 = 40;
+pub const STREAM_EVENTS: u64 = 40;
 /// Part of the streams that ask for any model, and not for the two that are in use.
 const RARE_SHARE: f64 = 0.05;
 
@@ -172,7 +172,8 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+/// Opens a connection to `address`.
+pub async fn open(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
     let stream = TcpStream::connect(address).await.ok()?;
     // A connection without this option only delays small messages.
     let _ = stream.set_nodelay(true);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod clients;
 pub mod copies;
 pub mod faults;
+pub mod followers;
 pub mod machines;
 pub mod observations;
 pub mod operator;
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -69,6 +69,19 @@
     }
 }
 
+/// What a client got of one stream, over all its tries.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct FollowedStream {
+    /// Start of the ids of all tries.
+    pub id: String,
+    /// Ids of the events, in the order in which they arrived.
+    pub event_ids: Vec<u64>,
+    /// Software versions that wrote the events, one for each.
+    pub software: Vec<String>,
+    /// Number of tries that took the stream up after an event.
+    pub resumed_tries: usize,
+}
+
 /// Something that a runner tells the soak.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -211,6 +224,8 @@
 pub struct Observations {
     /// Attempts of clients, in the order in which they ended.
     pub attempts: Vec<Attempt>,
+    /// Streams that clients followed over their tries, in the order in which they ended.
+    pub streams: Vec<FollowedStream>,
     /// What runners told, in the order in which it was read.
     pub runners: Vec<RunnerObservation>,
     /// Faults and planned work, in the order in which they began.
--- a/crates/soak/src/roles/runner.rs
+++ b/crates/soak/src/roles/runner.rs
@@ -32,7 +32,7 @@
 ) -> Result<(), SoakError> {
     let connections = accept_for_stand_in(ports.runner(number)).await?;
     let own_store = StoreStandIn::default();
-    let id = format!("runner-{number}");
+    let id = format!("runner-{number}-{life}");
     let identity = RunnerIdentity {
         id: &id,
         born: milliseconds_since_1970(),
@@ -42,6 +42,7 @@
     let service = service_of(number);
     let models = first_models(number, life);
     let runner = RunnerStandIn::start_on(connections, &own_store, &service, identity, &models);
+    runner.set_software(&software_of(number, life));
     let entry = Entry {
         store,
         own_store,
@@ -62,6 +63,12 @@
     Ok(())
 }
 
+/// Version of the software of process `life` of runner `number`: two versions serve side by side,
+/// and each restart changes a runner's.
+fn software_of(number: u8, life: u32) -> String {
+    format!("v{}", 1 + (u32::from(number) + life) % 2)
+}
+
 /// The incarnation of a process is the time of its start.
 fn milliseconds_since_1970() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -15,6 +15,7 @@
 use crate::clients::{ANSWER_SLACK, Clients, STREAM_DEADLINE, balance};
 use crate::copies::record_copies;
 use crate::faults::Lane;
+use crate::followers::follow_streams;
 use crate::machines::{EventSource, Machines, Slot};
 use crate::observations::{Recorder, RequestKind, Target};
 use crate::operator::{Lives, Operator, change_steadily};
@@ -22,6 +23,8 @@
 use crate::site::Ports;
 use crate::summary::Summary;
 
+/// Number of clients for each one more that follows streams over its tries.
+const CLIENTS_PER_FOLLOWER: u32 = 4;
 /// Longest time from the start until requests of each kind are served.
 const START_BOUND: Duration = Duration::from_secs(30);
 /// Time with traffic and without faults, before the first one.
@@ -68,6 +71,9 @@
     for number in 0..options.clients {
         client_tasks.spawn(clients.clone().run(number, options.seed));
     }
+    for number in 0..options.clients.div_ceil(CLIENTS_PER_FOLLOWER) {
+        client_tasks.spawn(follow_streams(clients.clone(), number, options.seed));
+    }
     wait_until_served(&recorder).await?;
     sleep(QUIET_START).await;
     tokio::spawn(watch_lives(machines.clone()));
--- a/crates/soak/src/summary.rs
+++ b/crates/soak/src/summary.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 use crate::checks::Violation;
-use crate::observations::{AttemptOutcome, Observations};
+use crate::clients::STREAM_EVENTS;
+use crate::observations::{AttemptOutcome, FollowedStream, Observations};
 
 /// What a soak has shown.
 #[derive(Debug, Serialize)]
@@ -19,6 +20,12 @@
     pub served: usize,
     /// Attempts by what the client got: a status, `incomplete`, `closed` or `timed_out`.
     pub outcomes: BTreeMap<String, usize>,
+    /// Number of streams that clients followed over their tries.
+    pub followed_streams: usize,
+    /// Number of those that were taken up again after an event.
+    pub resumed_streams: usize,
+    /// Number of those taken up again that came to their end.
+    pub resumed_whole: usize,
     /// Faults and planned work, by kind.
     pub faults: BTreeMap<&'static str, usize>,
     /// Number of answers on routes that were changed.
@@ -46,11 +53,17 @@
             .attempts
             .iter()
             .filter(|attempt| attempt.is_served());
+        let streams = &observations.streams;
+        let resumed = streams.iter().filter(|stream| stream.resumed_tries > 0);
+        let is_whole = |stream: &&FollowedStream| stream.event_ids.last() == Some(&STREAM_EVENTS);
         Self {
             seed,
             attempts: observations.attempts.len(),
             served: served.count(),
             outcomes,
+            followed_streams: streams.len(),
+            resumed_streams: resumed.clone().count(),
+            resumed_whole: resumed.filter(is_whole).count(),
             faults,
             probes: observations.probes.len(),
             copies: observations.copies.len(),
