--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::client::{Answer, ClientRequest, DEFAULT_DEADLINE, send_request};
 use crate::dialect::{NativeDialect, encode, names};
@@ -409,6 +409,14 @@
             .count()
     }
 
+    /// Times at which requests, or rejections, crashed runners, in order.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        let runners = self.runners.values();
+        let mut crashes: Vec<Instant> = runners.flat_map(RunnerStandIn::crash_times).collect();
+        crashes.sort();
+        crashes
+    }
+
     /// Number of runners on which `model` is loaded.
     pub fn replica_count(&self, model: &str) -> usize {
         self.runners
--- a/crates/standin/tests/crashing_request.rs
+++ b/crates/standin/tests/crashing_request.rs
@@ -91,17 +91,10 @@
     answers
 }
 
-/// Times at which requests crashed runners, in order.
-fn crash_times(world: &World) -> Vec<Instant> {
-    let runners = world.runners.values();
-    let mut crashes: Vec<Instant> = runners.flat_map(|runner| runner.crash_times()).collect();
-    crashes.sort();
-    crashes
-}
-
 /// Number of runs of the crashing request later than [`QUARANTINED_WITHIN`] allows.
 fn late_runs(world: &World) -> usize {
-    let Some(quarantined) = crash_times(world)
+    let Some(quarantined) = world
+        .crash_times()
         .get(CRASHES_TO_QUARANTINE - 1)
         .map(|at| *at + QUARANTINED_WITHIN)
     else {
@@ -155,7 +148,7 @@
             .request_with_body(1, path, "once", model, CRASHING_BODY)
             .await;
         world.run_for(SECOND).await;
-        assert_eq!(crash_times(&world).len(), 2, "{path}");
+        assert_eq!(world.crash_times().len(), 2, "{path}");
     }
 }
 
@@ -225,7 +218,7 @@
 async fn a_restarted_gateway_learns_which_requests_are_quarantined() {
     let mut world = world().await;
     send_repeatedly(&world, STREAM, CRASHING_BODY, RETRY_PAUSE, 5 * SECOND).await;
-    let before = crash_times(&world).len();
+    let before = world.crash_times().len();
     for number in 1..=GATEWAYS {
         world.kill_gateway(number);
         world.run_for(SECOND).await;
@@ -238,7 +231,7 @@
             .await;
         assert_eq!(answer.code(), 503, "gateway {number}");
     }
-    assert_eq!(crash_times(&world).len(), before);
+    assert_eq!(world.crash_times().len(), before);
 }
 
 /// A request that waits for its model to be loaded is refused as soon as the same body is
--- a/crates/standin/tests/deadly_parts.rs
+++ b/crates/standin/tests/deadly_parts.rs
@@ -102,17 +102,9 @@
     sent
 }
 
-/// Times at which requests crashed runners, in order.
-fn crash_times(world: &World) -> Vec<Instant> {
-    let runners = world.runners.values();
-    let mut crashes: Vec<Instant> = runners.flat_map(|runner| runner.crash_times()).collect();
-    crashes.sort();
-    crashes
-}
-
 /// Number of runs of requests with a deadly part later than [`HELD_WITHIN`] allows.
 fn late_runs(world: &World) -> usize {
-    let Some(fifth) = crash_times(world).get(CRASHES_ALLOWED - 1).copied() else {
+    let Some(fifth) = world.crash_times().get(CRASHES_ALLOWED - 1).copied() else {
         return 0;
     };
     let runs = world.runners.values().flat_map(|runner| runner.runs());
@@ -122,7 +114,7 @@
 }
 
 fn assert_few_late_runs(world: &World, label: &str) {
-    let (late, crashes) = (late_runs(world), crash_times(world).len());
+    let (late, crashes) = (late_runs(world), world.crash_times().len());
     assert!(
         late <= MAX_LATE_RUNS,
         "{label}: {late} late runs, {crashes} crashes"
@@ -147,7 +139,7 @@
 /// Time from which sound requests must be served as often as before: long after the last crash
 /// that is allowed.
 fn recovered_at(world: &World) -> Instant {
-    let crashes = crash_times(world);
+    let crashes = world.crash_times();
     crashes[crashes.len().min(CRASHES_ALLOWED) - 1] + 2 * HELD_WITHIN
 }
 
@@ -260,12 +252,12 @@
                 }
             });
             join_all(requests).await;
-            if known_at.is_none() && crash_times(&world).len() >= CRASHES_ALLOWED {
+            if known_at.is_none() && world.crash_times().len() >= CRASHES_ALLOWED {
                 known_at = Some(Instant::now());
             }
         }
         assert!(
-            known_at.is_some() || crash_times(&world).len() > 1,
+            known_at.is_some() || world.crash_times().len() > 1,
             "seed {seed}"
         );
         assert_few_late_runs(&world, &format!("seed {seed}"));
