A stream whose client names no attempt goes on wherever one software version serves

Cause: the strict rule for unknown origins was applied to clients that know nothing of versions. They go on now where the runners that serve have one version, and are refused where they have several; clients that name their attempt are treated as before. The new test failed before (503) and passes.

--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -41,12 +41,19 @@
 }
 
 /// Returns the only version that can have begun any stream that is taken up now; `None` if
-/// there may have been several.
+/// there may have been several. A client that names no attempt does not know of software
+/// versions; there, the runners that serve now decide.
 async fn sole_version(exchange: &Exchange) -> Option<SoftwareVersion> {
     let context = &exchange.context;
+    let service = exchange.service.clone();
+    if exchange.facts.resumes.is_none() {
+        return context
+            .dispatch
+            .sole_software(service, Duration::ZERO)
+            .await;
+    }
     context.view_staleness().filter(|age| *age < MAX_VIEW_AGE)?;
     let patience = exchange.route.timeout.unwrap_or(DEFAULT_CLIENT_PATIENCE);
-    let service = exchange.service.clone();
     let time = patience + ENTRY_LAG;
     context.dispatch.sole_software(service, time).await
 }
--- a/crates/standin/tests/software_versions.rs
+++ b/crates/standin/tests/software_versions.rs
@@ -119,6 +119,23 @@
     }
 }
 
+/// Clients that know nothing of software versions name no attempt.
+#[tokio::test(start_paused = true)]
+async fn a_stream_resumed_at_a_gateway_that_just_started_goes_on_while_one_version_serves() {
+    for (versions, status) in [(&["v1"][..], 200), (&["v1", "v2"], 503)] {
+        let mut world = world(versions).await;
+        world.kill_gateway(1);
+        world.start_gateway(1).await;
+        world.run_for(SECOND).await;
+        let (path, model) = STREAM;
+        let extra = [("after-event", "3")];
+        let answer = world
+            .request_with_headers(1, path, "resumed", Some(model), &extra)
+            .await;
+        assert_eq!(answer.code(), status, "{versions:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_resumed_stream_whose_version_is_gone_is_refused_at_once() {
     let mut world = world(&["v1", "v2"]).await;
