--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_catalog::{
-    ColdBounds, Configuration, ModelReference, Runner, RunnerKey, SoftwareVersion,
-};
+use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, Runner, RunnerKey};
 use barleyspar_domain::rendezvous_weight;
 use barleyspar_prefill::RunnerEstimates;
 
@@ -215,26 +213,6 @@
         }
     }
 
-    /// Returns the software version of the runners of `service`, if all of them within the last
-    /// `time` had the same; `None` if that cannot be known.
-    pub fn sole_software(
-        &self,
-        service: &str,
-        time: Duration,
-        now: Instant,
-    ) -> Option<SoftwareVersion> {
-        let mut present = self.runners.values().map(|entry| &entry.runner);
-        let software = &present.find(|runner| *runner.service == *service)?.software;
-        let others_agree = present
-            .filter(|runner| *runner.service == *service)
-            .all(|runner| runner.software == *software);
-        let is_sole = others_agree
-            && self
-                .software_history
-                .was_alone(service, software, time, now);
-        is_sole.then(|| software.clone())
-    }
-
     /// Requests a runner: grants one, queues the request, or refuses it.
     pub fn acquire(&mut self, mut query: Query, now: Instant) -> Acquired {
         if let Some(refusal) = self.account_for_attempt(&query, now) {
--- a/crates/dispatch/src/software_history.rs
+++ b/crates/dispatch/src/software_history.rs
@@ -6,6 +6,8 @@
 
 use barleyspar_catalog::SoftwareVersion;
 
+use crate::dispatcher::Dispatcher;
+
 /// Time after which a version without a runner is forgotten.
 const KEPT_FOR: Duration = Duration::from_secs(600);
 
@@ -58,3 +60,25 @@
         })
     }
 }
+
+impl Dispatcher {
+    /// Returns the software version of the runners of `service`, if all of them within the last
+    /// `time` had the same; `None` if that cannot be known.
+    pub fn sole_software(
+        &self,
+        service: &str,
+        time: Duration,
+        now: Instant,
+    ) -> Option<SoftwareVersion> {
+        let mut present = self.runners.values().map(|entry| &entry.runner);
+        let software = &present.find(|runner| *runner.service == *service)?.software;
+        let others_agree = present
+            .filter(|runner| *runner.service == *service)
+            .all(|runner| runner.software == *software);
+        let is_sole = others_agree
+            && self
+                .software_history
+                .was_alone(service, software, time, now);
+        is_sole.then(|| software.clone())
+    }
+}
