Logs: version and age of knowledge stand early in a rejection; how late each configuration came

The users' record holds 200 characters of a line.

configuration_in_force names, and the histogram barleyspar_configuration_delay_seconds counts, how long the version can have been written before it came into force here: the time since this node's copy was last complete without it.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -10,6 +10,7 @@
 use crate::arrivals::Arrivals;
 use crate::context::Context;
 use crate::feed::Change;
+use crate::journal::milliseconds;
 use crate::kept_configuration::{self, ConfigurationKeeper, KEPT_CONFIGURATION_KEY};
 use crate::names::Names;
 use crate::peers::PeerHandle;
@@ -350,7 +351,17 @@
             );
         }
         self.routes.send_replace(Some(Arc::new(table)));
-        tracing::info!(event = "configuration_in_force", version, routes);
+        let delay = self.context.view_staleness();
+        if let Some(delay) = delay {
+            self.context.metrics.configuration_delayed(delay);
+        }
+        let delay_at_most_ms = delay.map(milliseconds);
+        tracing::info!(
+            event = "configuration_in_force",
+            version,
+            routes,
+            delay_at_most_ms
+        );
         true
     }
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -407,11 +407,11 @@
         event = "ended",
         request,
         status = answer.status.as_u16(),
-        verdict = answer.verdict.as_str(),
-        took_ms = milliseconds(took),
-        reason = answer.reason,
         version,
-        knowledge_age_ms
+        knowledge_age_ms,
+        reason = answer.reason,
+        verdict = answer.verdict.as_str(),
+        took_ms = milliseconds(took)
     );
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -85,6 +85,7 @@
     store_seconds: Histogram,
     orders: Family<CallLabels, Counter>,
     configuration_version: Gauge<u64, AtomicU64>,
+    configuration_delay_seconds: Histogram,
     knowledge_old_seconds: Histogram,
     tunnels: Family<CallLabels, Counter>,
     unreachable_runners: Gauge,
@@ -115,6 +116,7 @@
             store_seconds: time_histogram(),
             orders: Family::default(),
             configuration_version: Gauge::default(),
+            configuration_delay_seconds: time_histogram(),
             knowledge_old_seconds: time_histogram(),
             tunnels: Family::default(),
             unreachable_runners: Gauge::default(),
@@ -196,6 +198,12 @@
             "Version in force",
             self.configuration_version.clone(),
         );
+        registry.register_with_unit(
+            "configuration_delay",
+            "Time within which a version came into force after it was written, at most",
+            Unit::Seconds,
+            self.configuration_delay_seconds.clone(),
+        );
         registry.register_with_unit(
             "knowledge_old",
             "Times for which this node could not show that it missed no change",
@@ -323,6 +331,13 @@
         self.configuration_version.set(version);
     }
 
+    /// Records that a version came into force at most `at_most` after it was written: before
+    /// that time, this node's view was complete without it.
+    pub fn configuration_delayed(&self, at_most: Duration) {
+        self.configuration_delay_seconds
+            .observe(at_most.as_secs_f64());
+    }
+
     /// Records that this node's view of the store is current again after it was stale for
     /// `lasted`.
     pub fn view_current_again(&self, lasted: Duration) {
