--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -58,6 +58,8 @@
     refused_hosts: BTreeSet<IpAddr>,
     /// Number of the next commits and lease grants that the store leaves unanswered.
     lose_change_answers: u32,
+    /// Number of the next reads and watches that the store leaves unanswered.
+    lose_read_answers: u32,
     extra_latency: Duration,
     time_per_item: Duration,
     chunk_delay: Duration,
@@ -144,6 +146,11 @@
         self.lock().faults.lose_change_answers = count;
     }
 
+    /// Leaves the next `count` reads and watches unanswered.
+    pub fn lose_read_answers(&self, count: u32) {
+        self.lock().faults.lose_read_answers = count;
+    }
+
     /// Returns the changes after the change `number` that the history still holds, in order.
     pub fn changes_after(&self, number: u64) -> Vec<Event> {
         self.lock().data.changes_after(number).cloned().collect()
@@ -295,16 +302,22 @@
         self.lock().faults.time_per_item * items as u32
     }
 
-    /// Whether `call` is to be left unanswered; if so, one fewer of the next commits and lease
-    /// grants is.
+    /// Whether `call` is to be left unanswered; if so, one fewer of the next calls of its kind
+    /// is.
     fn loses_answer(&self, call: &StoreCall) -> bool {
         let mut state = self.lock();
-        let is_change = matches!(call, StoreCall::Commit(_) | StoreCall::GrantLease { .. });
-        if !is_change || state.faults.lose_change_answers == 0 {
-            return false;
-        }
-        state.faults.lose_change_answers -= 1;
-        true
+        let left = match call {
+            StoreCall::Commit(_) | StoreCall::GrantLease { .. } => {
+                &mut state.faults.lose_change_answers
+            }
+            StoreCall::Range { .. } | StoreCall::Watch { .. } => {
+                &mut state.faults.lose_read_answers
+            }
+            _ => return false,
+        };
+        let loses = *left > 0;
+        *left = left.saturating_sub(1);
+        loses
     }
 
     async fn execute(&self, call: &StoreCall) -> Result<StoreAnswer, StoreError> {
