--- a/crates/gateway/src/feed/call_schedule.rs
+++ b/crates/gateway/src/feed/call_schedule.rs
@@ -7,7 +7,8 @@
 //! the timeouts differ: of eight calls, four have a timeout of one period, two of two,
 //! one of four and one of eight. A store that is back is called within one period,
 //! however long it was away; a store that needs up to eight periods for an answer is
-//! still read; at most four calls are open at once.
+//! still read; at most four calls are open at once. The second call follows the first one
+//! sooner, so that one lost answer does not take most of the bound.
 
 use std::time::Duration;
 
@@ -23,15 +24,18 @@
 #[derive(Debug)]
 pub struct CallSchedule {
     period: Duration,
+    first_pause: Duration,
     calls: u32,
     refusals: u32,
 }
 
 impl CallSchedule {
-    /// Creates a schedule with a call each `period` while no answer comes.
-    pub fn new(period: Duration) -> Self {
+    /// Creates a schedule with a call each `period` while no answer comes, but only
+    /// `first_pause` between the first two.
+    pub fn new(period: Duration, first_pause: Duration) -> Self {
         Self {
             period,
+            first_pause,
             calls: 0,
             refusals: 0,
         }
@@ -48,6 +52,15 @@
         self.period * 2_u32.pow(self.calls.trailing_zeros().min(MAX_DOUBLINGS))
     }
 
+    /// Returns the pause after the call that was counted last.
+    pub fn pause_after_call(&self) -> Duration {
+        if self.calls > 1 {
+            self.period
+        } else {
+            self.first_pause
+        }
+    }
+
     /// Counts a refused call, and returns the pause before the next one. `has_data`
     /// tells whether the node's copy has been filled.
     pub fn pause_after_refusal(&mut self, has_data: bool) -> Duration {
--- a/crates/gateway/src/feed/store_reader.rs
+++ b/crates/gateway/src/feed/store_reader.rs
@@ -74,7 +74,7 @@
             state: copy.subscribe(),
             is_watcher,
             unreachable,
-            schedule: CallSchedule::new(copy.times.call_period),
+            schedule: CallSchedule::new(copy.times.call_period, copy.times.unreachable_after),
             open_calls: FuturesUnordered::new(),
             not_before: Instant::now(),
             unanswered_since: None,
@@ -170,13 +170,13 @@
             return;
         }
         let stale = self.copy.is_stale();
+        let call = self.create_call(stale);
+        self.open_calls.push(call);
         self.not_before = now;
         if stale {
-            self.not_before += self.schedule.period();
+            self.not_before += self.schedule.pause_after_call();
             self.unanswered_since.get_or_insert(now);
         }
-        let call = self.create_call(stale);
-        self.open_calls.push(call);
     }
 
     /// Creates the next call. A call with a timeout above one period reads the full
--- a/crates/gateway/src/feed/times.rs
+++ b/crates/gateway/src/feed/times.rs
@@ -48,7 +48,7 @@
     /// Time between calls while the store does not answer.
     pub call_period: Duration,
     /// Time without an answer of the store after which it counts as unreachable, and
-    /// this node tries peers too.
+    /// this node calls it once more and tries peers too.
     pub unreachable_after: Duration,
     /// Time within which a peer on trial must send a newer copy while the store is
     /// unreachable from this node.
