Feed: peers that have missed a message are tried last while the store is unreachable

A peer that stands still takes a connection and says nothing: each one costs up to a quarter of the bound of a search that has half of it left. Peers heard within 0.6 of the time after which they count as gone are now tried first, by turns as before. peers_that_have_missed_a_message_are_tried_last failed before.

--- a/crates/gateway/src/feed/tree.rs
+++ b/crates/gateway/src/feed/tree.rs
@@ -21,6 +21,10 @@
 /// smallest machine.
 pub const FANOUT: usize = 12;
 
+/// Fraction of the time after which a peer may be gone from which on it is quiet: it has
+/// missed a message then.
+const QUIET_FRACTION: f64 = 0.6;
+
 /// A peer that accepts this node as a follower.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Parent {
@@ -132,7 +136,8 @@
 /// Returns a peer to follow for a node that cannot reach the store: of the peers seen
 /// within `max_silence` that `is_usable` accepts, the one that was never abandoned or
 /// was abandoned (`abandoned_at`) the longest time ago, so that each peer is tried in
-/// turn. Each node uses an order of its own, so that they do not all try the same peer,
+/// turn. Peers not seen for most of `max_silence` come last: they may stand still, and it
+/// takes long to find that out. Each node uses an order of its own, so that they do not all try the same peer,
 /// which accepts at most 64 followers.
 pub fn least_recently_tried_peer(
     own_node: &OwnNode,
@@ -144,8 +149,9 @@
     peers
         .iter()
         .filter(|(name, peer)| peer.last_seen.elapsed() < max_silence && is_usable(name))
-        .min_by_key(|(name, _)| {
+        .min_by_key(|(name, peer)| {
             (
+                peer.last_seen.elapsed() > max_silence.mul_f64(QUIET_FRACTION),
                 abandoned_at(name),
                 barleyspar_domain::rendezvous_weight(&own_node.name, name),
             )
--- a/crates/gateway/src/feed/tree_tests.rs
+++ b/crates/gateway/src/feed/tree_tests.rs
@@ -185,3 +185,15 @@
         None
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn peers_that_have_missed_a_message_are_tried_last() {
+    let mut peers = seen_peers(5, 0);
+    tokio::time::advance(MAX_SILENCE.mul_f64(0.7)).await;
+    let heard = name(4);
+    peers.get_mut(&heard).unwrap().last_seen = Instant::now();
+    let just_abandoned = |peer: &str| (*peer == *heard).then(Instant::now);
+    let next =
+        least_recently_tried_peer(&own_node(0), &peers, MAX_SILENCE, |_| true, just_abandoned);
+    assert_eq!(next.unwrap().name, heard);
+}
