Feed: a node reads the store itself until its parent has shown a frame, and while it is late

A gateway whose parent stood still was stale after 0.6 of the bound, read the store in 7 ms and followed the next peer at once. If that stood still, too, changes waited for another 0.55 of the bound, though the store would have served them in milliseconds; and so on round the peers.

A parent is now trusted for the frames that it sends. A node whose parent was abandoned, or sends no first frame within 0.05 of the bound, or is late by half of the longest of its last eight gaps, watches the store itself until a frame comes; steps from the store stagger this as they stagger the limit on the age. The age remains the last resort. Frames that wait to be read come before the conclusion that there are none, as after a standstill.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -2,15 +2,17 @@
 //! unreachable from this node, any peer that may have a newer copy.
 
 use std::collections::HashMap;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::context::Context;
 use crate::feed::copy::FeedCopy;
-use crate::feed::parent_stream::ParentStream;
+use crate::feed::frame_gaps::FrameGaps;
+use crate::feed::parent_stream::{ParentStream, ReceivedFrame};
 use crate::feed::state::FeedState;
 use crate::feed::tree::{self, OwnNode, Parent};
 use crate::peers::{SeenPeer, peer_timeout};
@@ -53,6 +55,14 @@
     Broken,
 }
 
+/// What ended the wait for a frame.
+enum End {
+    /// A frame, a failure of the connection, or that the parent is silent.
+    Frame(Option<io::Result<ReceivedFrame>>),
+    /// This node's copy is stale.
+    Stale,
+}
+
 /// A peer that this node stopped following.
 struct AbandonedPeer {
     at: Instant,
@@ -83,6 +93,9 @@
     abandoned: HashMap<Arc<str>, AbandonedPeer>,
     /// When this node's copy first had data; `None` before.
     has_data_since: Option<Instant>,
+    /// Whether the peer that this node followed last was abandoned, and no other one has sent
+    /// a frame since.
+    is_searching: bool,
 }
 
 impl<'a> Follower<'a> {
@@ -104,6 +117,7 @@
             unreachable,
             abandoned: HashMap::new(),
             has_data_since: None,
+            is_searching: false,
         }
     }
 
@@ -111,9 +125,12 @@
     pub async fn run(mut self) {
         loop {
             let choice = self.choose();
-            let is_watcher = matches!(choice, Choice::Watch);
-            self.is_watcher
-                .send_if_modified(|former| std::mem::replace(former, is_watcher) != is_watcher);
+            match choice {
+                // A peer that has sent no frame yet may be silent like the last one.
+                Choice::Follow(_) => self.watch_store(self.is_searching),
+                Choice::Watch => self.watch_store(true),
+                Choice::Wait => self.watch_store(false),
+            }
             match choice {
                 Choice::Follow(parent) => self.follow(parent).await,
                 Choice::Watch | Choice::Wait => self.wait().await,
@@ -121,6 +138,12 @@
         }
     }
 
+    /// Sets whether this node watches the store.
+    fn watch_store(&self, watches: bool) {
+        self.is_watcher
+            .send_if_modified(|former| std::mem::replace(former, watches) != watches);
+    }
+
     fn choose(&mut self) -> Choice {
         if self.copy.has_data() {
             self.has_data_since.get_or_insert_with(Instant::now);
@@ -202,14 +225,25 @@
             revision = revision.number
         );
         let mut other_parent_since = None;
+        let mut gaps = FrameGaps::new(&self.copy.times);
         loop {
-            let received = tokio::select! {
-                received = stream.next_frame() => received,
-                () = self.until_stale(trial_end) => {
+            let end = tokio::select! {
+                // Frames that wait to be read come before the conclusion that none came.
+                biased;
+                received = self.next_frame(&mut stream, &gaps) => End::Frame(received),
+                () = self.until_stale(trial_end) => End::Stale,
+                () = self.until_store_answers(), if trial_end.is_some() => return,
+            };
+            let received = match end {
+                End::Frame(Some(received)) => received,
+                End::Frame(None) => return self.abandon(name, Fault::Stale, "it sends nothing"),
+                End::Stale => {
                     return self.abandon(name, Fault::Stale, "its copy of the store is stale");
                 }
-                () = self.until_store_answers(), if trial_end.is_some() => return,
             };
+            gaps.record_frame(Instant::now());
+            self.is_searching = false;
+            self.watch_store(false);
             let applied = match received {
                 Ok(received) => self.copy.apply_frame(received).await,
                 Err(error) => return self.abandon(name, Fault::Broken, &error.to_string()),
@@ -228,6 +262,24 @@
         }
     }
 
+    /// Returns the parent's next frame; `None` if it has sent nothing for so long that it is to
+    /// be abandoned. Watches the store while the parent is late.
+    async fn next_frame(
+        &self,
+        stream: &mut ParentStream,
+        gaps: &FrameGaps,
+    ) -> Option<io::Result<ReceivedFrame>> {
+        let frame = stream.next_frame();
+        tokio::pin!(frame);
+        let steps = self.state.borrow().depth().saturating_sub(1);
+        let late_at = gaps.late_at() + self.copy.times.age_of_steps(steps);
+        if let Ok(received) = timeout_at(late_at, frame.as_mut()).await {
+            return Some(received);
+        }
+        self.watch_store(self.copy.has_data());
+        timeout_at(gaps.silent_at(), frame).await.ok()
+    }
+
     /// Returns the time by which a peer on trial must have sent a newer copy; `None` if
     /// this node's copy is current, so that the next peer is not on trial.
     fn trial_end(&self) -> Option<Instant> {
@@ -262,6 +314,7 @@
     }
 
     fn abandon(&mut self, name: Arc<str>, fault: Fault, cause: &str) {
+        self.is_searching = self.copy.has_data();
         tracing::info!(event = "feed_left", parent = &*name, cause);
         let at = Instant::now();
         self.abandoned.insert(name, AbandonedPeer { at, fault });
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -12,6 +12,7 @@
 mod copy;
 mod follower;
 mod frame;
+mod frame_gaps;
 mod parent_stream;
 mod poll;
 mod publisher;
--- a/crates/gateway/src/feed/state_tests.rs
+++ b/crates/gateway/src/feed/state_tests.rs
@@ -19,7 +19,7 @@
     }
 }
 
-fn bounds() -> Bounds {
+pub fn bounds() -> Bounds {
     let second = Duration::from_secs(1);
     Bounds {
         grace_period: 8 * second,
--- a/crates/gateway/src/feed/times.rs
+++ b/crates/gateway/src/feed/times.rs
@@ -88,6 +88,12 @@
     /// with the depth, so that nearer nodes call first and the others receive the
     /// answer from them.
     pub fn max_age(&self, depth: u32) -> Duration {
-        self.base_age + self.age_per_step * depth.min(MAX_COUNTED_DEPTH)
+        self.base_age + self.age_of_steps(depth)
+    }
+
+    /// Time that `steps` steps from the store add to the age at which nodes turn to the store
+    /// themselves, so that the nearest ones ask it and the others get its answer from them.
+    pub fn age_of_steps(&self, steps: u32) -> Duration {
+        self.age_per_step * steps.min(MAX_COUNTED_DEPTH)
     }
 }
