Feed: a new parent's first frame is late by the same rule as any other

A node that has left a silent parent watches the store anyway, so the limit of 1.5 polls serves for the first frame, too.

--- a/crates/gateway/src/feed/frame_gaps.rs
+++ b/crates/gateway/src/feed/frame_gaps.rs
@@ -14,15 +14,12 @@
 const GAPS: usize = 8;
 /// A frame is late after this multiple of the longest of the latest gaps.
 const LATE_FACTOR: f64 = 1.5;
-/// Fraction of a poll's waiting time within which a parent answers a new follower.
-const FIRST_FRAME_FRACTION: f64 = 0.25;
 
 /// The latest gaps between the frames of one parent.
 #[derive(Debug)]
 pub struct FrameGaps {
     /// When the latest frame came; before the first one, when the parent was connected to.
     last_at: Instant,
-    has_frame: bool,
     gaps: VecDeque<Duration>,
     poll_wait: Duration,
     max_silence: Duration,
@@ -33,7 +30,6 @@
     pub fn new(times: &FeedTimes) -> Self {
         Self {
             last_at: Instant::now(),
-            has_frame: false,
             gaps: VecDeque::with_capacity(GAPS),
             poll_wait: times.poll_wait,
             max_silence: times.max_age(1),
@@ -42,19 +38,13 @@
 
     /// Records a frame that came at `now`.
     pub fn record_frame(&mut self, now: Instant) {
-        if self.has_frame {
-            self.gaps.truncate(GAPS - 1);
-            self.gaps.push_front(now - self.last_at);
-        }
-        self.has_frame = true;
+        self.gaps.truncate(GAPS - 1);
+        self.gaps.push_front(now - self.last_at);
         self.last_at = now;
     }
 
     /// Returns from when on the next frame is late.
     pub fn late_at(&self) -> Instant {
-        if !self.has_frame {
-            return self.last_at + self.poll_wait.mul_f64(FIRST_FRAME_FRACTION);
-        }
         let longest = self.gaps.iter().copied().max().unwrap_or_default();
         self.last_at + longest.max(self.poll_wait).mul_f64(LATE_FACTOR)
     }
