Soak: how late changes are in force, gateways that lose their peers, faults at the leader first

A gateway counts as in touch now while its own link to the store, or one through another gateway, is sound (it stays out while the store as a whole is struck); the same for the check of draining runners. Gateways can be partitioned from all others by a signal (their network holds back streams and drops datagrams). Two in five faults at gateways strike the one that gave the latest order. Gateways are asked 0.3, 0.7, 1.2 and 1.6 s after each change, too, and the summary tells by tenths of a second how many answered by an earlier configuration. gateway::run takes the network that it runs on. Tests of the checks: two more.

--- a/crates/barleyspar/src/gateway.rs
+++ b/crates/barleyspar/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use barleyspar_dialect::{PlatformDialect, SETTINGS_VARIABLE, read_settings};
 use barleyspar_domain::Switches;
-use barleyspar_gateway::PlacementOptions;
+use barleyspar_gateway::{PlacementOptions, Sockets};
 use barleyspar_policy::Program;
 
 use crate::errors::CommandError;
@@ -37,6 +37,7 @@
         settings,
         Arc::new(PlatformDialect),
         placing,
+        Arc::new(Sockets),
     ))?;
     Ok(())
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -29,7 +29,7 @@
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::listener::{self, ListenerLimits};
 use crate::names::Names;
-use crate::network::{Listener, Network, Sockets};
+use crate::network::{Listener, Network};
 use crate::origins::OriginTask;
 use crate::placement::{self, LeaseKeeper, PlacementTask};
 use crate::prefill::PrefillTask;
@@ -99,17 +99,18 @@
     }
 }
 
-/// Runs a gateway until it has stopped after a SIGTERM. `read_settings` reads the settings
-/// again: at each SIGHUP and at an interval. Fails if one of the gateway's tasks ends.
+/// Runs a gateway on `network` until it has stopped after a SIGTERM. `read_settings` reads the
+/// settings again: at each SIGHUP and at an interval. Fails if one of the gateway's tasks ends.
 pub async fn run(
     read_settings: impl Fn() -> Result<NodeSettings, String> + Send + 'static,
     settings: NodeSettings,
     dialect: Arc<dyn Dialect>,
     placement_options: PlacementOptions,
+    network: Arc<dyn Network>,
 ) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
-    let gateway = Gateway::start(settings, dialect, placement_options, Arc::new(Sockets)).await?;
+    let gateway = Gateway::start(settings, dialect, placement_options, network).await?;
     let dispatch = gateway.context.dispatch.clone();
     let limits = retry_budget(&gateway.context.settings);
     crate::tasks::spawn(follow_settings(hangup, read_settings, limits, dispatch));
--- a/crates/soak/src/checks/gateways.rs
+++ b/crates/soak/src/checks/gateways.rs
@@ -1,9 +1,11 @@
 //! How gateways follow the configuration, end, and recover.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use crate::checks::{Violation, is_disturbed, is_struck};
+use serde::Serialize;
+
+use crate::checks::{Violation, is_in_touch, is_struck, runs_by_id};
 use crate::observations::{
     Attempt, Expected, FaultRecord, Observations, RequestKind, RouteProbe, Target,
 };
@@ -93,13 +95,36 @@
 /// Whether the change must have been in force when the gateway was asked.
 fn is_due(observations: &Observations, probe: &RouteProbe) -> bool {
     let from = probe.acknowledged_at;
-    let targets = [
-        Target::Gateway(probe.gateway),
-        Target::StoreLink(probe.gateway),
-        Target::Store,
-    ];
     probe.at >= from + CONFIGURATION_BOUND
-        && !is_disturbed(observations, &targets, true, from, probe.at)
+        && is_in_touch(observations, probe.gateway, from, probe.at)
+}
+
+/// Answers on changed routes of gateways in touch, by the time since the acknowledgement.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Lateness {
+    /// Number of answers that tell which configuration was in force.
+    pub answers: usize,
+    /// Number of those by an earlier configuration.
+    pub earlier: usize,
+}
+
+/// Returns how many answers came from an earlier configuration, by the tenth of a second after
+/// the acknowledgement in which the gateway was asked.
+pub fn lateness_by_tenths(observations: &Observations) -> BTreeMap<u64, Lateness> {
+    let runs = runs_by_id(observations);
+    let mut by_tenths: BTreeMap<u64, Lateness> = BTreeMap::new();
+    for probe in &observations.probes {
+        let shown = shown_by(probe, &runs);
+        let from = probe.acknowledged_at;
+        if shown == Shown::Unknown || !is_in_touch(observations, probe.gateway, from, probe.at) {
+            continue;
+        }
+        let tenths = (probe.at - from).as_millis() as u64 / 100;
+        let lateness = by_tenths.entry(tenths).or_default();
+        lateness.answers += 1;
+        lateness.earlier += usize::from(shown == Shown::Earlier);
+    }
+    by_tenths
 }
 
 pub(super) fn gateways_do_not_end_by_themselves(observations: &Observations) -> Vec<Violation> {
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -2,7 +2,7 @@
 //! one promise.
 
 mod copies;
-mod gateways;
+pub mod gateways;
 mod requests;
 mod runners;
 mod streams;
@@ -60,6 +60,27 @@
     .concat()
 }
 
+/// Whether the gateway was in touch with the store from `from` to `to`, and [`CONTACT_TIME`]
+/// before: neither it nor the store was struck, and its own link to the store or one through
+/// another gateway was sound.
+fn is_in_touch(observations: &Observations, gateway: u8, from: Duration, to: Duration) -> bool {
+    let is_sound = |targets: &[Target]| !is_disturbed(observations, targets, true, from, to);
+    if !is_sound(&[Target::Gateway(gateway), Target::Store]) {
+        return false;
+    }
+    let links_a_peer = |peer: u8| {
+        let targets = [
+            Target::Gateway(peer),
+            Target::StoreLink(peer),
+            Target::PeerLinks(peer),
+        ];
+        peer != gateway && is_sound(&targets)
+    };
+    let through_a_peer =
+        || is_sound(&[Target::PeerLinks(gateway)]) && (1..=observations.gateways).any(links_a_peer);
+    is_sound(&[Target::StoreLink(gateway)]) || through_a_peer()
+}
+
 /// Whether a fault on one of `targets` touches the time from `from` to `to`, or the
 /// [`CONTACT_TIME`] before it. Planned work counts only if `planned`.
 fn is_disturbed(
--- a/crates/soak/src/checks/runners.rs
+++ b/crates/soak/src/checks/runners.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use crate::checks::{RECORD_SLACK, Violation, is_disturbed};
+use crate::checks::{RECORD_SLACK, Violation, is_in_touch};
 use crate::observations::{Attempt, Observations, RequestKind, RunnerEvent, Target};
 use crate::site::{DRAIN_BOUND, MOST_REPLICAS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW, is_engine};
 
@@ -28,13 +28,8 @@
                 };
                 let bound = *since + DRAIN_BOUND;
                 let gateway = attempt.gateway;
-                let targets = [
-                    Target::Gateway(gateway),
-                    Target::StoreLink(gateway),
-                    Target::Store,
-                ];
                 let is_late = attempt.sent_at > bound && observation.at > bound + RECORD_SLACK;
-                if is_late && !is_disturbed(observations, &targets, true, *since, observation.at) {
+                if is_late && is_in_touch(observations, gateway, *since, observation.at) {
                     let seen = format!("{id} ran at runner {process:?}, {gateway} sent it");
                     violations.push(Violation::new("leaving_runners_get_no_work", seen));
                 }
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::checks::gateways::the_site_recovers;
+use crate::checks::gateways::{Lateness, lateness_by_tenths, the_site_recovers};
 use crate::checks::requests::TOLERATED_LOSSES;
 use crate::observations::{
     Attempt, AttemptOutcome, CopyObservation, Expected, FaultRecord, FollowedStream, RequestKind,
@@ -192,6 +192,46 @@
     assert_eq!(broken(&observations), ["configuration_never_goes_back"]);
 }
 
+#[test]
+fn a_gateway_that_reaches_the_store_only_through_a_peer_must_not_be_late() {
+    let mut observations = Observations {
+        gateways: 2,
+        ..Observations::default()
+    };
+    observations
+        .probes
+        .push(probe(13, Expected::Service(PLAIN), 404));
+    observations
+        .faults
+        .push(fault(Target::StoreLink(1), false, 8, 11));
+    assert_eq!(broken(&observations), ["configuration_in_force"]);
+    for lost in [
+        Target::PeerLinks(1),
+        Target::PeerLinks(2),
+        Target::StoreLink(2),
+        Target::Gateway(2),
+    ] {
+        observations.faults.push(fault(lost, false, 12, 13));
+        assert!(broken(&observations).is_empty(), "{lost:?}");
+        observations.faults.pop();
+    }
+}
+
+#[test]
+fn answers_by_an_earlier_configuration_are_counted_by_their_time() {
+    let mut observations = Observations::default();
+    let added = Expected::Service(PLAIN);
+    let probes = [probe(11, added, 404), probe(13, added, 200)];
+    observations.probes.extend(probes);
+    observations.runners.push(run(2, 13, "p13"));
+    let lateness = |earlier| Lateness {
+        answers: 1,
+        earlier,
+    };
+    let by_tenths = lateness_by_tenths(&observations);
+    assert_eq!(by_tenths, [(10, lateness(1)), (30, lateness(0))].into());
+}
+
 #[test]
 fn a_route_that_is_moved_late_is_noticed() {
     let mut observations = Observations::default();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,8 +18,9 @@
 use crate::observations::Target;
 use crate::operator::Operator;
 use crate::proxy::{Harm, LinkState, Proxy};
+use crate::roles::gateway::{LOSE_PEERS, REACH_PEERS};
 use crate::roles::store::{BECOME_SLOW, FORGET_HISTORY, SLOW_TIME};
-use crate::site::GRACE_PERIOD;
+use crate::site::{GRACE_PERIOD, gateway_name};
 
 /// Longest pause of a lane between two faults, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 1500;
@@ -31,6 +32,8 @@
 const LONGEST_RESTART_MS: u64 = 1500;
 /// Largest number of changes of the configuration in a row.
 const MOST_CHANGES: u32 = 5;
+/// Part of the faults at gateways that strike the leader.
+const LEADER_SHARE: f64 = 0.4;
 /// Largest number of bytes of bad input on one connection.
 const MOST_BAD_BYTES: usize = 70_000;
 /// Time for a connection that gets bad input.
@@ -52,11 +55,12 @@
     ClientLink,
     StoreLink,
     RunnerLink,
+    PeerLinks,
     Configuration,
     BadInput,
 }
 
-const KINDS: [Kind; 15] = [
+const KINDS: [Kind; 16] = [
     Kind::GatewayKill,
     Kind::GatewayPause,
     Kind::GatewayStop,
@@ -70,6 +74,7 @@
     Kind::ClientLink,
     Kind::StoreLink,
     Kind::RunnerLink,
+    Kind::PeerLinks,
     Kind::Configuration,
     Kind::BadInput,
 ];
@@ -119,8 +124,19 @@
         self.random.random_range(0..count) as u8 + 1
     }
 
+    /// Draws a gateway: often the leader, of which there is only one.
     fn draw_gateway(&mut self) -> u8 {
-        self.draw_number(self.machines.gateways.len())
+        let drawn = self.draw_number(self.machines.gateways.len());
+        if !self.random.random_bool(LEADER_SHARE) {
+            return drawn;
+        }
+        self.leader().unwrap_or(drawn)
+    }
+
+    /// Number of the gateway that gave a runner the latest order.
+    fn leader(&self) -> Option<u8> {
+        let name = self.machines.recorder.latest_order_holder()?;
+        (1..=self.machines.gateways.len() as u8).find(|number| gateway_name(*number) == name)
     }
 
     fn draw_runner(&mut self) -> u8 {
@@ -187,6 +203,10 @@
                 self.harm_link(link, Target::RunnerLink(number), &ALL_HARMS)
                     .await;
             }
+            Kind::PeerLinks => {
+                let number = self.draw_gateway();
+                self.partition(number).await;
+            }
             Kind::Configuration => {
                 let changes = self.random.random_range(1..=MOST_CHANGES);
                 let mut operator = self.operator.lock().await;
@@ -261,6 +281,27 @@
         Ok(())
     }
 
+    /// Partitions a gateway from all others for a while.
+    async fn partition(&mut self, number: u8) {
+        let machines = self.machines.clone();
+        let target = Target::Gateway(number);
+        let Some(slot) = machines.slot(target) else {
+            return;
+        };
+        let fault = machines
+            .recorder
+            .begin_fault("peers_lost", false, Target::PeerLinks(number));
+        slot.signal(LOSE_PEERS);
+        drop(slot);
+        sleep(self.draw_time(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)).await;
+        // A process that was started meanwhile knows of no partition.
+        machines.gateways[usize::from(number - 1)]
+            .lock()
+            .await
+            .signal(REACH_PEERS);
+        machines.recorder.end_fault(fault);
+    }
+
     async fn harm_link(&mut self, link: &Proxy, target: Target, harms: &[Harm]) {
         let harm = *harms.choose(&mut self.random).expect("there are harms");
         let share = *[0.3, 0.7, 1.0]
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -134,6 +134,8 @@
     StoreLink(u8),
     /// The links from all gateways to a runner.
     RunnerLink(u8),
+    /// The links between a gateway and all others.
+    PeerLinks(u8),
 }
 
 /// A fault, or planned work, from its beginning to its end.
@@ -222,6 +224,8 @@
 /// All observations of a soak.
 #[derive(Debug, Default)]
 pub struct Observations {
+    /// Number of gateways.
+    pub gateways: u8,
     /// Attempts of clients, in the order in which they ended.
     pub attempts: Vec<Attempt>,
     /// Streams that clients followed over their tries, in the order in which they ended.
@@ -267,6 +271,16 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the name of the gateway that gave a runner the latest order.
+    pub fn latest_order_holder(&self) -> Option<String> {
+        let observations = self.lock();
+        let mut latest_first = observations.runners.iter().rev();
+        latest_first.find_map(|observation| match &observation.event {
+            RunnerEvent::Order { holder, .. } => Some(holder.clone()),
+            _ => None,
+        })
+    }
+
     /// Records that a fault begins now. Returns its number, for [`Self::end_fault`].
     pub fn begin_fault(&self, kind: &'static str, planned: bool, target: Target) -> usize {
         let from = self.now();
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -17,8 +17,15 @@
 /// Time after a change's acknowledgement at which all gateways are asked: the bound, and the
 /// slack of a question.
 const ASKED_AFTER: Duration = CONFIGURATION_BOUND.saturating_add(Duration::from_millis(100));
-/// Time after which they are asked again, to see that nothing goes back.
-const ASKED_AGAIN_AFTER: Duration = Duration::from_secs(5);
+/// Times after the acknowledgement at which they are asked besides: some before the bound, to
+/// see how much of it is used, and one long after it, to see that nothing goes back.
+const ASKED_BESIDES_AFTER: [Duration; 5] = [
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+    Duration::from_millis(1200),
+    Duration::from_millis(1600),
+    Duration::from_secs(5),
+];
 /// Shortest time between two changes of the same route, so that each is asked for before the
 /// next one.
 const UNCHANGED_TIME: Duration = Duration::from_secs(8);
@@ -103,7 +110,7 @@
         self.publish().await;
         let acknowledged_at = self.recorder.now();
         for gateway in 1..=self.gateways {
-            for after in [ASKED_AFTER, ASKED_AGAIN_AFTER] {
+            for after in ASKED_BESIDES_AFTER.into_iter().chain([ASKED_AFTER]) {
                 let question = Question {
                     address: self.ports.gateway(gateway),
                     gateway,
--- a/crates/soak/src/roles/mod.rs
+++ b/crates/soak/src/roles/mod.rs
@@ -1,6 +1,7 @@
 //! The processes of a soak: what each of them runs.
 
-mod gateway;
+pub mod gateway;
+mod partition;
 mod runner;
 pub mod store;
 pub mod store_client;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -92,6 +92,18 @@
         self.at(3, number, 3)
     }
 
+    /// Whether a gateway listens at `address` for other gateways: their messages, followers or
+    /// tunnels.
+    pub fn is_between_gateways(self, address: SocketAddr) -> bool {
+        let any_gateway = self.peers(1).ip();
+        let kinds = |ip: IpAddr| match ip {
+            IpAddr::V4(ip) => ip.octets().map(u16::from)[2],
+            IpAddr::V6(_) => 0,
+        };
+        let ports = [self.peers(1).port(), self.tunnels(1).port()];
+        kinds(address.ip()) == kinds(any_gateway) && ports.contains(&address.port())
+    }
+
     /// Proxy from clients to gateway `number`.
     pub fn gateway_proxy(self, number: u8) -> SocketAddr {
         self.at(4, number, 0)
@@ -169,10 +181,15 @@
     }
 }
 
+/// Returns the name of gateway `number`.
+pub fn gateway_name(number: u8) -> String {
+    format!("gateway-{number}")
+}
+
 /// Returns the settings of gateway `number`, which reaches the store at `store`.
 pub fn gateway_settings(number: u8, ports: Ports, store: SocketAddr) -> NodeSettings {
     NodeSettings {
-        name: format!("gateway-{number}").into(),
+        name: gateway_name(number).into(),
         zone: zone_of(number).into(),
         regions: ZONES
             .iter()
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -46,6 +46,7 @@
 async fn soak(options: &SoakOptions) -> Result<bool, SoakError> {
     let directory = log_directory(options)?;
     let recorder = Recorder::default();
+    recorder.lock().gateways = options.gateways;
     let ports = Ports::from_first(free_port()?);
     let lives: Lives = Arc::new(std::sync::Mutex::new(vec![
         0;
--- a/crates/soak/src/summary.rs
+++ b/crates/soak/src/summary.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::checks::Violation;
+use crate::checks::gateways::{Lateness, lateness_by_tenths};
 use crate::clients::STREAM_EVENTS;
 use crate::observations::{AttemptOutcome, FollowedStream, Observations};
 
@@ -30,6 +31,9 @@
     pub faults: BTreeMap<&'static str, usize>,
     /// Number of answers on routes that were changed.
     pub probes: usize,
+    /// Answers on changed routes of gateways in touch, and how many of them came from an
+    /// earlier configuration, by the tenths of a second since the acknowledgement.
+    pub lateness_by_tenths: BTreeMap<u64, Lateness>,
     /// Number of copies of the store that were compared with it.
     pub copies: usize,
     /// Longest time in which no attempt was served, in milliseconds.
@@ -66,6 +70,7 @@
             resumed_whole: resumed.filter(is_whole).count(),
             faults,
             probes: observations.probes.len(),
+            lateness_by_tenths: lateness_by_tenths(observations),
             copies: observations.copies.len(),
             longest_outage_ms: longest_outage(observations).as_millis(),
             violations,
