Feed: the store counts as unreachable once the watcher's poll is overdue, not only a further call

A node that watches the store and gets no answer turned to its peers 0.15 of the bound after a second call, which it sent when its copy was stale: by then its poll had been overdue for as long. The time now counts from when the oldest answer was due.

--- a/crates/gateway/src/feed/store_reader.rs
+++ b/crates/gateway/src/feed/store_reader.rs
@@ -51,8 +51,9 @@
     open_calls: FuturesUnordered<Call>,
     /// Earliest time at which the next call may be sent.
     not_before: Instant,
-    /// When the oldest call since the store's last answer was sent; `None` if none was.
-    unanswered_since: Option<Instant>,
+    /// When the answer to the oldest call since the store's last answer was due, in the future
+    /// for a poll that the store may still hold; `None` if there was no call.
+    overdue_since: Option<Instant>,
     /// Whether the store has dropped the changes since the copy's revision, so that a
     /// full read is needed.
     history_lost: bool,
@@ -77,7 +78,7 @@
             schedule: CallSchedule::new(copy.times.call_period, copy.times.unreachable_after),
             open_calls: FuturesUnordered::new(),
             not_before: Instant::now(),
-            unanswered_since: None,
+            overdue_since: None,
             history_lost: false,
         }
     }
@@ -118,7 +119,7 @@
     fn reset(&mut self) {
         self.open_calls.clear();
         self.schedule.reset();
-        self.unanswered_since = None;
+        self.overdue_since = None;
         self.history_lost = false;
         self.unreachable
             .send_if_modified(|unreachable| std::mem::replace(unreachable, false));
@@ -149,16 +150,14 @@
         let last_answer_at = self
             .store
             .last_answer_at()
-            .filter(|last_answer_at| self.unanswered_since < Some(*last_answer_at));
+            .filter(|last_answer_at| self.overdue_since < Some(*last_answer_at));
         last_answer_at.map_or(self.not_before, |last_answer_at| {
             last_answer_at + self.schedule.period()
         })
     }
 
     fn unreachable_at(&self) -> Option<Instant> {
-        let since = self
-            .unanswered_since
-            .filter(|_| !*self.unreachable.borrow())?;
+        let since = self.overdue_since.filter(|_| !*self.unreachable.borrow())?;
         Some(since + self.copy.times.unreachable_after)
     }
 
@@ -175,8 +174,9 @@
         self.not_before = now;
         if stale {
             self.not_before += self.schedule.pause_after_call();
-            self.unanswered_since.get_or_insert(now);
         }
+        let answer_due_at = now + self.poll_wait(stale);
+        self.overdue_since.get_or_insert(answer_due_at);
     }
 
     /// Creates the next call. A call with a timeout above one period reads the full
@@ -187,12 +187,16 @@
         if is_long || self.history_lost || !self.copy.has_data() {
             return self.full_read(timeout);
         }
-        let wait = if stale {
+        self.poll(self.poll_wait(stale), timeout)
+    }
+
+    /// Time for which the store holds a poll without changes.
+    fn poll_wait(&self, stale: bool) -> Duration {
+        if stale {
             Duration::ZERO
         } else {
             self.copy.times.poll_wait
-        };
-        self.poll(wait, timeout)
+        }
     }
 
     fn full_read(&self, timeout: Duration) -> Call {
