Soak: gateways are partitioned only once they listen for the signal

The signal goes to a gateway that takes connections, and the end of the partition to the same process only.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -288,17 +288,26 @@
         let Some(slot) = machines.slot(target) else {
             return;
         };
+        // The signals would end a process that does not listen yet.
+        if TcpStream::connect(machines.ports.readiness(number))
+            .await
+            .is_err()
+        {
+            return;
+        }
         let fault = machines
             .recorder
             .begin_fault("peers_lost", false, Target::PeerLinks(number));
         slot.signal(LOSE_PEERS);
+        let life = slot.life();
         drop(slot);
         sleep(self.draw_time(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)).await;
+        let slot = machines.gateways[usize::from(number - 1)].lock().await;
         // A process that was started meanwhile knows of no partition.
-        machines.gateways[usize::from(number - 1)]
-            .lock()
-            .await
-            .signal(REACH_PEERS);
+        if slot.life() == life {
+            slot.signal(REACH_PEERS);
+        }
+        drop(slot);
         machines.recorder.end_fault(fault);
     }
 
--- a/crates/soak/src/machines.rs
+++ b/crates/soak/src/machines.rs
@@ -83,6 +83,11 @@
         Ok(())
     }
 
+    /// Number of the process among those of its machine, from 0.
+    pub fn life(&self) -> u32 {
+        self.life
+    }
+
     /// Sends the process a signal; does nothing if it has ended.
     pub fn signal(&self, signal: Signal) {
         self.process.signal(signal);
