A rate-limited runner takes further models while its limit leaves calls to spare

Who is late: not the limited runner's models (9 late ones of m6 beside 21 without the limit), but rare models everywhere. Cause: no model was ever placed on a runner with a limit, so two of the site's 18 places were lost to the models that come and go, and the limit was not used up.

Now such a runner takes a model whose requests the limit covers beside those for the models that it holds and 0.5 calls a second for orders and reports.

--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -79,6 +79,7 @@
         rate_limit: None,
         calls_blocked: false,
         over_limit: Vec::new(),
+        spare_rate: 0.0,
         report_unread: false,
         report_known: true,
         reachable: true,
--- a/crates/loading/src/over_limit.rs
+++ b/crates/loading/src/over_limit.rs
@@ -1,4 +1,5 @@
-//! Finds the models on rate-limited runners that need a replica on another runner.
+//! Finds the models on rate-limited runners that need a replica on another runner, and which
+//! such runners have calls to spare for further models.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -10,7 +11,11 @@
 /// the calls that load its adapters.
 const CALLERS_FRACTION: f64 = 0.8;
 
-/// Sets `over_limit` of each rate-limited runner of `service` to the models whose demand
+/// Calls per second for the orders and reports of the loads at a runner that takes further
+/// models: two calls in the four seconds of a load.
+const LOAD_CALL_RATE: f64 = 0.5;
+
+/// Sets `over_limit` and `spare_rate` of each rate-limited runner of `service` to the models whose demand
 /// exceeds the runner's limit. Models that an unlimited runner holds too are not counted,
 /// because their requests go there. Of the others, the limit is spent on the models with
 /// the lowest demand first, so that few models have to be loaded elsewhere.
@@ -35,7 +40,9 @@
             .map(|held| (rate(&held.model), held.model.clone()))
             .collect();
         only_here.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        let total_rate: f64 = only_here.iter().map(|(rate, _)| rate).sum();
         let mut remaining = limit * CALLERS_FRACTION;
+        let spare_rate = remaining - total_rate - LOAD_CALL_RATE;
         let exceeds = |(rate, _): &(f64, Arc<str>)| {
             remaining -= rate;
             remaining < 0.0
@@ -45,6 +52,7 @@
             .filter(exceeds)
             .map(|(_, model)| model);
         runners[index].over_limit = over_limit.collect();
+        runners[index].spare_rate = spare_rate;
     }
 }
 
--- a/crates/loading/src/placement_index.rs
+++ b/crates/loading/src/placement_index.rs
@@ -214,7 +214,7 @@
         let may_order = may_wait || runner.accepts_orders_once_read();
         runner.service == *self.plan.service
             && runner.accepts_requests()
-            && runner.rate_limit.is_none()
+            && self.leaves_limit_kept(runner, model)
             && (runner.report_known || runner.report_unread)
             && may_order
             && runner.loaded_model(model).is_none()
@@ -226,6 +226,14 @@
                 .is_some_and(|decision| decision.allows_zone(&runner.zone))
     }
 
+    /// Whether the runner's rate limit, if it has one, covers the requests for `model` besides
+    /// those for the models that it holds.
+    fn leaves_limit_kept(&self, runner: &RunnerView, model: &str) -> bool {
+        let demand = self.plan.demand.get(model);
+        let rate = demand.map_or(0.0, |demand| demand.rate);
+        runner.rate_limit.is_none() || rate < runner.spare_rate
+    }
+
     /// Whether the policy's number of replicas holds even if all loads are carried out that
     /// runners left unanswered. One at `runner` itself is superseded by a new order there.
     fn leaves_policy_kept(&self, runner: &RunnerView, model: &str) -> bool {
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -69,6 +69,9 @@
     /// Models of this runner whose demand exceeds its rate limit and that no unlimited
     /// runner holds. Set in each planning step.
     pub over_limit: Vec<Arc<str>>,
+    /// Calls per second that the rate limit leaves for further models. Set in each planning
+    /// step; without a limit it is not used.
+    pub spare_rate: f64,
     /// Whether the leader reads this runner's report only on demand and has not read it
     /// yet. The planner requests the report before the first order.
     pub report_unread: bool,
@@ -114,6 +117,7 @@
             rate_limit: None,
             calls_blocked: false,
             over_limit: Vec::new(),
+            spare_rate: 0.0,
             report_unread: false,
             report_known: false,
             reachable: true,
--- a/crates/loading/tests/common/mod.rs
+++ b/crates/loading/tests/common/mod.rs
@@ -64,6 +64,7 @@
         rate_limit: None,
         calls_blocked: false,
         over_limit: Vec::new(),
+        spare_rate: 0.0,
         report_unread: false,
         report_known: true,
         reachable: true,
