Soak: gateways that lose all runners, and what callers get there; partitions are told, not signalled

A gateway's network can now be partitioned from all runners as from all gateways, by a line on its standard input (a signal ended processes that did not listen yet). From the contact time on, callers there must be served at least two thirds as often as elsewhere at the same times, or at most 10 and one in 50 attempts may fail; with a test of the check.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -135,7 +135,7 @@
         if !self.has_certain_routes() {
             let until = self.find_view_old();
             let mut confirmed_at = self.confirmed_at.clone();
-            let confirmed = confirmed_at.wait_for(|_| self.has_certain_routes());
+            let confirmed = confirmed_at.wait_for(|at| self.are_routes_certain(*at));
             // If the time passes, the routes stay uncertain, as is checked below.
             let _ = timeout_at(until, confirmed).await;
         }
@@ -151,11 +151,22 @@
     }
 
     fn has_certain_routes(&self) -> bool {
+        let confirmed_at = *self.confirmed_at.borrow();
+        self.are_routes_certain(confirmed_at)
+    }
+
+    /// Whether the routes in force are recent enough to rely on if they were last confirmed at
+    /// `confirmed_at`.
+    fn are_routes_certain(&self, confirmed_at: Option<Instant>) -> bool {
         let routes = self.routes.borrow();
         let Some(table) = routes.as_ref() else {
             return false;
         };
-        self.local_view(table).is_certain(&self.access_bounds)
+        let view = ConfigurationView {
+            table,
+            staleness: confirmed_at.map(|at| at.elapsed()),
+        };
+        view.is_certain(&self.access_bounds)
     }
 
     /// Returns the version of the configuration in force; `None` before the first one.
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -3,6 +3,7 @@
 
 mod copies;
 pub mod gateways;
+mod partitions;
 mod requests;
 mod runners;
 mod streams;
@@ -45,6 +46,7 @@
         streams::streams_lack_and_repeat_no_event(observations),
         requests::planned_stops_cut_nothing(observations, &runs),
         requests::kept_connections_are_answered(observations, &runs),
+        partitions::gateways_without_runners_serve_as_the_others(observations),
         gateways::planned_stops_end_in_time(observations),
         runners::draining_runners_get_nothing(observations),
         gateways::changes_are_in_force_and_stay(observations, &runs),
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -438,3 +438,31 @@
         assert_eq!(broken(&observations), ["whole_streams"]);
     }
 }
+
+#[test]
+fn a_gateway_without_runners_that_serves_worse_than_the_others_is_noticed() {
+    let mut observations = Observations::default();
+    let at = |gateway, number: u32, status| Attempt {
+        gateway,
+        ..attempt(
+            &format!("{gateway}-{number}"),
+            RequestKind::Read,
+            answered(status),
+        )
+    };
+    let attempts = (0..20).flat_map(|number| [at(1, number, 503), at(2, number, 200)]);
+    observations.attempts.extend(attempts);
+    for number in 0..20 {
+        observations
+            .runners
+            .push(run(2, 10, &format!("2-{number}")));
+    }
+    assert!(broken(&observations).is_empty());
+    let lost = fault(Target::LinksToRunners(1), false, 7, 12);
+    observations.faults.push(lost);
+    assert_eq!(broken(&observations), ["gateways_without_runners_serve"]);
+    observations
+        .faults
+        .push(fault(Target::Gateway(1), false, 8, 9));
+    assert!(broken(&observations).is_empty());
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,9 +18,9 @@
 use crate::observations::Target;
 use crate::operator::Operator;
 use crate::proxy::{Harm, LinkState, Proxy};
-use crate::roles::gateway::{LOSE_PEERS, REACH_PEERS};
+use crate::roles::gateway::PartitionCommand;
 use crate::roles::store::{BECOME_SLOW, FORGET_HISTORY, SLOW_TIME};
-use crate::site::{GRACE_PERIOD, gateway_name};
+use crate::site::{GRACE_PERIOD, Neighbours, gateway_name};
 
 /// Longest pause of a lane between two faults, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 1500;
@@ -32,6 +32,9 @@
 const LONGEST_RESTART_MS: u64 = 1500;
 /// Largest number of changes of the configuration in a row.
 const MOST_CHANGES: u32 = 5;
+/// Longest time for which a gateway loses all runners, in milliseconds: longer than the time
+/// from which on it must serve as the others do.
+const LONGEST_LOSS_OF_RUNNERS_MS: u64 = 9000;
 /// Part of the faults at gateways that strike the leader.
 const LEADER_SHARE: f64 = 0.4;
 /// Largest number of bytes of bad input on one connection.
@@ -56,11 +59,12 @@
     StoreLink,
     RunnerLink,
     PeerLinks,
+    LinksToRunners,
     Configuration,
     BadInput,
 }
 
-const KINDS: [Kind; 16] = [
+const KINDS: [Kind; 17] = [
     Kind::GatewayKill,
     Kind::GatewayPause,
     Kind::GatewayStop,
@@ -75,6 +79,7 @@
     Kind::StoreLink,
     Kind::RunnerLink,
     Kind::PeerLinks,
+    Kind::LinksToRunners,
     Kind::Configuration,
     Kind::BadInput,
 ];
@@ -203,10 +208,8 @@
                 self.harm_link(link, Target::RunnerLink(number), &ALL_HARMS)
                     .await;
             }
-            Kind::PeerLinks => {
-                let number = self.draw_gateway();
-                self.partition(number).await;
-            }
+            Kind::PeerLinks => self.partition(Neighbours::Gateways).await,
+            Kind::LinksToRunners => self.partition(Neighbours::Runners).await,
             Kind::Configuration => {
                 let changes = self.random.random_range(1..=MOST_CHANGES);
                 let mut operator = self.operator.lock().await;
@@ -281,31 +284,32 @@
         Ok(())
     }
 
-    /// Partitions a gateway from all others for a while.
-    async fn partition(&mut self, number: u8) {
+    /// Partitions a gateway from its neighbours for a while.
+    async fn partition(&mut self, neighbours: Neighbours) {
         let machines = self.machines.clone();
-        let target = Target::Gateway(number);
-        let Some(slot) = machines.slot(target) else {
-            return;
+        let number = self.draw_gateway();
+        let (kind, target, longest_ms) = match neighbours {
+            Neighbours::Gateways => ("peers_lost", Target::PeerLinks(number), LONGEST_FAULT_MS),
+            Neighbours::Runners => (
+                "runners_lost",
+                Target::LinksToRunners(number),
+                LONGEST_LOSS_OF_RUNNERS_MS,
+            ),
         };
-        // The signals would end a process that does not listen yet.
-        if TcpStream::connect(machines.ports.readiness(number))
-            .await
-            .is_err()
-        {
+        let Some(mut slot) = machines.slot(Target::Gateway(number)) else {
             return;
-        }
-        let fault = machines
-            .recorder
-            .begin_fault("peers_lost", false, Target::PeerLinks(number));
-        slot.signal(LOSE_PEERS);
+        };
+        let fault = machines.recorder.begin_fault(kind, false, target);
+        let begin = PartitionCommand::new(neighbours, true);
+        slot.tell(&begin.line()).await;
         let life = slot.life();
         drop(slot);
-        sleep(self.draw_time(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)).await;
-        let slot = machines.gateways[usize::from(number - 1)].lock().await;
+        sleep(self.draw_time(SHORTEST_FAULT_MS, longest_ms)).await;
+        let mut slot = machines.gateways[usize::from(number - 1)].lock().await;
         // A process that was started meanwhile knows of no partition.
         if slot.life() == life {
-            slot.signal(REACH_PEERS);
+            let end = PartitionCommand::new(neighbours, false);
+            slot.tell(&end.line()).await;
         }
         drop(slot);
         machines.recorder.end_fault(fault);
--- a/crates/soak/src/machines.rs
+++ b/crates/soak/src/machines.rs
@@ -83,6 +83,11 @@
         Ok(())
     }
 
+    /// Writes a line to the process's standard input.
+    pub async fn tell(&mut self, line: &str) {
+        self.process.tell(line).await;
+    }
+
     /// Number of the process among those of its machine, from 0.
     pub fn life(&self) -> u32 {
         self.life
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -136,6 +136,8 @@
     RunnerLink(u8),
     /// The links between a gateway and all others.
     PeerLinks(u8),
+    /// The links from a gateway to all runners.
+    LinksToRunners(u8),
 }
 
 /// A fault, or planned work, from its beginning to its end.
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -6,6 +6,7 @@
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use tokio::io::AsyncWriteExt;
 use tokio::process::{Child, ChildStdout, Command};
 
 use crate::SoakError;
@@ -35,7 +36,7 @@
         };
         let mut child = Command::new(program)
             .args(arguments)
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(output)
             .stderr(errors)
             .kill_on_drop(true)
@@ -53,6 +54,15 @@
         }
     }
 
+    /// Writes a line to the process's standard input.
+    pub async fn tell(&mut self, line: &str) {
+        let Some(input) = self.child.stdin.as_mut() else {
+            return;
+        };
+        // A process that has ended reads nothing any more.
+        let _ = input.write_all(format!("{line}\n").as_bytes()).await;
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/crates/soak/src/roles/gateway.rs
+++ b/crates/soak/src/roles/gateway.rs
@@ -7,17 +7,57 @@
 use barleyspar_gateway::PlacementOptions;
 use barleyspar_policy::Program;
 use barleyspar_standin::NativeDialect;
-use nix::sys::signal::Signal;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::SoakError;
 use crate::roles::partition::PartitionedNetwork;
-use crate::site::{POLICY, Ports, gateway_settings};
+use crate::site::{Neighbours, POLICY, Ports, gateway_settings};
 
-/// The signal at which a gateway is partitioned from all others.
-pub const LOSE_PEERS: Signal = Signal::SIGUSR1;
-/// The signal at which it reaches the others again.
-pub const REACH_PEERS: Signal = Signal::SIGUSR2;
+/// A line on a gateway's standard input: a partition begins or ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartitionCommand {
+    /// From whom the gateway is partitioned.
+    pub neighbours: Neighbours,
+    /// Whether the partition begins.
+    pub begins: bool,
+}
+
+impl PartitionCommand {
+    const ALL: [Self; 4] = [
+        Self::new(Neighbours::Gateways, true),
+        Self::new(Neighbours::Gateways, false),
+        Self::new(Neighbours::Runners, true),
+        Self::new(Neighbours::Runners, false),
+    ];
+
+    /// Creates the command that begins or ends a partition.
+    pub const fn new(neighbours: Neighbours, begins: bool) -> Self {
+        Self { neighbours, begins }
+    }
+
+    /// The line that tells the command.
+    pub fn line(self) -> String {
+        format!("{self:?}")
+    }
+
+    fn apply(self, network: &PartitionedNetwork) {
+        let partition = network.partition_from(self.neighbours);
+        if self.begins {
+            partition.begin();
+        } else {
+            partition.end();
+        }
+    }
+}
+
+/// Begins and ends partitions on `network` as the standard input says, until that ends.
+fn obey(network: &PartitionedNetwork) {
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        let mut commands = PartitionCommand::ALL.into_iter();
+        if let Some(command) = commands.find(|command| command.line() == line) {
+            command.apply(network);
+        }
+    }
+}
 
 /// Runs gateway `number` until it has stopped after a SIGTERM.
 pub async fn run(number: u8, ports: Ports, store: SocketAddr) -> Result<(), SoakError> {
@@ -29,18 +69,8 @@
     let reread = settings.clone();
     let read_settings = move || Ok(reread.clone());
     let dialect = Arc::new(NativeDialect);
-    let network = PartitionedNetwork::new(ports);
-    let mut lose_peers = signal(SignalKind::user_defined1()).map_err(SoakError::io("signals"))?;
-    let mut reach_peers = signal(SignalKind::user_defined2()).map_err(SoakError::io("signals"))?;
-    let partition = network.partition();
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                _ = lose_peers.recv() => partition.begin(),
-                _ = reach_peers.recv() => partition.end(),
-            }
-        }
-    });
-    let network = Arc::new(network);
+    let network = Arc::new(PartitionedNetwork::new(ports));
+    let obeying = network.clone();
+    std::thread::spawn(move || obey(&obeying));
     Ok(barleyspar_gateway::run(read_settings, settings, dialect, placement, network).await?)
 }
--- a/crates/soak/src/roles/partition.rs
+++ b/crates/soak/src/roles/partition.rs
@@ -1,5 +1,5 @@
-//! A gateway's network, on which it can be partitioned from all other gateways: nothing passes,
-//! and nobody is told.
+//! A gateway's network, on which it can be partitioned from all other gateways or from all
+//! runners: nothing passes, and nobody is told.
 
 use std::io;
 use std::net::SocketAddr;
@@ -11,9 +11,9 @@
 use barleyspar_gateway::{ByteStream, Datagrams, Listener, Network, Sockets};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::site::Ports;
+use crate::site::{Neighbours, Ports};
 
-/// Whether the gateway is partitioned from the others; clones share it.
+/// Whether the gateway is partitioned from its neighbours of one kind; clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Partition {
     state: Arc<Mutex<State>>,
@@ -72,11 +72,12 @@
     }
 }
 
-/// The system's network, but for a partition between this gateway and all others.
+/// The system's network, but for partitions between this gateway and its neighbours.
 #[derive(Debug)]
 pub struct PartitionedNetwork {
     ports: Ports,
-    partition: Partition,
+    from_gateways: Partition,
+    from_runners: Partition,
 }
 
 impl PartitionedNetwork {
@@ -84,42 +85,52 @@
     pub fn new(ports: Ports) -> Self {
         Self {
             ports,
-            partition: Partition::default(),
+            from_gateways: Partition::default(),
+            from_runners: Partition::default(),
         }
     }
 
-    /// Returns the partition, to begin and end it.
-    pub fn partition(&self) -> Partition {
-        self.partition.clone()
+    /// Returns the partition from these neighbours, to begin and end it.
+    pub fn partition_from(&self, neighbours: Neighbours) -> &Partition {
+        match neighbours {
+            Neighbours::Gateways => &self.from_gateways,
+            Neighbours::Runners => &self.from_runners,
+        }
+    }
+
+    /// Returns the partition on the way to `address`; `None` where there cannot be one.
+    fn partition_before(&self, address: SocketAddr) -> Option<&Partition> {
+        let neighbours = self.ports.neighbours_at(address)?;
+        Some(self.partition_from(neighbours))
     }
 }
 
 #[async_trait]
 impl Network for PartitionedNetwork {
     async fn connect(&self, address: SocketAddr) -> io::Result<Box<dyn ByteStream>> {
-        if !self.ports.is_between_gateways(address) {
+        let Some(partition) = self.partition_before(address) else {
             return Sockets.connect(address).await;
-        }
-        self.partition.ended().await;
+        };
+        partition.ended().await;
         let stream = Sockets.connect(address).await?;
-        Ok(PartitionedStream::wrap(stream, &self.partition))
+        Ok(PartitionedStream::wrap(stream, partition))
     }
 
     async fn listen(&self, address: SocketAddr) -> io::Result<Box<dyn Listener>> {
         let listener = Sockets.listen(address).await?;
-        if !self.ports.is_between_gateways(address) {
+        let Some(partition) = self.partition_before(address) else {
             return Ok(listener);
-        }
+        };
         Ok(Box::new(PartitionedListener {
             listener,
-            partition: self.partition(),
+            partition: partition.clone(),
         }))
     }
 
     async fn datagrams(&self, address: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
         Ok(Box::new(PartitionedDatagrams {
             socket: Sockets.datagrams(address).await?,
-            partition: self.partition(),
+            partition: self.from_gateways.clone(),
         }))
     }
 }
@@ -161,7 +172,7 @@
     }
 }
 
-/// A stream between two gateways, which stands still during a partition.
+/// A stream to a neighbour, which stands still during a partition.
 struct PartitionedStream {
     stream: Box<dyn ByteStream>,
     partition: Partition,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -40,6 +40,15 @@
 /// Zones of the site; gateways and runners are spread over them in turn.
 const ZONES: [&str; 4] = ["zone-1", "zone-2", "zone-3", "zone-4"];
 
+/// Those with whom a gateway can lose all contact at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Neighbours {
+    /// All other gateways.
+    Gateways,
+    /// All runners.
+    Runners,
+}
+
 /// The ports that all addresses of a soak share.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -92,16 +101,18 @@
         self.at(3, number, 3)
     }
 
-    /// Whether a gateway listens at `address` for other gateways: their messages, followers or
-    /// tunnels.
-    pub fn is_between_gateways(self, address: SocketAddr) -> bool {
-        let any_gateway = self.peers(1).ip();
-        let kinds = |ip: IpAddr| match ip {
-            IpAddr::V4(ip) => ip.octets().map(u16::from)[2],
-            IpAddr::V6(_) => 0,
+    /// Returns whom a gateway reaches at `address`; `None` for callers and the store.
+    pub fn neighbours_at(self, address: SocketAddr) -> Option<Neighbours> {
+        let kind = |address: SocketAddr| match address.ip() {
+            IpAddr::V4(ip) => Some(ip.octets()[2]),
+            IpAddr::V6(_) => None,
         };
-        let ports = [self.peers(1).port(), self.tunnels(1).port()];
-        kinds(address.ip()) == kinds(any_gateway) && ports.contains(&address.port())
+        let between_gateways = [self.peers(1).port(), self.tunnels(1).port()];
+        if kind(address) == kind(self.runner_proxy(1)) {
+            return Some(Neighbours::Runners);
+        }
+        let is_gateway = kind(address) == kind(self.peers(1));
+        (is_gateway && between_gateways.contains(&address.port())).then_some(Neighbours::Gateways)
     }
 
     /// Proxy from clients to gateway `number`.
