--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -55,7 +55,7 @@
     /// When the routes in force were last confirmed to be the latest that the operators have
     /// set; `None` before the first confirmation.
     pub confirmed_at: watch::Receiver<Option<Instant>>,
-    /// When the view that those routes belong to was found old.
+    /// When the view that those routes belong to was noticed to be old.
     pub old_view: Arc<OldView>,
     /// Maximum staleness of the local view with which this node still checks credentials, and
     /// says that there is no route.
@@ -130,10 +130,10 @@
     /// Returns the routes by which a request is decided now, `None` before the first
     /// configuration, and whether they are certainly the operators' latest within the site's
     /// bound. Waits for newer ones if they are not, but only in the first moments after this
-    /// node found its view old.
+    /// node noticed that its view is old.
     pub async fn current_routes(&self) -> (Option<Arc<RouteTable>>, bool) {
         if !self.has_certain_routes() {
-            let until = self.find_view_old();
+            let until = self.notice_old_view();
             let mut confirmed_at = self.confirmed_at.clone();
             let confirmed = confirmed_at.wait_for(|at| self.are_routes_certain(*at));
             // If the time passes, the routes stay uncertain, as is checked below.
@@ -145,9 +145,9 @@
 
     /// Records that this node's view is old, and returns until when requests wait for a newer
     /// one.
-    pub fn find_view_old(&self) -> Instant {
+    pub fn notice_old_view(&self) -> Instant {
         let confirmed_at = *self.confirmed_at.borrow();
-        self.old_view.find(confirmed_at, Instant::now())
+        self.old_view.notice(confirmed_at, Instant::now())
     }
 
     fn has_certain_routes(&self) -> bool {
--- a/crates/gateway/src/feed/staleness.rs
+++ b/crates/gateway/src/feed/staleness.rs
@@ -18,7 +18,7 @@
 ) {
     while until_stale(&mut state, &times).await.is_ok() {
         let stale_since = Instant::now();
-        context.find_view_old();
+        context.notice_old_view();
         log_stale(&state.borrow(), stale_since);
         let is_current = |state: &FeedState| !state.is_stale(&times, Instant::now());
         let Ok(current_state) = state.wait_for(is_current).await else {
--- a/crates/gateway/src/feed/tree.rs
+++ b/crates/gateway/src/feed/tree.rs
@@ -137,8 +137,8 @@
 /// within `max_silence` that `is_usable` accepts, the one that was never abandoned or
 /// was abandoned (`abandoned_at`) the longest time ago, so that each peer is tried in
 /// turn. Peers not seen for most of `max_silence` come last: they may stand still, and it
-/// takes long to find that out. Each node uses an order of its own, so that they do not all try the same peer,
-/// which accepts at most 64 followers.
+/// takes long to find that out. Each node uses an order of its own, so that they do not
+/// all try the same peer, which accepts at most 64 followers.
 pub fn least_recently_tried_peer(
     own_node: &OwnNode,
     peers: &HashMap<Arc<str>, SeenPeer>,
