Soak: its processes end with it at SIGTERM

A soak that was ended by a signal left its store, runners and gateways running: they were killed only when it ended by itself.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -50,6 +50,9 @@
     /// The site did not serve before the first fault.
     #[error("the site did not serve any request within {0:?} of its start")]
     NotReady(std::time::Duration),
+    /// The soak was told to end by SIGTERM.
+    #[error("ended by SIGTERM")]
+    Terminated,
 }
 
 impl SoakError {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -40,7 +41,14 @@
         .enable_all()
         .build()
         .map_err(SoakError::io("runtime"))?;
-    runtime.block_on(soak(options))
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(SoakError::io("signals"))?;
+        // The processes of the soak end with it: they are killed when it is dropped.
+        tokio::select! {
+            result = soak(options) => result,
+            _ = terminate.recv() => Err(SoakError::Terminated),
+        }
+    })
 }
 
 async fn soak(options: &SoakOptions) -> Result<bool, SoakError> {
