--- a/crates/gateway/src/old_view.rs
+++ b/crates/gateway/src/old_view.rs
@@ -10,9 +10,9 @@
 
 use tokio::time::Instant;
 
-/// Time after this node noticed that its view is old within which requests wait. It is many times what
-/// the store or a peer needs for an answer, and short enough for a refused client to be served
-/// in time elsewhere.
+/// Time after this node noticed that its view is old within which requests wait. It is many
+/// times what the store or a peer needs for an answer, and short enough for a refused client
+/// to be served in time elsewhere.
 const PATIENCE: Duration = Duration::from_millis(200);
 
 /// When this node noticed that its present view of the configuration is old. The lock is never
