Feed: what ends the wait for a frame needs no type of its own; planner: no look-up for runners without a limit

Read once more. End wrapped what select's branches can say themselves (one nesting less); a broken connection no longer unsets the search for a moment, which nobody could see. leaves_limit_kept looked up a model's demand for each pair of model and runner, also where no limit is.

--- a/crates/gateway/src/feed/follower.rs
+++ b/crates/gateway/src/feed/follower.rs
@@ -55,14 +55,6 @@
     Broken,
 }
 
-/// What ended the wait for a frame.
-enum End {
-    /// A frame, a failure of the connection, or that the parent is silent.
-    Frame(Option<io::Result<ReceivedFrame>>),
-    /// This node's copy is stale.
-    Stale,
-}
-
 /// A peer that this node stopped following.
 struct AbandonedPeer {
     at: Instant,
@@ -227,28 +219,24 @@
         let mut other_parent_since = None;
         let mut gaps = FrameGaps::new(&self.copy.times);
         loop {
-            let end = tokio::select! {
+            let received = tokio::select! {
                 // Frames that wait to be read come before the conclusion that none came.
                 biased;
-                received = self.next_frame(&mut stream, &gaps) => End::Frame(received),
-                () = self.until_stale(trial_end) => End::Stale,
-                () = self.until_store_answers(), if trial_end.is_some() => return,
-            };
-            let received = match end {
-                End::Frame(Some(received)) => received,
-                End::Frame(None) => return self.abandon(name, Fault::Stale, "it sends nothing"),
-                End::Stale => {
+                received = self.next_frame(&mut stream, &gaps) => received,
+                () = self.until_stale(trial_end) => {
                     return self.abandon(name, Fault::Stale, "its copy of the store is stale");
                 }
+                () = self.until_store_answers(), if trial_end.is_some() => return,
+            };
+            let received = match received {
+                Some(Ok(received)) => received,
+                Some(Err(error)) => return self.abandon(name, Fault::Broken, &error.to_string()),
+                None => return self.abandon(name, Fault::Stale, "it sends nothing"),
             };
             gaps.record_frame(Instant::now());
             self.is_searching = false;
             self.watch_store(false);
-            let applied = match received {
-                Ok(received) => self.copy.apply_frame(received).await,
-                Err(error) => return self.abandon(name, Fault::Broken, &error.to_string()),
-            };
-            if let Err(error) = applied {
+            if let Err(error) = self.copy.apply_frame(received).await {
                 return self.abandon(name, Fault::Broken, &error.to_string());
             }
             if self.copy.is_stale() {
--- a/crates/loading/src/over_limit.rs
+++ b/crates/loading/src/over_limit.rs
@@ -15,8 +15,8 @@
 /// models: two calls in the four seconds of a load.
 const LOAD_CALL_RATE: f64 = 0.5;
 
-/// Sets `over_limit` and `spare_rate` of each rate-limited runner of `service` to the models whose demand
-/// exceeds the runner's limit. Models that an unlimited runner holds too are not counted,
+/// Sets, for each rate-limited runner of `service`, `spare_rate` to the calls that the limit
+/// leaves and `over_limit` to the models whose demand exceeds the limit. Models that an unlimited runner holds too are not counted,
 /// because their requests go there. Of the others, the limit is spent on the models with
 /// the lowest demand first, so that few models have to be loaded elsewhere.
 pub fn mark_over_limit(
--- a/crates/loading/src/placement_index.rs
+++ b/crates/loading/src/placement_index.rs
@@ -229,9 +229,11 @@
     /// Whether the runner's rate limit, if it has one, covers the requests for `model` besides
     /// those for the models that it holds.
     fn leaves_limit_kept(&self, runner: &RunnerView, model: &str) -> bool {
+        if runner.rate_limit.is_none() {
+            return true;
+        }
         let demand = self.plan.demand.get(model);
-        let rate = demand.map_or(0.0, |demand| demand.rate);
-        runner.rate_limit.is_none() || rate < runner.spare_rate
+        demand.map_or(0.0, |demand| demand.rate) < runner.spare_rate
     }
 
     /// Whether the policy's number of replicas holds even if all loads are carried out that
