Review, case 1: a request runs twice after a late copy of a rejection

A full runner asks for rest (503, Retry-After); the request is sent to it again on the same connection under the same id, and a late copy of the 503 stands in the place of the answer.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/barleyspar ] || exit 2
 [ -x target/review/standin ] || exit 2
-exec target/review/standin slow_client review/1
+exec target/review/standin late_copy review/1
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod gateway;
 mod http;
 mod json;
+mod late_copy;
 mod record;
 mod runner;
 mod slow_client;
@@ -60,6 +61,7 @@
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let files = TemporaryFolder::create()?;
     let verdict = match case.as_str() {
+        "late_copy" => late_copy::run(&record, &files.path, has_trouble)?,
         "slow_client" => slow_client::run(&record, &files.path, has_trouble)?,
         _ => return Err(io::Error::other("no such case")),
     };
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -16,7 +16,7 @@
 const WORK: Duration = Duration::from_millis(60);
 
 /// Answers that say that the request did not run.
-const NOT_RUN: (&str, &str) = ("X-Not-Executed", "1");
+pub const NOT_RUN: (&str, &str) = ("X-Not-Executed", "1");
 
 /// A runner of a plain service, which answers each request with as many bytes as it is told.
 pub struct PlainRunner;
@@ -53,7 +53,7 @@
 }
 
 /// Writes the entry of the runner `id` at each heartbeat.
-fn keep_entry(store: &Store, id: String, entry: impl Fn(u64) -> String + Send + 'static) {
+pub fn keep_entry(store: &Store, id: String, entry: impl Fn(u64) -> String + Send + 'static) {
     let store = store.clone();
     let key = format!("servers/{id}");
     store.put(&key, &entry(1));
