Parts that crash runners at other moments than right after the head are never held: failing tests

What callers saw: tries with one part in their prompts reached runners long after the part's fifth crash. The runner stand-in crashes on a course now: before the head, after some events, after the whole answer, after the gateway has left it as silent, and back at once.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,7 +16,7 @@
 pub use client::Answer;
 pub use dialect::{NativeDialect, encode, names};
 pub use network::{Cut, MemoryNetwork};
-pub use runner::{Call, Fault, RequestedPause, Run, RunnerIdentity, RunnerStandIn};
+pub use runner::{Call, CrashCourse, Fault, RequestedPause, Run, RunnerIdentity, RunnerStandIn};
 pub use scripted_server::{Script, ScriptedServer};
 pub use store::{StoreData, StoreStandIn};
 pub use stream_client::FollowedStream;
--- a/crates/standin/src/runner/brittle.rs
+++ b/crates/standin/src/runner/brittle.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::network::MemoryNetwork;
-use crate::runner::RunnerStandIn;
+use crate::runner::{CrashCourse, RunnerStandIn};
 
 /// Span within which rejections are counted.
 const COUNTED_WITHIN: Duration = Duration::from_secs(1);
@@ -69,7 +69,11 @@
             is_crash.then(|| brittle.network.clone())
         };
         if let Some(network) = network {
-            self.crash_and_restart(network, Duration::ZERO);
+            let course = CrashCourse {
+                crash_after: Duration::ZERO,
+                ..CrashCourse::default()
+            };
+            self.crash_and_restart(network, course);
         }
         true
     }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -40,9 +40,7 @@
 use guards::OpenConnection;
 use signals::Signals;
 
-/// Time from the start of a request that crashes the runner to the crash.
-const CRASH_AFTER: Duration = Duration::from_millis(40);
-/// Time from a crash by a request to the runner's restart.
+/// Time from a crash by rejections to the runner's restart.
 const RESTART_AFTER: Duration = Duration::from_secs(3);
 /// Time that a plain request runs.
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(30);
@@ -67,6 +65,28 @@
     LongEvents(usize),
 }
 
+/// When a runner crashes by a request, and when it is back.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashCourse {
+    /// Whether the head of the answer, and the events until the crash, are sent.
+    pub answers: bool,
+    /// Time from the start of the request to the crash.
+    pub crash_after: Duration,
+    /// Time from the crash to the runner's restart.
+    pub restart_after: Duration,
+}
+
+impl Default for CrashCourse {
+    /// A crash after the head of the answer and before the first event.
+    fn default() -> Self {
+        Self {
+            answers: true,
+            crash_after: Duration::from_millis(40),
+            restart_after: RESTART_AFTER,
+        }
+    }
+}
+
 /// What a request has that crashes the runner as soon as it begins to run it.
 #[derive(Debug, Clone)]
 enum CrashTrigger {
@@ -129,6 +149,7 @@
     fault: Option<Fault>,
     /// Network of the runner, and what crashes it.
     crash_trigger: Option<(MemoryNetwork, CrashTrigger)>,
+    crash_course: CrashCourse,
     /// Times of the crashes that requests, or rejections, caused.
     crash_times: Vec<Instant>,
     runs: Vec<Run>,
@@ -234,6 +255,7 @@
                 record,
                 fault: None,
                 crash_trigger: None,
+                crash_course: CrashCourse::default(),
                 crash_times: Vec::new(),
                 runs: Vec::new(),
                 running_requests: 0,
@@ -349,7 +371,7 @@
     }
 
     /// Makes the runner crash when it runs a request with this body. It restarts
-    /// `RESTART_AFTER` later, with the models that it had loaded.
+    /// later, with the models that it had loaded.
     pub fn crash_on_body(&self, network: &MemoryNetwork, body: &'static str) {
         self.lock().crash_trigger = Some((network.clone(), CrashTrigger::Body(body)));
     }
@@ -361,6 +383,11 @@
         self.lock().crash_trigger = Some((network.clone(), trigger));
     }
 
+    /// Sets the course of the crashes that requests cause from now on.
+    pub fn set_crash_course(&self, course: CrashCourse) {
+        self.lock().crash_course = course;
+    }
+
     /// Times at which requests, or rejections, crashed the runner.
     pub fn crash_times(&self) -> Vec<Instant> {
         self.lock().crash_times.clone()
@@ -372,8 +399,7 @@
         trigger.is_some_and(|(_, trigger)| trigger.is_in(headers, body))
     }
 
-    /// Crashes the runner after [`CRASH_AFTER`] and restarts it, if the request triggers a
-    /// crash.
+    /// Crashes the runner and restarts it, if the request triggers a crash.
     fn crash_if_triggered(&self, headers: &HeaderMap, body: &Bytes) {
         if !self.triggers_crash(headers, body) {
             return;
@@ -381,15 +407,15 @@
         let Some((network, _)) = self.lock().crash_trigger.clone() else {
             return;
         };
-        self.crash_and_restart(network, CRASH_AFTER);
+        let course = self.lock().crash_course;
+        self.crash_and_restart(network, course);
     }
 
-    /// Crashes the runner after `delay`, and restarts it after [`RESTART_AFTER`] with the models
-    /// that it had loaded.
-    fn crash_and_restart(&self, network: MemoryNetwork, delay: Duration) {
+    /// Crashes the runner on this course, and restarts it with the models that it had loaded.
+    fn crash_and_restart(&self, network: MemoryNetwork, course: CrashCourse) {
         let runner = self.clone();
         tokio::spawn(async move {
-            sleep(delay).await;
+            sleep(course.crash_after).await;
             let models: Vec<Arc<str>> = {
                 let mut state = runner.lock();
                 state.crash_times.push(Instant::now());
@@ -397,7 +423,7 @@
                 models.map(|loaded| loaded.model.clone()).collect()
             };
             runner.crash(&network);
-            sleep(RESTART_AFTER).await;
+            sleep(course.restart_after).await;
             let models: Vec<&str> = models.iter().map(|model| &**model).collect();
             runner.restart(&network, &models);
             runner.publish_entry();
@@ -586,6 +612,9 @@
             Some(Fault::NeverAnswer) => std::future::pending().await,
             _ => {}
         }
+        if self.triggers_crash(headers, &body) && !self.lock().crash_course.answers {
+            std::future::pending::<()>().await;
+        }
         if self.engine.is_some() {
             let after = value(names::AFTER_EVENT)
                 .and_then(|id| id.parse().ok())
--- a/crates/standin/tests/deadly_parts.rs
+++ b/crates/standin/tests/deadly_parts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{Answer, World, engine_service, names, route};
+use barleyspar_standin::{Answer, CrashCourse, World, engine_service, names, route};
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,8 +27,15 @@
 /// Time over which requests are sent.
 const LOAD_TIME: Duration = Duration::from_secs(30);
 const SEEDS: u64 = 8;
+/// Number of courses of crashes that are drawn.
+const COURSES: u64 = 12;
 
 async fn world() -> World {
+    world_with(CrashCourse::default()).await
+}
+
+/// Returns a running site whose runners crash by deadly parts on this course.
+async fn world_with(course: CrashCourse) -> World {
     let mut world = World::new(
         vec![engine_service("engine", &["a", "b"])],
         vec![route("/stream/", "engine", RequestKind::Streaming)],
@@ -36,6 +43,7 @@
     for number in 1..=RUNNERS {
         let runner = world.start_runner(&format!("engine-{number}"), "engine", &["a", "b"]);
         runner.crash_on_parts(&world.network, &[DEADLY_PART, OTHER_DEADLY_PART]);
+        runner.set_crash_course(course);
     }
     world.start_gateways(1..=GATEWAYS).await;
     world.run_for(12 * SECOND).await;
@@ -263,3 +271,80 @@
         assert_few_late_runs(&world, &format!("seed {seed}"));
     }
 }
+
+/// Asserts that the parts are held, and sound requests served, if runners crash on this course.
+async fn assert_held_on_course(course: CrashCourse, deadly_per_second: u32, deadly: &[u64]) {
+    let world = world_with(course).await;
+    let sent = send_load(&world, deadly_per_second, deadly).await;
+    let label = format!("{deadly:?}, {deadly_per_second} a second, {course:?}");
+    assert_few_late_runs(&world, &label);
+    assert_sound_ones_served(&sent, recovered_at(&world), &label);
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_that_crash_runners_before_the_head_of_an_answer_are_held() {
+    for milliseconds in [0, 5, 40, 600] {
+        let course = CrashCourse {
+            answers: false,
+            crash_after: Duration::from_millis(milliseconds),
+            ..CrashCourse::default()
+        };
+        assert_held_on_course(course, 1, &[DEADLY_PART]).await;
+        assert_held_on_course(course, 4, &[DEADLY_PART, OTHER_DEADLY_PART]).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_that_crash_runners_after_some_events_are_held() {
+    for milliseconds in [65, 100, 400] {
+        let course = CrashCourse {
+            crash_after: Duration::from_millis(milliseconds),
+            ..CrashCourse::default()
+        };
+        assert_held_on_course(course, 1, &[DEADLY_PART]).await;
+        assert_held_on_course(course, 4, &[DEADLY_PART, OTHER_DEADLY_PART]).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_whose_runners_crash_soon_after_the_whole_answer_are_held() {
+    let course = CrashCourse {
+        crash_after: Duration::from_millis(1500),
+        ..CrashCourse::default()
+    };
+    assert_held_on_course(course, 1, &[DEADLY_PART]).await;
+}
+
+/// The gateway leaves each silent runner before it crashes.
+#[tokio::test(start_paused = true)]
+async fn parts_of_requests_that_left_a_silent_runner_before_it_crashed_are_held() {
+    let course = CrashCourse {
+        answers: false,
+        crash_after: Duration::from_millis(2500),
+        ..CrashCourse::default()
+    };
+    assert_held_on_course(course, 1, &[DEADLY_PART]).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_are_held_though_the_crashed_runners_are_back_at_once() {
+    let course = CrashCourse {
+        restart_after: Duration::from_millis(3),
+        ..CrashCourse::default()
+    };
+    assert_held_on_course(course, 1, &[DEADLY_PART]).await;
+    assert_held_on_course(course, 4, &[DEADLY_PART, OTHER_DEADLY_PART]).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn parts_that_crash_runners_on_any_course_are_held() {
+    for seed in 0..COURSES {
+        let mut random = StdRng::seed_from_u64(seed);
+        let course = CrashCourse {
+            answers: random.random(),
+            crash_after: Duration::from_millis(random.random_range(0..2000)),
+            restart_after: Duration::from_millis(random.random_range(3..4000)),
+        };
+        assert_held_on_course(course, random.random_range(1..4), &[DEADLY_PART]).await;
+    }
+}
