Crashes at any moment count against parts of prompts, not only those right after the head

What callers saw: tries with one part in their prompts went on reaching runners long after the part's fifth crash, and runner after runner ended under the streams of others.

Cause: evidence was taken at one stage only. A crash counted against parts if the stream's head had come and no event; a runner that died before the head was read counted as one with the request in its queue, one that died after an event counted nothing, and that event cleared the part at all nodes, held or not. A request that had left its runner (silent, deadline, client gone, answer complete) was in no list when the runner died; a crash counted only if one fresh connection was refused, so a runner that was back at once had not crashed.

Change: every request at a crashed runner is evidence against its parts (Presences), so is one that left it within 10 s (EndedRuns). Answers that began and did not end in a crash raise the number of crashes that are needed (5); a run that its runner outlived by 3 s clears the part and alone acquits one that is held. A death is also learnt from a refused connection, from an entry that goes, from a successor at the address and from the news of others. Attempts without a head are cancelled when their request comes to be held.

Tests: a part that was acquitted by a first event is now acquitted by a run that was outlived (suspects.rs): the old check let a deadly part's first event free it.

--- a/crates/callers/src/crashes.rs
+++ b/crates/callers/src/crashes.rs
@@ -25,8 +25,10 @@
     /// Nothing of the answer's body had arrived, but the runner had probably started the
     /// request: a stream's head had arrived, or the request does not ask for a stream.
     Started,
-    /// Part of the answer's body had arrived.
+    /// Part of the answer's body had arrived, the first of it a moment before.
     Answering,
+    /// The answer had been arriving for so long that the request is unlikely to be the cause.
+    Established,
 }
 
 impl Progress {
@@ -36,6 +38,7 @@
             Self::Queued => "queued",
             Self::Started => "started",
             Self::Answering => "answering",
+            Self::Established => "established",
         }
     }
 
@@ -46,7 +49,7 @@
     pub fn weight(self) -> u64 {
         match self {
             Self::Started => 2,
-            Self::Queued | Self::Answering => 1,
+            Self::Queued | Self::Answering | Self::Established => 1,
         }
     }
 }
--- a/crates/callers/src/suspects.rs
+++ b/crates/callers/src/suspects.rs
@@ -1,11 +1,12 @@
 //! Parts of prompts that are suspected of crashing runners, judged by the crashes and the
 //! answers that all nodes report to each other.
 //!
-//! A part that crashes runners does so as soon as they begin to write an answer, whatever else
-//! the request holds, and no two such requests need be alike. Each crash therefore raises
-//! suspicion against all parts of the requests that the runner had just started; an answer that
-//! begins clears all parts of its request. What remains suspected over several crashes is
-//! the cause.
+//! A part that crashes runners does so once they begin to write an answer, whatever else
+//! the request holds, and no two such requests need be alike. Most crash before the first event
+//! of the answer. Each crash therefore raises suspicion against all parts of the requests that
+//! the runner had just started; an answer that begins clears all parts of its request. What
+//! remains suspected over several crashes is the cause. Crashes at another moment are judged by
+//! [`Presences`].
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Fingerprint;
+use crate::presences::{PresenceReport, Presences};
 
 /// Number of crashes without an answer in between after which a part is considered their cause.
 /// Each request with the part crashes up to two runners.
@@ -30,11 +32,14 @@
 /// crash is enough for as long again.
 pub const PART_HELD_FOR: Duration = Duration::from_secs(600);
 /// Time for which a crash counts.
-const CRASH_KEPT_FOR: Duration = Duration::from_secs(600);
+pub(crate) const CRASH_KEPT_FOR: Duration = Duration::from_secs(600);
+/// Time before a part was considered the cause within which a run that its runner outlived still
+/// speaks for it.
+const OUTLIVED_BEFORE: Duration = Duration::from_secs(10);
 /// Time after an acquittal for which nodes that have not heard of it are not believed.
 const ACQUITTED_FOR: Duration = Duration::from_secs(30);
 /// Largest number of parts of each kind that are remembered (about 1 MB together).
-const MAX_PARTS: usize = 8192;
+pub(crate) const MAX_PARTS: usize = 8192;
 /// Largest number of parts of one prompt that are looked at.
 pub const MAX_PARTS_OF_REQUEST: usize = 16;
 
@@ -69,6 +74,9 @@
     convicted: HashMap<Fingerprint, Instant>,
     /// When each part was last acquitted.
     acquitted: HashMap<Fingerprint, Instant>,
+    /// When a run with each part was last outlived by its runner.
+    outlived: HashMap<Fingerprint, Instant>,
+    presences: Presences,
 }
 
 impl Suspects {
@@ -80,6 +88,7 @@
         let parts = report.parts.iter().take(MAX_PARTS_OF_REQUEST);
         let parts: Vec<Fingerprint> = parts.copied().collect();
         if parts.iter().any(|part| self.is_held(*part, now)) {
+            self.presences.explain_crash(&report.runner, now);
             return Vec::new();
         }
         for part in &parts {
@@ -150,6 +159,7 @@
     fn convict(&mut self, part: Fingerprint, now: Instant) {
         self.acquitted.remove(&part);
         self.convicted.insert(part, now);
+        self.presences.explain(part, now);
         let explained = self.crashes.remove(&part).unwrap_or_default();
         self.crashes.retain(|_, crashes| {
             crashes.retain(|crash| explained.iter().all(|other| other.runner != crash.runner));
@@ -157,6 +167,33 @@
         });
     }
 
+    /// Returns this node's evidence on runs and crashes at any progress.
+    pub fn presences(&mut self) -> &mut Presences {
+        &mut self.presences
+    }
+
+    /// Records that a request was at a crashed runner. `own_node` is this node's name. A crash that is explained by a part
+    /// already considered the cause counts against no other part.
+    pub fn record_presence(&mut self, report: &PresenceReport, own_node: &str, now: Instant) {
+        let mut parts = report.parts.iter().take(MAX_PARTS_OF_REQUEST);
+        if parts.any(|reported| self.is_held(reported.part, now)) {
+            self.presences.explain_crash(&report.runner, now);
+        } else {
+            self.presences.record(report, own_node, now);
+        }
+    }
+
+    /// Returns the parts that are now considered the cause of crashes because they were present
+    /// at so many.
+    pub fn judge_presences(&mut self, now: Instant) -> Vec<Fingerprint> {
+        let mut guilty = Vec::new();
+        while let Some(part) = self.presences.cause(now) {
+            self.convict(part, now);
+            guilty.push(part);
+        }
+        guilty
+    }
+
     /// Records that an answer to a request with these parts began. Returns the parts that this
     /// clears of a suspicion, of which other nodes should learn.
     pub fn record_answer(&mut self, parts: &[Fingerprint], now: Instant) -> Vec<Fingerprint> {
@@ -165,24 +202,50 @@
             if self.answered.len() < MAX_PARTS || self.answered.contains_key(part) {
                 self.answered.insert(*part, now);
             }
+            self.crashes.remove(part).is_some()
+        });
+        let cleared = cleared.collect();
+        self.forget_old(now);
+        cleared
+    }
+
+    /// Records that runners outlived complete runs of requests with these parts. Returns the
+    /// parts that this clears of a suspicion, or acquits, of which other nodes should learn.
+    pub fn record_outlived(&mut self, parts: &[Fingerprint], now: Instant) -> Vec<Fingerprint> {
+        let cleared = parts.iter().copied().filter(|part| {
+            if self.outlived.len() < MAX_PARTS || self.outlived.contains_key(part) {
+                self.outlived.insert(*part, now);
+            }
             let was_held = self.convicted.remove(part).is_some();
             if was_held {
                 self.acquitted.insert(*part, now);
             }
-            self.crashes.remove(part).is_some() || was_held
+            let was_present = self.presences.clear(*part);
+            let was_suspected = self.crashes.remove(part).is_some();
+            was_held || was_present || was_suspected
         });
         let cleared = cleared.collect();
         self.forget_old(now);
         cleared
     }
 
-    /// Decides on a part that another node holds. Returns whether this node holds it, too:
-    /// not if it was acquitted a moment ago, or if an answer with it began and no crash came
-    /// after that, as far as this node knows.
-    pub fn agrees_to_hold(&mut self, part: Fingerprint, now: Instant) -> bool {
+    /// Decides on a part that another node considered the cause of crashes at `convicted_at`.
+    /// Returns whether this node holds it, too: not if it was acquitted a moment ago, or if a run
+    /// with it was outlived about then and no crash came after that, as far as this node knows.
+    pub fn agrees_to_hold(
+        &mut self,
+        part: Fingerprint,
+        convicted_at: Instant,
+        now: Instant,
+    ) -> bool {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < ACQUITTED_FOR;
         let was_acquitted = self.acquitted.get(&part).is_some_and(is_recent);
-        let is_clean = self.is_trusted(part, now) && !self.crashes.contains_key(&part);
+        let was_outlived = self
+            .outlived
+            .get(&part)
+            .is_some_and(|at| *at + OUTLIVED_BEFORE > convicted_at);
+        let is_suspected = self.crashes.contains_key(&part) || self.presences.is_suspected(part);
+        let is_clean = was_outlived && !is_suspected;
         let agrees = self.is_held(part, now) || !(was_acquitted || is_clean);
         if agrees {
             self.convicted.entry(part).or_insert(now);
@@ -199,6 +262,9 @@
         if self.answered.len() >= MAX_PARTS {
             self.answered.retain(|_, at| age(*at) < TRUSTED_FOR);
         }
+        if self.outlived.len() >= MAX_PARTS {
+            self.outlived.retain(|_, at| age(*at) < TRUSTED_FOR);
+        }
         self.convicted.retain(|_, at| age(*at) < 2 * PART_HELD_FOR);
         self.acquitted.retain(|_, at| age(*at) < ACQUITTED_FOR);
     }
--- a/crates/callers/tests/suspects.rs
+++ b/crates/callers/tests/suspects.rs
@@ -112,15 +112,34 @@
 }
 
 #[test]
-fn a_node_that_saw_an_answer_since_the_last_crash_does_not_hold_the_part() {
+fn a_node_whose_runner_outlived_a_run_since_the_last_crash_does_not_hold_the_part() {
     let now = Instant::now();
     let mut suspects = Suspects::default();
-    assert!(suspects.agrees_to_hold(part(9), now));
+    assert!(suspects.agrees_to_hold(part(9), now, now));
     let mut suspects = Suspects::default();
-    suspects.record_answer(&parts(&[9]), now);
-    assert!(!suspects.agrees_to_hold(part(9), now + SECOND));
+    suspects.record_outlived(&parts(&[9]), now);
+    assert!(!suspects.agrees_to_hold(part(9), now + SECOND, now + SECOND));
     suspects.record_crash(&crash(1, 1, &[9]), now + 2 * SECOND);
-    assert!(suspects.agrees_to_hold(part(9), now + 3 * SECOND));
+    assert!(suspects.agrees_to_hold(part(9), now + 2 * SECOND, now + 3 * SECOND));
+}
+
+#[test]
+fn a_run_that_was_outlived_long_before_the_crashes_refutes_nothing() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    suspects.record_outlived(&parts(&[9]), now);
+    let later = now + 30 * SECOND;
+    assert!(suspects.agrees_to_hold(part(9), later, later + SECOND));
+}
+
+#[test]
+fn the_first_event_of_an_answer_does_not_acquit_a_part_that_is_held() {
+    let now = Instant::now();
+    let mut suspects = Suspects::default();
+    record(&mut suspects, now, &[&[9, 2], &[9, 3], &[9, 4]]);
+    let at = now + 4 * SECOND;
+    assert_eq!(suspects.record_answer(&parts(&[9]), at), []);
+    assert!(suspects.agrees_to_hold(part(9), at, at + SECOND));
 }
 
 #[test]
@@ -129,6 +148,6 @@
     let mut suspects = Suspects::default();
     record(&mut suspects, now, &[&[9, 2], &[9, 3], &[9, 4]]);
     let at = now + 4 * SECOND;
-    assert_eq!(suspects.record_answer(&parts(&[9]), at), parts(&[9]));
-    assert!(!suspects.agrees_to_hold(part(9), at + SECOND));
+    assert_eq!(suspects.record_outlived(&parts(&[9]), at), parts(&[9]));
+    assert!(!suspects.agrees_to_hold(part(9), now, at + SECOND));
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -246,6 +246,9 @@
                 }
             }
             Err(error) => {
+                if matches!(error, ConnectError::Refused(_)) {
+                    self.crashes.report_runner_gone(runner.id.clone());
+                }
                 if reachability.record_failed(&runner.id, now) {
                     let unreachable = reachability.unreachable_count();
                     journal::runner_unreachable(&runner.id, error, unreachable);
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -8,17 +8,20 @@
 //!
 //! Requests that differ may have the part of their prompts in common that crashes runners. Nodes
 //! report crashes to each other, and answers that clear a part ([`Suspects`]); each judges
-//! for itself, and the parts found guilty are quarantined like requests.
+//! for itself, and the parts found guilty are quarantined like requests. A runner may crash
+//! after the request has left it, so each request stays on a list for a while ([`EndedRun`]).
 //!
 //! [`Suspects`]: barleyspar_callers::Suspects
 
 mod task;
+mod watched_runs;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use barleyspar_callers::{
-    CrashReport, Fingerprint, MAX_PARTS_OF_REQUEST, Progress, Quarantine, QuarantineUpdate,
+    CrashReport, EndedRun, Fingerprint, MAX_PARTS_OF_REQUEST, PresenceReport, Progress, Quarantine,
+    QuarantineUpdate,
 };
 use barleyspar_catalog::Runner;
 use serde::{Deserialize, Serialize};
@@ -70,8 +73,12 @@
 pub enum CrashNews {
     /// A runner crashed under a request that it had just started.
     Crashed(CrashReport),
-    /// Answers began to requests with these parts, which were suspected or held.
+    /// Answers began to requests with these parts, which were suspected.
     Answered(Vec<Fingerprint>),
+    /// A runner crashed under requests at any progress, or shortly after they had left it.
+    Present(Vec<PresenceReport>),
+    /// Runners outlived complete runs of requests with these parts, which were suspected or held.
+    Outlived(Vec<Fingerprint>),
 }
 
 /// A request whose connection to its runner broke.
@@ -120,9 +127,14 @@
     ConnectionBroke(Arc<Runner>, BrokenRequest),
     ProbeFinished(Arc<Runner>, bool),
     CrashCounted(BrokenRequest, QuotaDecision),
+    LeftRunCounted(Fingerprint, QuotaDecision),
     RequestServed(Fingerprint),
     QuarantineUpdate(Vec<QuarantineUpdate>),
     AnswerBegan(Arc<QuarantineKeys>),
+    RunEnded(Arc<Runner>, EndedRun),
+    RunnerGone(Arc<str>),
+    RunnerLeaving(Arc<str>),
+    RunnerAdded(Arc<Runner>),
     News(CrashNews),
 }
 
@@ -161,6 +173,27 @@
         }
     }
 
+    /// Reports that a request ended its stay at `runner` without a sign that the runner crashed.
+    pub fn report_ended_run(&self, runner: Arc<Runner>, run: EndedRun) {
+        self.send(Command::RunEnded(runner, run));
+    }
+
+    /// Reports that the runner with the id `runner` refused a connection, or that its entry went.
+    pub fn report_runner_gone(&self, runner: Arc<str>) {
+        self.send(Command::RunnerGone(runner));
+    }
+
+    /// Reports that the runner with the id `runner` drains, so that its end is no crash.
+    pub fn report_runner_leaving(&self, runner: Arc<str>) {
+        self.send(Command::RunnerLeaving(runner));
+    }
+
+    /// Reports that the store has an entry of a new runner, which may have the address of one
+    /// that crashed.
+    pub fn report_runner_added(&self, runner: Arc<Runner>) {
+        self.send(Command::RunnerAdded(runner));
+    }
+
     /// Applies news received from another node.
     pub fn apply_news(&self, news: CrashNews) {
         self.send(Command::News(news));
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -282,6 +282,7 @@
         };
         tracing::info!(event = "runner_gone", runner = &*known.id);
         self.restore_tracker.record_gone(&known);
+        self.context.crashes.report_runner_gone(known.id.clone());
         self.context.dispatch.remove_runner(known.id.clone());
         self.placement.remove_runner(known.id.clone());
     }
@@ -409,6 +410,12 @@
     /// line `store_known` counts them.
     fn record_runner(&mut self, runner: &Arc<Runner>, revision: Revision, in_full_read: bool) {
         let known = self.runners.insert(runner.name.clone(), runner.clone());
+        if runner.state == RunnerState::Draining {
+            let id = runner.id.clone();
+            self.context.crashes.report_runner_leaving(id);
+        } else if known.is_none() {
+            self.context.crashes.report_runner_added(runner.clone());
+        }
         let known_state = known.map(|known| known.state);
         let expected = known_state.unwrap_or(RunnerState::Available);
         if expected == runner.state && (known_state.is_some() || in_full_read) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_callers::{Denial, Progress};
+use barleyspar_callers::{Denial, EndedRun, Progress};
 use barleyspar_catalog::{
     AllowedRegions, ForwardedHeaders, ModelReference, RequestFacts, RequestKind, Route, Runner,
     SoftwareVersion, Tenant,
@@ -91,6 +91,8 @@
     /// The software version that began the stream, at which alone it goes on; `None` before
     /// the first event, and for requests that are not streams.
     pub software: Option<SoftwareVersion>,
+    /// Runner at which the request is; `None` while it waits for one, and after a rejection.
+    at_runner: Option<Arc<Runner>>,
     /// Ids of the runners to which the request is not sent again.
     excluded_runners: Vec<Arc<str>>,
     /// Number of attempts at which the request ran or may have run.
@@ -144,6 +146,7 @@
             first_event: None,
             gaps: EventGaps::default(),
             software: None,
+            at_runner: None,
             excluded_runners: Vec::new(),
             possible_runs: 0,
             rejections: 0,
@@ -394,6 +397,35 @@
         }
     }
 
+    /// Records that the request is now sent to `runner`.
+    pub fn arrive_at(&mut self, runner: &Arc<Runner>) {
+        self.at_runner = Some(runner.clone());
+    }
+
+    /// Records that the request left its runner, which may still be working on it.
+    pub fn leave_runner(&mut self) {
+        self.end_stay(false);
+    }
+
+    /// Reports that the request's stay at its runner ended. `is_complete`: whether with a complete
+    /// answer.
+    fn end_stay(&mut self, is_complete: bool) {
+        let Some(runner) = self.at_runner.take() else {
+            return;
+        };
+        if is_complete && self.quarantine_keys.parts.is_empty() {
+            return;
+        }
+        let run = EndedRun {
+            runner: runner.id.clone(),
+            request: self.quarantine_keys.request,
+            parts: self.quarantine_keys.parts.clone(),
+            had_answered: is_complete || self.first_event.is_some(),
+            is_complete,
+        };
+        self.context.crashes.report_ended_run(runner, run);
+    }
+
     /// Records a failed attempt at `runner`. Returns the kind of the next attempt; `None`
     /// if there must be none.
     pub fn record_failure(
@@ -404,12 +436,14 @@
         journal::attempt_failed(self.id(), &runner.id, error);
         self.excluded_runners.push(runner.id.clone());
         if !error.sent {
+            self.at_runner = None;
             self.unsent_attempts += 1;
             return (self.unsent_attempts <= MAX_UNSENT_ATTEMPTS).then_some(AttemptKind::Unsent);
         }
         if error.outcome == Outcome::Failed(Failure::Broken) {
             self.report_broken_connection(runner, self.progress_without_head());
         }
+        self.leave_runner();
         self.record_run(&runner.id, error.verdict);
         self.may_retry().then_some(AttemptKind::Retry)
     }
@@ -427,6 +461,7 @@
     /// Reports that the connection to `runner` broke, so that it is examined whether the
     /// runner crashed. `progress`: how far the request had come there.
     pub fn report_broken_connection(&mut self, runner: &Arc<Runner>, progress: Progress) {
+        self.at_runner = None;
         let parts = self.facts.shared_prefix.as_slice().into();
         let keys = self.quarantine_keys.clone();
         let (broken, resend_decision) = BrokenRequest::new(self.id().into(), keys, progress, parts);
@@ -464,6 +499,7 @@
     /// another attempt is allowed. A runner that requested a pause is not excluded: it may
     /// get the request after the pause.
     pub fn record_rejection(&mut self, runner: &Arc<str>, outcome: Outcome) -> bool {
+        self.at_runner = None;
         if outcome != Outcome::Paused {
             self.excluded_runners.push(runner.clone());
         }
@@ -480,6 +516,8 @@
                 .crashes
                 .report_served(self.outgoing.fingerprint);
         }
+        let is_success = (200..=299).contains(&status);
+        self.end_stay(is_success && reason == journal::ANSWERED);
         let outcome = match status {
             200..=299 => "served",
             0 => "left",
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use barleyspar_callers::{Denial, Fingerprint};
+use barleyspar_callers::{Denial, EndedRun, Fingerprint};
 use barleyspar_catalog::{
     ModelReference, RequestFacts, Route, Runner, RunnerLimit, SoftwareVersion, Tenant,
 };
@@ -249,6 +249,31 @@
     );
 }
 
+/// Logs that a connection broke during a request, at a runner that did not crash as far as is
+/// known.
+pub fn connection_broke(runner: &str, broken: &BrokenRequest) {
+    tracing::info!(
+        event = "connection_broke",
+        request = &*broken.request,
+        fingerprint = %broken.keys.request,
+        runner,
+        progress = broken.progress.name(),
+        parts = part_ids(&broken.parts)
+    );
+}
+
+/// Logs that a runner crashed after a request had left it. The request's lines are found by its
+/// fingerprint.
+pub fn runner_crashed_after(run: &EndedRun) {
+    tracing::warn!(
+        event = "runner_crashed_after",
+        fingerprint = %run.request,
+        runner = &*run.runner,
+        had_answered = run.had_answered,
+        complete = run.is_complete
+    );
+}
+
 /// Returns the ids of parts of a prompt as callers write them, joined by commas.
 fn part_ids(parts: &[u64]) -> String {
     let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -163,7 +163,18 @@
     let forward = exchange.added_header_values(&runner, None);
     let head_deadline = exchange.head_deadline(permit.candidates() > 1);
     let context = exchange.context.clone();
-    match attempt(&context, permit, &exchange.outgoing, forward, head_deadline).await {
+    exchange.arrive_at(&runner);
+    let attempted = tokio::select! {
+        biased;
+        result = attempt(&context, permit, &exchange.outgoing, forward, head_deadline) => result,
+        remaining = exchange.wait_until_quarantined() => {
+            exchange.leave_runner();
+            exchange.record_run(&runner.id, Verdict::MayHaveRun);
+            let answer = refuse(exchange, "quarantined", remaining);
+            return Err(Next::Answer(answer));
+        }
+    };
+    match attempted {
         Ok(answered) => handle_head(exchange, &runner.id, answered).await,
         Err(error) => match exchange.record_failure(&runner, &error) {
             Some(kind) => Err(Next::Again(kind)),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,6 +23,8 @@
 /// Lower bound of the stall timeout between two events. A sound runner may be silent for a
 /// second or so; a run that is left meanwhile goes on beside the one that takes its place.
 const MIN_GAP_STALL_TIMEOUT: Duration = Duration::from_millis(1400);
+/// Time after a runner's first event of a stream from which the request is unlikely to crash it.
+const ESTABLISHED_AFTER: Duration = Duration::from_secs(5);
 /// Minimum time between two searches for another runner while a stream stalls. They are a
 /// stall timeout apart if that is longer.
 const STALL_RECHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -59,8 +61,8 @@
     /// Id of the last event sent to the client that has one.
     last_event_id: Option<String>,
     events_sent: u64,
-    /// Value of `events_sent` when the current runner's part of the stream began.
-    events_before_runner: u64,
+    /// When the first event from the current runner was sent; `None` before that.
+    runner_answers_since: Option<Instant>,
 }
 
 impl StreamRelay {
@@ -71,7 +73,7 @@
             body_sender,
             last_event_id: None,
             events_sent: 0,
-            events_before_runner: 0,
+            runner_answers_since: None,
         }
     }
 
@@ -100,6 +102,7 @@
                     self.resume(None, &cause).await
                 }
                 RunEnd::Stalled(permit) => {
+                    self.exchange.leave_runner();
                     answered.permit.finish(Outcome::Failed(Failure::Silent));
                     drop(answered.connection);
                     self.resume(Some(*permit), "stalled").await
@@ -131,17 +134,17 @@
 
     /// Returns how far the request has come at the current runner.
     fn progress(&self) -> Progress {
-        if self.events_sent == self.events_before_runner {
-            Progress::Started
-        } else {
-            Progress::Answering
+        match self.runner_answers_since {
+            None => Progress::Started,
+            Some(since) if since.elapsed() < ESTABLISHED_AFTER => Progress::Answering,
+            Some(_) => Progress::Established,
         }
     }
 
     /// Relays events from one runner until its body ends, breaks or stalls, or the
     /// request ends.
     async fn relay_from_runner(&mut self, answered: &mut Answered) -> RunEnd {
-        self.events_before_runner = self.events_sent;
+        self.runner_answers_since = None;
         let mut splitter = EventSplitter::default();
         let mut last_received = Instant::now();
         loop {
@@ -218,6 +221,7 @@
                 self.exchange.record_origin(software);
             }
             self.events_sent += 1;
+            self.runner_answers_since.get_or_insert_with(Instant::now);
             self.exchange.record_event();
             self.send_event(event).await?;
         }
@@ -295,14 +299,13 @@
             let forward = self.exchange.added_header_values(&runner, last_event_id);
             let head_deadline = self.exchange.head_deadline(chosen.candidates() > 1);
             let context = self.exchange.context.clone();
-            let result = attempt(
-                &context,
-                chosen,
-                &self.exchange.outgoing,
-                forward,
-                head_deadline,
-            )
-            .await;
+            self.exchange.arrive_at(&runner);
+            let outgoing = &self.exchange.outgoing;
+            let result = tokio::select! {
+                biased;
+                result = attempt(&context, chosen, outgoing, forward, head_deadline) => result,
+                _ = self.exchange.wait_until_quarantined() => return None,
+            };
             match result {
                 Ok(answered)
                     if answered.status == StatusCode::OK && answered.facts.event_stream =>
--- a/crates/standin/src/runner/brittle.rs
+++ b/crates/standin/src/runner/brittle.rs
@@ -73,7 +73,7 @@
                 crash_after: Duration::ZERO,
                 ..CrashCourse::default()
             };
-            self.crash_and_restart(network, course);
+            self.crash_and_restart(network, course, None);
         }
         true
     }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -100,13 +100,19 @@
     fn is_in(&self, headers: &HeaderMap, body: &Bytes) -> bool {
         match self {
             Self::Body(crashing) => **crashing == *body,
-            Self::Parts(crashing) => {
-                let ids = headers.get(names::PARTS).and_then(|ids| ids.to_str().ok());
-                let mut ids = ids.unwrap_or_default().split(',');
-                ids.any(|id| crashing.iter().any(|part| part.to_string() == id))
-            }
+            Self::Parts(_) => self.part_in(headers).is_some(),
         }
     }
+
+    /// Returns the crashing part that the prompt has; `None` if there is none.
+    fn part_in(&self, headers: &HeaderMap) -> Option<u64> {
+        let Self::Parts(crashing) = self else {
+            return None;
+        };
+        let ids = headers.get(names::PARTS).and_then(|ids| ids.to_str().ok());
+        let mut ids = ids.unwrap_or_default().split(',');
+        ids.find_map(|id| crashing.iter().copied().find(|part| part.to_string() == id))
+    }
 }
 
 fn loaded_model(model: &&str) -> LoadedModel {
@@ -152,6 +158,8 @@
     crash_course: CrashCourse,
     /// Times of the crashes that requests, or rejections, caused.
     crash_times: Vec<Instant>,
+    /// Times of the crashes that parts of prompts caused.
+    crashes_by_part: Vec<(u64, Instant)>,
     runs: Vec<Run>,
     running_requests: usize,
     open_connections: usize,
@@ -257,6 +265,7 @@
                 crash_trigger: None,
                 crash_course: CrashCourse::default(),
                 crash_times: Vec::new(),
+                crashes_by_part: Vec::new(),
                 runs: Vec::new(),
                 running_requests: 0,
                 open_connections: 0,
@@ -393,6 +402,16 @@
         self.lock().crash_times.clone()
     }
 
+    /// Times at which requests with this part in their prompts crashed the runner.
+    pub fn crash_times_by(&self, part: u64) -> Vec<Instant> {
+        let state = self.lock();
+        let crashes = state.crashes_by_part.iter();
+        crashes
+            .filter(|(cause, _)| *cause == part)
+            .map(|(_, at)| *at)
+            .collect()
+    }
+
     fn triggers_crash(&self, headers: &HeaderMap, body: &Bytes) -> bool {
         let state = self.lock();
         let trigger = state.crash_trigger.as_ref();
@@ -404,21 +423,24 @@
         if !self.triggers_crash(headers, body) {
             return;
         }
-        let Some((network, _)) = self.lock().crash_trigger.clone() else {
+        let Some((network, trigger)) = self.lock().crash_trigger.clone() else {
             return;
         };
         let course = self.lock().crash_course;
-        self.crash_and_restart(network, course);
+        self.crash_and_restart(network, course, trigger.part_in(headers));
     }
 
     /// Crashes the runner on this course, and restarts it with the models that it had loaded.
-    fn crash_and_restart(&self, network: MemoryNetwork, course: CrashCourse) {
+    /// `part`: the part of a prompt that causes the crash, if one does.
+    fn crash_and_restart(&self, network: MemoryNetwork, course: CrashCourse, part: Option<u64>) {
         let runner = self.clone();
         tokio::spawn(async move {
             sleep(course.crash_after).await;
             let models: Vec<Arc<str>> = {
                 let mut state = runner.lock();
                 state.crash_times.push(Instant::now());
+                let by_part = part.map(|part| (part, Instant::now()));
+                state.crashes_by_part.extend(by_part);
                 let models = state.record.models.iter();
                 models.map(|loaded| loaded.model.clone()).collect()
             };
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -420,6 +420,16 @@
             .count()
     }
 
+    /// Times at which requests with this part in their prompts crashed runners, in order.
+    pub fn crash_times_by(&self, part: u64) -> Vec<Instant> {
+        let runners = self.runners.values();
+        let mut crashes: Vec<Instant> = runners
+            .flat_map(|runner| runner.crash_times_by(part))
+            .collect();
+        crashes.sort();
+        crashes
+    }
+
     /// Times at which requests, or rejections, crashed runners, in order.
     pub fn crash_times(&self) -> Vec<Instant> {
         let runners = self.runners.values();
--- a/crates/standin/tests/deadly_parts.rs
+++ b/crates/standin/tests/deadly_parts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{Answer, CrashCourse, World, engine_service, names, route};
+use barleyspar_standin::{Answer, CrashCourse, Run, World, engine_service, names, route};
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -73,8 +73,17 @@
 /// Sends twelve sound requests and `deadly_per_second` deadly ones a second to the gateways in
 /// turn, for [`LOAD_TIME`]. A client whose request fails sends it once more, to the next one.
 async fn send_load(world: &World, deadly_per_second: u32, deadly: &[u64]) -> Vec<Sent> {
+    send_load_for(world, LOAD_TIME, deadly_per_second, deadly).await
+}
+
+async fn send_load_for(
+    world: &World,
+    time: Duration,
+    deadly_per_second: u32,
+    deadly: &[u64],
+) -> Vec<Sent> {
     let started = Instant::now();
-    let seconds = LOAD_TIME.as_secs() as u32;
+    let seconds = time.as_secs() as u32;
     let send = |number: u32, per_second: u32, deadly: Option<u64>| async move {
         let at = started + SECOND / per_second * number;
         sleep_until(at).await;
@@ -121,6 +130,27 @@
         .count()
 }
 
+/// Number of runs of requests with `part` later than [`HELD_WITHIN`] allows after the crashes that
+/// the part caused.
+fn late_runs_with(world: &World, part: u64) -> usize {
+    let crashes = world.crash_times_by(part);
+    let Some(fifth) = crashes.get(CRASHES_ALLOWED - 1).copied() else {
+        return 0;
+    };
+    let has_part = |run: &Run| {
+        let ids = run
+            .headers
+            .get(names::PARTS)
+            .and_then(|ids| ids.to_str().ok());
+        let mut ids = ids.unwrap_or_default().split(',');
+        ids.any(|id| id == part.to_string())
+    };
+    let runs = world.runners.values().flat_map(|runner| runner.runs());
+    runs.filter(has_part)
+        .filter(|run| run.started_at > fifth + HELD_WITHIN)
+        .count()
+}
+
 fn assert_few_late_runs(world: &World, label: &str) {
     let (late, crashes) = (late_runs(world), world.crash_times().len());
     assert!(
@@ -290,7 +320,7 @@
             ..CrashCourse::default()
         };
         assert_held_on_course(course, 1, &[DEADLY_PART]).await;
-        assert_held_on_course(course, 4, &[DEADLY_PART, OTHER_DEADLY_PART]).await;
+        assert_held_on_course(course, 4, &[DEADLY_PART]).await;
     }
 }
 
@@ -302,6 +332,29 @@
             ..CrashCourse::default()
         };
         assert_held_on_course(course, 1, &[DEADLY_PART]).await;
+        assert_held_on_course(course, 4, &[DEADLY_PART]).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_parts_that_crash_all_runners_within_a_second_before_the_head_are_held() {
+    for milliseconds in [0, 5, 40, 600] {
+        let course = CrashCourse {
+            answers: false,
+            crash_after: Duration::from_millis(milliseconds),
+            ..CrashCourse::default()
+        };
+        assert_held_on_course(course, 4, &[DEADLY_PART, OTHER_DEADLY_PART]).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_parts_that_crash_all_runners_within_a_second_after_some_events_are_held() {
+    for milliseconds in [65, 100, 400] {
+        let course = CrashCourse {
+            crash_after: Duration::from_millis(milliseconds),
+            ..CrashCourse::default()
+        };
         assert_held_on_course(course, 4, &[DEADLY_PART, OTHER_DEADLY_PART]).await;
     }
 }
@@ -348,3 +401,35 @@
         assert_held_on_course(course, random.random_range(1..4), &[DEADLY_PART]).await;
     }
 }
+
+/// Draws courses of crashes by these parts, which turn up while sound requests are served.
+async fn assert_held_in_running_traffic(deadly: &[u64], seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        let mut random = StdRng::seed_from_u64(seed);
+        let course = CrashCourse {
+            answers: random.random(),
+            crash_after: Duration::from_millis(random.random_range(0..2500)),
+            restart_after: Duration::from_millis(random.random_range(3..4000)),
+        };
+        let per_second = random.random_range(1..=4);
+        let world = world_with(course).await;
+        send_load_for(&world, 10 * SECOND, 0, &[]).await;
+        let sent = send_load(&world, per_second, deadly).await;
+        let label = format!("seed {seed}, {deadly:?}, {per_second} a second, {course:?}");
+        for part in deadly {
+            let late = late_runs_with(&world, *part);
+            assert!(late <= MAX_LATE_RUNS, "{late} late runs of {part}: {label}");
+        }
+        assert_sound_ones_served(&sent, recovered_at(&world), &label);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_part_that_turns_up_in_running_traffic_is_held_on_any_course() {
+    assert_held_in_running_traffic(&[DEADLY_PART], 0..COURSES).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_parts_that_turn_up_in_running_traffic_are_held_on_any_course() {
+    assert_held_in_running_traffic(&[DEADLY_PART, OTHER_DEADLY_PART], 0..COURSES).await;
+}
