A late copy of a rejection is not taken for the answer to the same request's next send

Cause: a runner that asks for a pause gets the same request again, under the same id and from the pool often on the same connection. Answers were told apart by the id alone, so a late copy of the 503 passed for a second rejection while the runner ran the request, and it was sent once more. Class: what tells an answer apart was weaker than what may arrive in its place. The same elsewhere: an answer without an id (to an order or a report, which share the connections) passed for a request's, and a request's answer for that to an order.

Change: the connection of a rejection with a pause is not used again (it rests longer than an idle connection is kept, so nothing is lost); an answer must have the request's id; answers to orders and reports must have none.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -201,10 +201,9 @@
     facts: &AnswerFacts,
     outgoing: &Outgoing,
 ) -> Result<(), AttemptError> {
-    let is_for_other_request = match (&facts.request_id, &outgoing.request_id) {
-        (Some(answered), Some(sent)) => answered != sent,
-        _ => false,
-    };
+    // Answers to the gateway's own calls on this connection have no id.
+    let is_for_other_request =
+        outgoing.request_id.is_some() && facts.request_id != outgoing.request_id;
     let broken = |cause: &str| AttemptError::may_have_run(Failure::Broken, cause.to_owned());
     if is_for_other_request {
         return Err(broken("the answer has the id of another request"));
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -193,6 +193,9 @@
         })?;
     let (head, body) = response.into_parts();
     let facts = context.dialect.read_answer(&head);
+    if facts.request_id.is_some() {
+        return Err(unanswered("a caller's answer came instead".to_owned()));
+    }
     let signalled_call = SignalledCall {
         runner,
         call: call_name,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -312,15 +312,15 @@
         body,
         ..
     } = answered;
-    let read_deadline = Instant::now() + REJECTION_BODY_TIMEOUT;
-    if let Ok(Ok(_)) = timeout_at(
-        read_deadline,
-        Limited::new(body, MAX_COLLECTED_BYTES).collect(),
-    )
-    .await
-    {
-        let context = &exchange.context;
-        context.put_back(permit.runner(), connection, facts.keep_alive_seconds);
+    // A runner that asked for a pause gets the same request again, with the same id. A late copy of
+    // this rejection would then pass for the answer, so its connection is not used again.
+    if outcome != Outcome::Paused {
+        let read_deadline = Instant::now() + REJECTION_BODY_TIMEOUT;
+        let rejection = Limited::new(body, MAX_COLLECTED_BYTES).collect();
+        if let Ok(Ok(_)) = timeout_at(read_deadline, rejection).await {
+            let context = &exchange.context;
+            context.put_back(permit.runner(), connection, facts.keep_alive_seconds);
+        }
     }
     permit.finish(outcome);
     if exchange.record_rejection(runner, outcome) && !exchange.remaining_time().is_zero() {
--- a/crates/standin/src/scripted_server.rs
+++ b/crates/standin/src/scripted_server.rs
@@ -26,6 +26,10 @@
     Reset(String),
     /// Sends the first text, and the second one again and again until the connection is closed.
     Endless(String, String),
+    /// Sends the first text to the first request of all. To each later one it sends the second,
+    /// on the connection of the first request after a late copy of the first. Calls without an id
+    /// get no answer.
+    LateCopy(String, String),
 }
 
 /// What a scripted server has seen.
@@ -78,10 +82,16 @@
         let Some(id) = read_request(&mut *stream).await else {
             return;
         };
+        if id.is_empty() && matches!(script, Script::LateCopy(..)) {
+            return;
+        }
         self.requests.fetch_add(1, Ordering::Relaxed);
         let (first, repeated) = match &script {
             Script::Close(text) | Script::Reset(text) => (text, None),
             Script::Endless(first, repeated) => (first, Some(repeated)),
+            Script::LateCopy(rejection, answer) => {
+                return self.answer_all(&mut *stream, (rejection, answer), id).await;
+            }
         };
         let first = first.replace("{id}", &id);
         if stream.write_all(first.as_bytes()).await.is_err() {
@@ -104,6 +114,35 @@
     }
 }
 
+impl ScriptedServer {
+    /// Answers the request `id`, which was counted, and all later ones on the connection.
+    async fn answer_all(
+        &self,
+        stream: &mut dyn ByteStream,
+        (rejection, answer): (&str, &str),
+        id: String,
+    ) {
+        let mut text = if self.request_count() == 1 {
+            rejection.to_owned()
+        } else {
+            answer.to_owned()
+        };
+        let mut next = Some(id);
+        let copy = format!("{rejection}{answer}");
+        let later = if text == rejection { &copy } else { answer };
+        while let Some(id) = next {
+            let text_with_id = text.replace("{id}", &id);
+            if stream.write_all(text_with_id.as_bytes()).await.is_err() {
+                return;
+            }
+            next = read_request(stream).await.filter(|id| !id.is_empty());
+            self.requests
+                .fetch_add(usize::from(next.is_some()), Ordering::Relaxed);
+            text = later.to_owned();
+        }
+    }
+}
+
 /// Reads a request with its body, and returns its id; `None` if the connection ends before.
 async fn read_request(stream: &mut dyn ByteStream) -> Option<String> {
     let mut received = Vec::new();
--- a/crates/standin/tests/runner_pauses.rs
+++ b/crates/standin/tests/runner_pauses.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{Answer, RunnerStandIn, World, engine_service, plain_service, route};
+use barleyspar_standin::{
+    Answer, RunnerStandIn, Script, ScriptedServer, World, engine_service, plain_service, route,
+};
 use futures_util::future::join_all;
 use http::header::RETRY_AFTER;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -171,3 +173,23 @@
     let at_once = starts.iter().filter(|at| **at < first + SECOND / 20);
     assert!(at_once.count() <= usize::from(GATEWAYS));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_late_copy_of_a_rejection_is_not_taken_for_the_answer_to_the_same_request() {
+    const SIGNED: &str = "request-id: {id}\r\nsignature: s\r\ncontent-length: 0\r\n";
+    let rejection =
+        format!("HTTP/1.1 503 Service Unavailable\r\n{SIGNED}not-run: 1\r\npause: 60\r\n\r\n");
+    let answer = format!("HTTP/1.1 200 OK\r\n{SIGNED}\r\n");
+    let mut world = World::new(
+        vec![plain_service("plain")],
+        vec![route("/write/", "plain", RequestKind::NonIdempotent)],
+    );
+    world.start_runner("plain-1", "plain", &[]);
+    world.start_gateways(1..=1).await;
+    world.run_for(8 * SECOND).await;
+    let script = Script::LateCopy(rejection, answer);
+    let scripted = ScriptedServer::replace(&world.network, &world.runners["plain-1"], script);
+    let answer = world.request(1, "/write/x", "once", None).await;
+    let runs = scripted.request_count() - 1;
+    assert_eq!((answer.code(), runs), (200, 1));
+}
