A planned stop waits for callers that still read their answers

Cause: a request was in flight until its answer had been handed to the connection, not until the connection had written it; up to eight chunks and a buffer were still in the process. Class: the end of work was taken for the end of its delivery. The same elsewhere: looked through feeds, tunnels and datagrams; their other ends read on or ask again.

Change: a stop also waits until callers' connections are closed, which idle ones are at once, and no longer than the grace period. stopped_with_callers says that it did not suffice.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -88,6 +88,9 @@
     pub metrics: Arc<Metrics>,
     /// Counter of the callers' requests in flight.
     pub requests_in_flight: Arc<InFlight>,
+    /// Counter of callers' open connections. An answer may still be on its way to its caller on
+    /// one when its request has ended.
+    pub caller_connections: Arc<InFlight>,
 }
 
 impl Context {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -122,7 +122,7 @@
             tenant,
             charge,
         } = admitted;
-        let in_flight = context.requests_in_flight.start_request();
+        let in_flight = context.requests_in_flight.start_one();
         let engine_cache_tokens = context.routes.borrow().as_ref().and_then(|table| {
             let service = table.configuration().services.get(&service)?;
             Some(service.engine.as_ref()?.cache_tokens)
--- a/crates/gateway/src/inflight.rs
+++ b/crates/gateway/src/inflight.rs
@@ -1,10 +1,11 @@
-//! Counts callers' requests in flight.
+//! Counts what must end before the process does: callers' requests in flight, and connections on
+//! which callers still read answers.
 
 use std::sync::Arc;
 
 use tokio::sync::watch;
 
-/// Counter of the callers' requests that have no complete answer yet.
+/// Counter of things that are under way.
 #[derive(Debug)]
 pub struct InFlight {
     count: watch::Sender<usize>,
@@ -18,18 +19,18 @@
     }
 }
 
-/// While this guard exists, one request counts as in flight.
+/// While this guard exists, one thing counts as under way.
 #[derive(Debug)]
 pub struct InFlightGuard(Arc<InFlight>);
 
 impl InFlight {
-    /// Counts one more request until the returned guard is dropped.
-    pub fn start_request(self: &Arc<Self>) -> InFlightGuard {
+    /// Counts one more until the returned guard is dropped.
+    pub fn start_one(self: &Arc<Self>) -> InFlightGuard {
         self.count.send_modify(|count| *count += 1);
         InFlightGuard(self.clone())
     }
 
-    /// Waits until no request is in flight.
+    /// Waits until nothing is under way.
     pub async fn wait_until_idle(&self) {
         let mut count = self.count.subscribe();
         // `wait_for` fails only after the sender is dropped, and `self` owns the sender.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -16,6 +16,7 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::body::AnswerBody;
+use crate::inflight::InFlight;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::network::{ByteStream, Listener};
 
@@ -39,11 +40,12 @@
 
 /// Accepts connections on `listener` and answers their requests with `handle`, until the
 /// process ends. `limits` is called for each connection. From the stage `Closing` on, a
-/// connection is closed when it is idle.
+/// connection is closed when it is idle. `open_connections` counts the connections.
 pub async fn serve<Limits, Handle, Answer>(
     listener: Box<dyn Listener>,
     limits: Limits,
     lifecycle: Lifecycle,
+    open_connections: Arc<InFlight>,
     handle: Handle,
 ) where
     Limits: Fn() -> ListenerLimits,
@@ -59,9 +61,10 @@
             Ok(stream) => {
                 let limits = limits();
                 let (lifecycle, handle) = (lifecycle.clone(), handle.clone());
+                let open = open_connections.start_one();
                 crate::tasks::spawn(async move {
                     serve_connection(stream, limits, lifecycle, handle).await;
-                    drop(permit);
+                    drop((open, permit));
                 });
             }
             Err(error) => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -200,7 +200,7 @@
 }
 
 /// Takes the process through the stages `Draining` and `Closing`. Returns when no request is
-/// in flight, or [`KILL_MARGIN`] before the grace period ends.
+/// in flight and callers have got their answers, or [`KILL_MARGIN`] before the grace period ends.
 async fn drain(context: &Context, stage: &watch::Sender<Stage>) {
     let deadline = Instant::now() + context.settings.bounds.grace_period - KILL_MARGIN;
     context.lifecycle.set_deadline(deadline);
@@ -208,7 +208,13 @@
     sleep(NEW_CONNECTIONS_PERIOD).await;
     stage.send_replace(Stage::Closing);
     let remaining = deadline.saturating_duration_since(Instant::now());
-    let _ = timeout(remaining, context.requests_in_flight.wait_until_idle()).await;
+    let ended = async {
+        context.requests_in_flight.wait_until_idle().await;
+        context.caller_connections.wait_until_idle().await;
+    };
+    if timeout(remaining, ended).await.is_err() {
+        tracing::warn!(event = "stopped_with_callers");
+    }
 }
 
 /// Builds the shared state, opens the listeners and spawns all tasks.
@@ -261,6 +267,7 @@
         tunnel_peers: TunnelPeers::new(peer_handle.seen_peers(), settings.tunnel_address.port()),
         lifecycle,
         requests_in_flight: Arc::default(),
+        caller_connections: Arc::default(),
         metrics: Arc::default(),
         body_memory: body_memory(settings.limits.memory_bytes),
     };
@@ -461,7 +468,13 @@
     let caller_limits = limits.clone();
     tasks.spawn(
         "callers",
-        listener::serve(caller_listener, caller_limits, lifecycle, handle),
+        listener::serve(
+            caller_listener,
+            caller_limits,
+            lifecycle,
+            context.caller_connections.clone(),
+            handle,
+        ),
     );
     let readiness_context = context.clone();
     let answer = move |request| {
@@ -471,7 +484,13 @@
     let never_stopped = Lifecycle::never_stopped();
     tasks.spawn(
         "readiness",
-        listener::serve(readiness_listener, limits, never_stopped, answer),
+        listener::serve(
+            readiness_listener,
+            limits,
+            never_stopped,
+            Arc::default(),
+            answer,
+        ),
     );
 }
 
@@ -492,6 +511,7 @@
         metrics_listener,
         limits,
         never_stopped,
+        Arc::default(),
         answer,
     ));
 }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -73,7 +73,7 @@
     let Ok(runner_stream) = connected else {
         return Ok(());
     };
-    let _in_flight = context.requests_in_flight.start_request();
+    let _in_flight = context.requests_in_flight.start_one();
     copy_until_end(stream, runner_stream).await
 }
 
