A stream that names no attempt is not joined to another version once its own has left

What callers saw (a report from a system like this one): after all gateways were killed while two software versions served, or the old one had just left, take-ups were answered 200 and joined text of two versions.

Cause: a take-up that names no attempt went on wherever all runners have one version now (sole_software over no time at all), whatever served a moment before. Class: the present state was taken for the state at the time that counts. The same elsewhere: the time that counts was the route's timeout of now, though a change may have shortened it: 60 s at least. With the name, the loss of all gateways was safe, but every take-up was refused for the timeout and 5 s, where one version alone had served, too.

Ways weighed: unnamed take-ups refused like named ones (safe, and none go on for a minute after a loss of all gateways); the same beside a record of the versions that served lately in the store, one key a version under a lease of 120 s that the leader renews each 30 s (taken: no clock is compared, a successor renews the same lease, 2 calls a version and then 2 renewals a minute); origins of streams in the store (7,400 writes a second).

Tests, failing before: a_stream_of_a_version_that_has_left_is_not_joined_to_the_one_that_stayed (200 and a run, now 503 and none, also after all gateways started again); streams_go_on_after_a_loss_of_all_gateways_if_one_version_served (503, now 200).

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -52,6 +52,7 @@
 pub use prompt_demand::PromptDemandItem;
 pub use query::{Acquired, AttemptKind, Grant, PermitId, Query, Refusal, RefusalReason, Ticket};
 pub use rate_limit::{AdvertisedLimit, RatePermitAnswer};
+pub use software_history::VersionsByService;
 pub use split::Splitter;
 pub use stream_demand::StreamDemandItem;
 pub use waiting::{DEADLINE_MARGIN, PATIENCE_FRACTION, RETRY_AFTER_DIVISOR};
--- a/crates/dispatch/src/software_history.rs
+++ b/crates/dispatch/src/software_history.rs
@@ -1,6 +1,6 @@
 //! Which software versions the runners of each service have had lately, as this node saw them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,10 +20,16 @@
     last_seen: BTreeMap<SoftwareVersion, Instant>,
 }
 
+/// Software versions by service.
+pub type VersionsByService = BTreeMap<Arc<str>, BTreeSet<SoftwareVersion>>;
+
 /// Software versions of runners by service.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
     services: BTreeMap<Arc<str>, ServiceVersions>,
+    /// The versions that served lately according to the record that all nodes share. It
+    /// outlasts the nodes.
+    shared_record: VersionsByService,
 }
 
 impl SoftwareHistory {
@@ -43,8 +49,14 @@
             .retain(|_, seen| now.saturating_duration_since(*seen) < KEPT_FOR);
     }
 
+    /// Sets the versions of the shared record, in place of the former ones.
+    pub fn set_shared_record(&mut self, record: VersionsByService) {
+        self.shared_record = record;
+    }
+
     /// Returns whether all runners of `service` within the last `time` had the version
-    /// `software`, as far as this node knows; false if it has known the service for less.
+    /// `software`. False if this node has known the service for less, unless the shared record
+    /// names that version alone.
     pub fn was_alone(
         &self,
         service: &str,
@@ -53,15 +65,32 @@
         now: Instant,
     ) -> bool {
         let is_older = |at: Instant| now.saturating_duration_since(at) >= time;
+        let recorded = self.shared_record.get(service);
+        let is_recorded_alone = recorded.is_some_and(|versions| versions.iter().eq([software]));
         self.services.get(service).is_some_and(|versions| {
             let mut others = versions.last_seen.iter();
-            is_older(versions.since)
+            (is_recorded_alone || is_older(versions.since))
                 && others.all(|(other, seen)| other == software || is_older(*seen))
         })
     }
 }
 
 impl Dispatcher {
+    /// Sets the versions that served lately according to the record that all nodes share.
+    pub fn set_shared_software_record(&mut self, record: VersionsByService) {
+        self.software_history.set_shared_record(record);
+    }
+
+    /// Returns the versions of the runners that are there now.
+    pub fn present_software(&self) -> VersionsByService {
+        let mut present = VersionsByService::new();
+        for entry in self.runners.values() {
+            let versions = present.entry(entry.runner.service.clone()).or_default();
+            versions.insert(entry.runner.software.clone());
+        }
+        present
+    }
+
     /// Returns the software version of the runners of `service`, if all of them within the last
     /// `time` had the same; `None` if that cannot be known.
     pub fn sole_software(
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -17,6 +17,7 @@
 use crate::placement::{LEADER_KEY, LEASE_ERA_KEY, LeaderRecord, PlacementHandle, decode_era};
 use crate::register::MEMBER_PREFIX;
 use crate::restore_tracker::{Decision, RestoreTracker};
+use crate::software_record::{self, RecordedVersions, SOFTWARE_PREFIX};
 use crate::tasks::sleep_until_some;
 
 /// Fraction of the site's `evacuation_time` within which an evacuation takes effect at
@@ -63,6 +64,8 @@
     pub runners: HashMap<Arc<str>, Arc<Runner>>,
     /// Decides what to use of a store that was restored from a backup.
     pub restore_tracker: RestoreTracker,
+    /// The software versions that the store has on record.
+    pub recorded_software: watch::Sender<RecordedVersions>,
     /// Zones under evacuation, with the time until which the runners of each still
     /// serve models that are loaded nowhere else.
     pub evacuated_zones: BTreeMap<Arc<str>, Instant>,
@@ -131,6 +134,7 @@
         if !items.iter().any(|item| item.key == LEASE_ERA_KEY) {
             self.lease_era.send_replace(0);
         }
+        self.update_recorded_software(RecordedVersions::clear);
         let dialect = self.context.dialect.clone();
         if is_restored {
             self.record_missing(&items);
@@ -225,6 +229,16 @@
             self.peers.member_written(name, &item.value);
             return;
         }
+        if item.key.starts_with(SOFTWARE_PREFIX) {
+            let Some((version, lease)) = software_record::decode(&item.key, &item.value) else {
+                tracing::warn!(event = "object_unreadable", key = item.key);
+                return;
+            };
+            self.update_recorded_software(|recorded| {
+                recorded.insert(version, lease);
+            });
+            return;
+        }
         match self.context.dialect.read_object(&item.key, &item.value) {
             Ok(StoredObject::Configuration(configuration)) => {
                 self.configuration_unreadable = false;
@@ -264,6 +278,10 @@
             self.leader.send_replace(None);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
             self.peers.member_removed(name);
+        } else if let Some(version) = software_record::decode_key(key) {
+            self.update_recorded_software(|recorded| {
+                recorded.remove(&version);
+            });
         } else if let Some(zone) = dialect.evacuated_zone_in_key(key) {
             self.update_evacuated(|zones| {
                 zones.remove(zone);
@@ -287,6 +305,12 @@
         self.placement.remove_runner(known.id.clone());
     }
 
+    fn update_recorded_software(&self, change: impl FnOnce(&mut RecordedVersions)) {
+        self.recorded_software.send_modify(change);
+        let versions = software_record::versions_by_service(&self.recorded_software.borrow());
+        self.context.dispatch.set_shared_software_record(versions);
+    }
+
     /// Changes the zones under evacuation, and notifies the dispatcher and the
     /// placement task if they differ.
     fn update_evacuated(&mut self, change: impl FnOnce(&mut BTreeMap<Arc<str>, Instant>)) {
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,7 +12,7 @@
 use barleyspar_dispatch::{
     AdvertisedLimit, BrittleUpdate, BudgetLimits, DemandItem, DrainingUpdate, Grant, Inventory,
     LimitUpdate, Outcome, PermitId, PromptDemandItem, Query, RatePermitAnswer, Refusal, RunnerKey,
-    StreamDemandItem,
+    StreamDemandItem, VersionsByService,
 };
 use barleyspar_prefill::PrefillUpdate;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -157,6 +157,8 @@
     SetEvacuatedZones(BTreeMap<Arc<str>, Instant>),
     SetBudgetLimits(BudgetLimits),
     FindSoleSoftware(Arc<str>, Duration, oneshot::Sender<Option<SoftwareVersion>>),
+    PresentSoftware(oneshot::Sender<VersionsByService>),
+    SetSharedSoftwareRecord(VersionsByService),
     FindCallable(Arc<str>, oneshot::Sender<Option<Arc<Runner>>>),
     Snapshot(oneshot::Sender<Snapshot>),
     ReadingSpeeds(oneshot::Sender<Vec<(RunnerKey, f64)>>),
@@ -429,6 +431,19 @@
         answer.await.ok()?
     }
 
+    /// Returns the software versions of the runners that are there now; `None` if the
+    /// dispatcher's task is gone.
+    pub async fn present_software(&self) -> Option<VersionsByService> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::PresentSoftware(reply));
+        answer.await.ok()
+    }
+
+    /// Sets the software versions that served lately according to the record in the store.
+    pub fn set_shared_software_record(&self, record: VersionsByService) {
+        self.send(Command::SetSharedSoftwareRecord(record));
+    }
+
     /// Returns the part of the dispatcher's state that is sent to other nodes; `None` if the
     /// dispatcher's task is gone.
     pub async fn snapshot(&self) -> Option<Snapshot> {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -253,6 +253,12 @@
             Command::RecordPrefillWait(runner, wait) => {
                 self.dispatcher.record_prefill_wait(runner, wait, now());
             }
+            Command::PresentSoftware(reply) => {
+                let _ = reply.send(self.dispatcher.present_software());
+            }
+            Command::SetSharedSoftwareRecord(record) => {
+                self.dispatcher.set_shared_software_record(record);
+            }
             Command::FindSoleSoftware(service, time, reply) => {
                 // Sending fails if the client has left; then nobody waits for the version.
                 let _ = reply.send(self.dispatcher.sole_software(&service, time, now()));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -35,6 +35,7 @@
 use crate::prefill::PrefillTask;
 use crate::quota::QuotaTask;
 use crate::restore_tracker::RestoreTracker;
+use crate::software_record::{RecordedVersions, SoftwareRecorder};
 use crate::stalls::report_stalls;
 use crate::store::Store;
 use crate::tunnel::{self, TunnelPeers};
@@ -281,6 +282,7 @@
     let (leader_sender, leader) = watch::channel(None);
     let (lease_era_sender, lease_era) = watch::channel(0);
     let (lease, watched_lease) = watch::channel(None);
+    let (recorded_sender, recorded) = watch::channel(RecordedVersions::new());
     let (changes_sender, changes) = mpsc::channel(CHANGE_QUEUE);
 
     let socket = network
@@ -325,6 +327,7 @@
         arrivals: Arrivals::default(),
         runners: HashMap::new(),
         restore_tracker: RestoreTracker::default(),
+        recorded_software: recorded_sender,
         evacuated_zones: BTreeMap::new(),
     };
     let seen_peers = peer_handle.seen_peers();
@@ -355,6 +358,12 @@
         placement_handle,
         urgent_demand,
     );
+    let software_recorder = SoftwareRecorder {
+        context: context.clone(),
+        store: store.clone(),
+        lease: lease.subscribe(),
+        recorded,
+    };
     let lease_keeper = LeaseKeeper {
         context: context.clone(),
         store: store.clone(),
@@ -395,6 +404,7 @@
         rate_permits::serve_requests(context.clone(), rate_permit_requests),
     );
     tasks.spawn("lease", lease_keeper.run());
+    tasks.spawn("software_record", software_recorder.run());
     tasks.spawn(
         "idle_connections",
         close_expired_connections(context.clone()),
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -9,9 +9,9 @@
 use crate::journal;
 use crate::origins::StreamKey;
 
-/// Longest time from a stream's first event until its client takes it up, on a route without
-/// a timeout.
-const DEFAULT_CLIENT_PATIENCE: Duration = Duration::from_secs(60);
+/// Shortest time for which a client may be assumed to take a stream up. A route's present timeout
+/// may be shorter than the one under which the stream began.
+const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(60);
 /// Time for which runners' entries may be known here and not yet at other gateways.
 const ENTRY_LAG: Duration = Duration::from_secs(5);
 /// Age of this node's view of the store up to which its runners' versions can be relied on.
@@ -41,19 +41,12 @@
 }
 
 /// Returns the only version that can have begun any stream that is taken up now; `None` if
-/// there may have been several. A client that names no attempt does not know of software
-/// versions; there, the runners that serve now decide.
+/// there may have been several: of a client that names no attempt nothing else is known.
 async fn sole_version(exchange: &Exchange) -> Option<SoftwareVersion> {
     let context = &exchange.context;
-    let service = exchange.service.clone();
-    if exchange.facts.resumes.is_none() {
-        return context
-            .dispatch
-            .sole_software(service, Duration::ZERO)
-            .await;
-    }
     context.view_staleness().filter(|age| *age < MAX_VIEW_AGE)?;
-    let patience = exchange.route.timeout.unwrap_or(DEFAULT_CLIENT_PATIENCE);
-    let time = patience + ENTRY_LAG;
+    let patience = exchange.route.timeout.unwrap_or_default();
+    let time = patience.max(MIN_CLIENT_PATIENCE) + ENTRY_LAG;
+    let service = exchange.service.clone();
     context.dispatch.sole_software(service, time).await
 }
--- a/crates/standin/tests/software_versions.rs
+++ b/crates/standin/tests/software_versions.rs
@@ -136,6 +136,53 @@
     }
 }
 
+async fn take_up(world: &World, gateway: u8, id: &str, extra: &[(&str, &str)]) -> u16 {
+    let (path, model) = STREAM;
+    let answer = world.request_with_headers(gateway, path, id, Some(model), extra);
+    answer.await.code()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stream_of_a_version_that_has_left_is_not_joined_to_the_one_that_stayed() {
+    let mut world = world(&["v1", "v2"]).await;
+    for (name, runner) in &world.runners {
+        if name.contains("v1") {
+            runner.crash(&world.network);
+            world.store.remove(&format!("runner/{name}"));
+        }
+    }
+    world.run_for(2 * SECOND).await;
+    let unnamed = [("after-event", "3")];
+    let named = [("resumes", "unheard-of"), ("after-event", "3")];
+    for all_start_again in [false, true] {
+        if all_start_again {
+            (1..=GATEWAYS).for_each(|number| world.kill_gateway(number));
+            world.start_gateways(1..=GATEWAYS).await;
+            world.run_for(3 * SECOND).await;
+        }
+        for gateway in 1..=GATEWAYS {
+            for extra in [&unnamed[..], &named[..]] {
+                let id = format!("{all_start_again}-{gateway}-{}", extra.len());
+                let code = take_up(&world, gateway, &id, extra).await;
+                assert_eq!((code, world.run_count(&id)), (503, 0), "{id}");
+            }
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn streams_go_on_after_a_loss_of_all_gateways_if_one_version_served() {
+    let mut world = world(&["v1"]).await;
+    (1..=GATEWAYS).for_each(|number| world.kill_gateway(number));
+    world.start_gateways(1..=GATEWAYS).await;
+    world.run_for(SECOND).await;
+    for gateway in 1..=GATEWAYS {
+        let extra = [("resumes", "unheard-of"), ("after-event", "3")];
+        let code = take_up(&world, gateway, &format!("resumed-{gateway}"), &extra).await;
+        assert_eq!(code, 200, "gateway {gateway}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_resumed_stream_whose_version_is_gone_is_refused_at_once() {
     let mut world = world(&["v1", "v2"]).await;
