Crash task: what judges parts by presence has a file of its own; old evidence is dropped once a judgement

No change of behaviour but for when old evidence is dropped: with each report that cost a pass over all tables, which a crash of many runners would have multiplied.

--- a/crates/callers/src/presences.rs
+++ b/crates/callers/src/presences.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Fingerprint;
-use crate::suspects::{CRASH_KEPT_FOR, MAX_PARTS, MAX_PARTS_OF_REQUEST};
+use crate::suspects::{COINCIDENCE, CRASH_KEPT_FOR, MAX_PARTS, MAX_PARTS_OF_REQUEST};
 
 /// Number of crashes at which a part must have been present to be considered their cause, if no
 /// answer with it began lately.
@@ -32,9 +32,6 @@
 const ANSWERS_COUNT_FOR: Duration = Duration::from_secs(10);
 /// Largest number of crashes remembered for a part.
 const MAX_CRASHES_OF_PART: usize = 2 * (CRASHES_NEEDED + MAX_ADDED_BY_ANSWERS);
-/// Crashes of different requests closer together than this count once: runners that share a
-/// machine or a switch crash together, whatever they run.
-const COINCIDENCE: Duration = Duration::from_millis(100);
 /// Time for which a crash that is explained counts against no part, whoever reports it.
 const EXPLAINED_FOR: Duration = Duration::from_secs(30);
 
@@ -151,7 +148,6 @@
     /// Records a report of any node, this one included, whose name is `own_node`. Reports of
     /// crashes that are explained count against no part.
     pub fn record(&mut self, report: &PresenceReport, own_node: &str, now: Instant) {
-        self.forget_old(now);
         if self.is_explained(&report.runner) {
             return;
         }
@@ -333,7 +329,8 @@
         }
     }
 
-    fn forget_old(&mut self, now: Instant) {
+    /// Forgets crashes, answers and explanations that are too old to count.
+    pub fn forget_old(&mut self, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
         self.crashes.retain(|_, crashes| {
             crashes.retain(|crash| age(crash.at) < CRASH_KEPT_FOR);
--- a/crates/callers/src/suspects.rs
+++ b/crates/callers/src/suspects.rs
@@ -27,7 +27,7 @@
 const TRUSTED_FOR: Duration = Duration::from_secs(60);
 /// Crashes closer together than this count once: runners that share a machine or a switch
 /// crash together, whatever they run.
-const COINCIDENCE: Duration = Duration::from_millis(100);
+pub(crate) const COINCIDENCE: Duration = Duration::from_millis(100);
 /// Time for which a part is held that is considered the cause of crashes. After it, one more
 /// crash is enough for as long again.
 pub const PART_HELD_FOR: Duration = Duration::from_secs(600);
@@ -186,6 +186,7 @@
     /// Returns the parts that are now considered the cause of crashes because they were present
     /// at so many.
     pub fn judge_presences(&mut self, now: Instant) -> Vec<Fingerprint> {
+        self.presences.forget_old(now);
         let mut guilty = Vec::new();
         while let Some(part) = self.presences.cause(now) {
             self.convict(part, now);
--- a/crates/gateway/src/crashes/mod.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -13,6 +13,7 @@
 //!
 //! [`Suspects`]: barleyspar_callers::Suspects
 
+mod presence;
 mod task;
 mod watched_runs;
 
--- a/crates/gateway/src/crashes/task.rs
+++ b/crates/gateway/src/crashes/task.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use barleyspar_callers::{
-    CrashReport, EndedRun, Fingerprint, PART_HELD_FOR, PresenceReport, Progress, Quarantine,
-    QuarantineUpdate, RecentlyServed, Suspects,
+    CrashReport, Fingerprint, PART_HELD_FOR, Progress, Quarantine, QuarantineUpdate,
+    RecentlyServed, Suspects,
 };
 use barleyspar_catalog::Runner;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
 use crate::context::{CONNECT_TIMEOUT, Context};
+use crate::crashes::presence::ended_run;
 use crate::crashes::watched_runs::WatchedRuns;
 use crate::crashes::{BrokenRequest, Command, CrashInbox, CrashNews};
 use crate::journal;
@@ -22,33 +23,21 @@
 use crate::tasks::sleep_until_some;
 use crate::upstream::ConnectError;
 
-/// Time from the first report of a crash until it is judged which part was the cause, so that
-/// the reports of all nodes are in.
-const JUDGED_AFTER: Duration = Duration::from_millis(60);
-/// Interval at which it is looked for runs that their runners outlived.
-const OUTLIVED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of reports in one message to other nodes, to keep it within one packet.
-const REPORTS_PER_MESSAGE: usize = 8;
-/// Number of parts in one message to other nodes.
-const PARTS_PER_MESSAGE: usize = 64;
-/// Weight of a crash against a request that had left the runner before.
-const WEIGHT_AFTER_LEAVING: u64 = 1;
-
 /// The crash task: broken requests under examination, recently served requests, and the
 /// sender that publishes this node's quarantine.
 pub struct CrashTask {
-    context: Context,
+    pub(super) context: Context,
     inbox: mpsc::UnboundedReceiver<Command>,
     /// Broken requests at runners that are being probed with a new connection, by runner
     /// id.
     awaiting_probe: HashMap<Arc<str>, Vec<BrokenRequest>>,
-    recently_served: RecentlyServed,
-    watched_runs: WatchedRuns,
-    suspects: Suspects,
+    pub(super) recently_served: RecentlyServed,
+    pub(super) watched_runs: WatchedRuns,
+    pub(super) suspects: Suspects,
     /// When reports of crashes are judged; `None` if there are none since the last time.
-    judge_at: Option<Instant>,
-    next_outlived_check: Instant,
-    peers: PeerHandle,
+    pub(super) judge_at: Option<Instant>,
+    pub(super) next_outlived_check: Instant,
+    pub(super) peers: PeerHandle,
     quarantine: watch::Sender<Quarantine>,
 }
 
@@ -128,7 +117,7 @@
 
     /// Starts a probe of `runner`, unless one is under way. Returns the broken requests that wait
     /// for it.
-    fn probe(&mut self, runner: &Arc<Runner>) -> &mut Vec<BrokenRequest> {
+    pub(super) fn probe(&mut self, runner: &Arc<Runner>) -> &mut Vec<BrokenRequest> {
         let context = &self.context;
         self.awaiting_probe
             .entry(runner.id.clone())
@@ -159,105 +148,6 @@
         }
     }
 
-    /// Returns the report that the request was at the crashed runner; `None` if it cannot be the
-    /// cause.
-    fn report_of(&mut self, broken: &BrokenRequest, runner: &Arc<str>) -> Option<PresenceReport> {
-        let may_be_cause = broken.progress != Progress::Established;
-        let had_answered = broken.progress == Progress::Answering;
-        (may_be_cause && !broken.keys.parts.is_empty()).then(|| {
-            let run = (broken.keys.request, broken.keys.parts.as_slice());
-            let node = &self.context.settings.name;
-            self.suspects
-                .presences()
-                .report(runner, run, had_answered, node, now())
-        })
-    }
-
-    /// Puts a request that ended its stay at a runner on the list of those whose runners are
-    /// watched.
-    fn run_ended(&mut self, runner: &Arc<Runner>, run: EndedRun) {
-        if self.watched_runs.has_crashed(&run.runner) {
-            self.report_left(vec![run]);
-        } else {
-            self.watched_runs.add(runner, run, now());
-        }
-    }
-
-    fn runner_gone(&mut self, runner: &str) {
-        if let Some(runner) = self.watched_runs.runner(runner) {
-            self.probe(&runner);
-        }
-    }
-
-    fn runner_added(&mut self, runner: &Runner) {
-        for former in self.watched_runs.former_runners_at(runner) {
-            self.runner_crashed(&former);
-        }
-    }
-
-    /// Counts the crash of `runner` against the requests that left it shortly before.
-    fn runner_crashed(&mut self, runner: &Arc<str>) {
-        let left = self.watched_runs.record_crash(runner, now());
-        self.report_left(left);
-    }
-
-    fn report_left(&mut self, left: Vec<EndedRun>) {
-        let mut present = Vec::new();
-        for run in left {
-            journal::runner_crashed_after(&run);
-            if !run.parts.is_empty() {
-                let key = (run.request, run.parts.as_slice());
-                let node = &self.context.settings.name;
-                let presences = self.suspects.presences();
-                present.push(presences.report(&run.runner, key, run.had_answered, node, now()));
-            }
-            let is_harmless = run.is_complete || self.recently_served.contains(run.request, now());
-            if !is_harmless {
-                crate::tasks::spawn(count_left_run(self.context.clone(), run));
-            }
-        }
-        self.publish_presences(present);
-    }
-
-    /// Records reports of this node, and sends them to all others.
-    fn publish_presences(&mut self, reports: Vec<PresenceReport>) {
-        for report in &reports {
-            self.record_presence(report);
-        }
-        for reports in reports.chunks(REPORTS_PER_MESSAGE) {
-            let news = CrashNews::Present(reports.to_vec());
-            self.peers.publish_crash_news(news);
-        }
-    }
-
-    fn record_presence(&mut self, report: &PresenceReport) {
-        let own_node = &self.context.settings.name;
-        self.suspects.record_presence(report, own_node, now());
-        self.judge_at
-            .get_or_insert_with(|| Instant::now() + JUDGED_AFTER);
-    }
-
-    fn judge_presences(&mut self) {
-        self.judge_at = None;
-        for part in self.suspects.judge_presences(now()) {
-            self.quarantine(part, PART_HELD_FOR, "presence");
-        }
-    }
-
-    /// Clears the parts of runs that their runners outlived, and tells the other nodes of those
-    /// that were suspected or held.
-    fn clear_outlived(&mut self) {
-        self.next_outlived_check = Instant::now() + OUTLIVED_CHECK_INTERVAL;
-        let mut cleared = Vec::new();
-        for run in self.watched_runs.take_outlived(now()) {
-            cleared.extend(self.clear_parts(&run.parts));
-        }
-        for parts in cleared.chunks(PARTS_PER_MESSAGE) {
-            let news = CrashNews::Outlived(parts.to_vec());
-            self.peers.publish_crash_news(news);
-        }
-    }
-
     /// Counts the crash of `runner` against the request, unless this node recently served the
     /// same request successfully: it is then unlikely to be the cause, and many callers may
     /// send it.
@@ -307,7 +197,7 @@
 
     /// Clears parts of runs that their runners outlived. Returns those that were suspected or
     /// held.
-    fn clear_parts(&mut self, parts: &[Fingerprint]) -> Vec<Fingerprint> {
+    pub(super) fn clear_parts(&mut self, parts: &[Fingerprint]) -> Vec<Fingerprint> {
         let cleared = self.suspects.record_outlived(parts, now());
         for part in &cleared {
             let remove = |quarantine: &mut Quarantine| quarantine.remove(*part);
@@ -327,16 +217,8 @@
         drop(broken.decision_sender);
     }
 
-    /// Quarantines a request that had left the crashed runner if the limit owner denied
-    /// resending it.
-    fn left_run_counted(&self, request: Fingerprint, decision: QuotaDecision) {
-        if let QuotaDecision::Denied(remaining) = decision {
-            self.quarantine(request, remaining, "owner");
-        }
-    }
-
     /// Quarantines a request or a part of prompts. `source` says who decided that.
-    fn quarantine(&self, key: Fingerprint, remaining: Duration, source: &'static str) {
+    pub(super) fn quarantine(&self, key: Fingerprint, remaining: Duration, source: &'static str) {
         let now = now();
         let Some(until) = now.checked_add(remaining) else {
             return;
@@ -378,18 +260,6 @@
     }
 }
 
-/// Returns the stay of a request whose connection broke at a runner that did not crash, as far
-/// as is known.
-fn ended_run(broken: &BrokenRequest, runner: &Arc<str>) -> EndedRun {
-    EndedRun {
-        runner: runner.clone(),
-        request: broken.keys.request,
-        parts: broken.keys.parts.clone(),
-        had_answered: matches!(broken.progress, Progress::Answering | Progress::Established),
-        is_complete: false,
-    }
-}
-
 /// Probes `runner` with a new connection: a crash closes the runner's port. A port that is
 /// closed to this node only, while peers connect to it, belongs to a lost link and not to a
 /// crash. If the connection times out, or this node's share of connections is in use, the runner counts as alive,
@@ -419,18 +289,7 @@
         .send(Command::CrashCounted(broken, decision));
 }
 
-/// Has the limit owner count the crash of a runner against a request that had left it, and sends
-/// the decision to the crash task.
-async fn count_left_run(context: Context, run: EndedRun) {
-    let counted = context
-        .quota
-        .count_crash(run.request, WEIGHT_AFTER_LEAVING, run.runner);
-    let decision = counted.await;
-    context
-        .crashes
-        .send(Command::LeftRunCounted(run.request, decision));
-}
-
-fn now() -> std::time::Instant {
+/// The present time, as the pure parts of this module take it.
+pub(super) fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
