--- a/crates/soak/src/arguments.rs
+++ b/crates/soak/src/arguments.rs
@@ -12,10 +12,11 @@
 /// Help text.
 pub const USAGE: &str = "\
 usage: barleyspar-soak [--seed N] [--seconds S] [--gateways N] [--runners N] [--clients N]
-                       [--faults N] [--directory DIR]
+                       [--faults N] [--deadly-parts] [--directory DIR]
 
 Runs N gateways and runners and a store as processes under faults that the seed draws, for S
 seconds, and checks what clients and runners see. --faults: how many strike at a time.
+--deadly-parts: requests come, too, that end each engine which begins to run them.
 --directory: where the processes' logs go. The last line is JSON; exit 0 without a violation.";
 
 /// Largest number of processes of a kind, so that a soak fits a machine.
@@ -47,6 +48,8 @@
     pub clients: u32,
     /// Number of faults that strike at a time.
     pub faults: usize,
+    /// Whether requests come that end each engine which begins to run them.
+    pub deadly_parts: bool,
     /// Directory for the logs of the processes; `None` for one in the temporary directory.
     pub directory: Option<PathBuf>,
 }
@@ -60,6 +63,7 @@
             runners: 6,
             clients: 24,
             faults: 3,
+            deadly_parts: false,
             directory: None,
         }
     }
@@ -79,6 +83,7 @@
             Long("runners") => options.runners = count(parser.value()?.parse()?)?,
             Long("clients") => options.clients = parser.value()?.parse()?,
             Long("faults") => options.faults = parser.value()?.parse()?,
+            Long("deadly-parts") => options.deadly_parts = true,
             Long("directory") => options.directory = Some(parser.value()?.into()),
             Long("role") => role.name = Some(parser.value()?.string()?),
             Long("number") => role.number = parser.value()?.parse()?,
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -55,6 +55,7 @@
         runners::memory_is_never_overcommitted(observations),
         runners::replicas_stay_within_the_policy(observations),
         runners::fencing_tokens_have_one_holder(observations),
+        runners::deadly_parts_are_held(observations),
         runners::retries_stay_within_the_budget(observations),
         gateways::gateways_do_not_end_by_themselves(observations),
         gateways::the_site_recovers(observations, traffic_end),
--- a/crates/soak/src/checks/runners.rs
+++ b/crates/soak/src/checks/runners.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use crate::checks::{RECORD_SLACK, Violation, is_in_touch};
+use crate::deadly_parts::DEADLY_ID;
 use crate::observations::{Attempt, Observations, RequestKind, RunnerEvent, Target};
-use crate::site::{DRAIN_BOUND, MOST_REPLICAS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW, is_engine};
+use crate::site::{
+    CONTACT_TIME, DRAIN_BOUND, MOST_REPLICAS, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW, is_engine,
+};
 
 pub(super) fn draining_runners_get_nothing(observations: &Observations) -> Vec<Violation> {
     let attempts: HashMap<&str, &Attempt> = observations
@@ -134,3 +137,35 @@
     }
     violations
 }
+
+/// Number of engines that requests with one part may end before they are held.
+const CRASHES_ALLOWED: usize = 5;
+/// Number of such requests that may reach engines later than [`CONTACT_TIME`] after that.
+const LATE_RUNS_ALLOWED: usize = 3;
+
+pub(super) fn deadly_parts_are_held(observations: &Observations) -> Vec<Violation> {
+    let is_crash = |event: &RunnerEvent| *event == RunnerEvent::Crashing;
+    let mut crashes = observations
+        .runners
+        .iter()
+        .filter(|observed| is_crash(&observed.event));
+    let Some(last_allowed) = crashes.nth(CRASHES_ALLOWED - 1) else {
+        return Vec::new();
+    };
+    let held_from = last_allowed.at + CONTACT_TIME + RECORD_SLACK;
+    let late = observations.runners.iter().filter(|observed| {
+        let is_deadly =
+            matches!(&observed.event, RunnerEvent::Run(id) if id.starts_with(DEADLY_ID));
+        is_deadly && observed.at > held_from
+    });
+    let late: Vec<Duration> = late.map(|observed| observed.at).collect();
+    if late.len() <= LATE_RUNS_ALLOWED {
+        return Vec::new();
+    }
+    let seen = format!(
+        "{} runs later than {held_from:?}, {} crashes after the first five",
+        late.len(),
+        crashes.count()
+    );
+    vec![Violation::new("deadly_parts_are_held", seen)]
+}
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -487,3 +487,19 @@
     observations.faults[0] = links(7);
     assert_eq!(broken(&observations), ["answers_on_kept_connections"]);
 }
+
+#[test]
+fn a_part_that_goes_on_to_end_engines_is_noticed() {
+    let mut observations = Observations::default();
+    for at in 0..5 {
+        let crash = observed(1, 10 + at, RunnerEvent::Crashing);
+        observations.runners.push(crash);
+    }
+    let late = |at: u64| run(2, at, &format!("deadly-{at}-0"));
+    observations
+        .runners
+        .extend((15..=16).chain(20..23).map(late));
+    assert!(broken(&observations).is_empty());
+    observations.runners.push(late(23));
+    assert_eq!(broken(&observations), ["deadly_parts_are_held"]);
+}
--- a/crates/soak/src/followers.rs
+++ b/crates/soak/src/followers.rs
@@ -17,6 +17,7 @@
 use crate::clients::{
     ANSWER_SLACK, CONNECT_TIMEOUT, Clients, STREAM_DEADLINE, STREAM_EVENTS, open,
 };
+use crate::deadly_parts::sound_parts;
 use crate::observations::{Attempt, AttemptOutcome, FollowedStream, RequestKind};
 use crate::site::MODELS;
 
@@ -68,7 +69,8 @@
                 .header("host", "host")
                 .header(names::REQUEST_ID, &id)
                 .header(names::DEADLINE, STREAM_DEADLINE.as_millis().to_string())
-                .header(names::MODEL, *model);
+                .header(names::MODEL, *model)
+                .header(names::PARTS, sound_parts(followed));
             if let (Some(began_as), Some(last)) = (&began_as, stream.event_ids.last()) {
                 request = request
                     .header(names::RESUMES, began_as)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod checks;
 pub mod clients;
 pub mod copies;
+mod deadly_parts;
 pub mod faults;
 pub mod followers;
 pub mod machines;
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -99,6 +99,8 @@
     Models(Vec<String>),
     /// The store has acknowledged that it drains.
     Draining,
+    /// It ends because of a request with a deadly part.
+    Crashing,
     /// An order exceeded its memory.
     Overcommitted,
 }
@@ -297,6 +299,20 @@
         observations.faults.len() - 1
     }
 
+    /// Sets the beginning of a fault at a runner to the time at which that runner told that it ends.
+    pub fn begin_at_crash(&self, number: usize) {
+        let mut observations = self.lock();
+        let Target::Runner(runner) = observations.faults[number].target else {
+            return;
+        };
+        let mut latest_first = observations.runners.iter().rev();
+        let crash = latest_first
+            .find(|observed| observed.runner == runner && observed.event == RunnerEvent::Crashing);
+        if let Some(at) = crash.map(|crash| crash.at) {
+            observations.faults[number].from = at;
+        }
+    }
+
     /// Records that a fault has ended now.
     pub fn end_fault(&self, number: usize) {
         let until = self.now();
--- a/crates/soak/src/roles/runner.rs
+++ b/crates/soak/src/roles/runner.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use barleyspar_catalog::{StoreAnswer, StoreCall};
-use barleyspar_standin::{RunnerIdentity, RunnerStandIn, StoreStandIn, names};
+use barleyspar_standin::{
+    CrashCourse, MemoryNetwork, RunnerIdentity, RunnerStandIn, StoreStandIn, names,
+};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::SoakError;
+use crate::deadly_parts::{DEADLY_ID, DEADLY_PART};
 use crate::observations::RunnerEvent;
 use crate::roles::accept_for_stand_in;
 use crate::roles::store_client::{call_store, write};
@@ -21,6 +24,11 @@
 const ENTRY_LEASE: Duration = Duration::from_millis(3500);
 /// Time between two looks at what the stand-in did.
 const TELL_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time from the start of a request with the deadly part to the end of the process, in
+/// milliseconds.
+const MOST_CRASH_MS: u64 = 1500;
+/// Longer than any process runs.
+const NEVER: Duration = Duration::from_secs(24 * 3600);
 /// Time for which a draining runner serves on after [`DRAIN_BOUND`].
 const DRAIN_SLACK: Duration = Duration::from_secs(2);
 
@@ -43,6 +51,7 @@
     let models = first_models(number, life);
     let runner = RunnerStandIn::start_on(connections, &own_store, &service, identity, &models);
     runner.set_software(&software_of(number, life));
+    set_crash_course(&runner, number, life);
     let entry = Entry {
         store,
         own_store,
@@ -69,6 +78,29 @@
     format!("v{}", 1 + (u32::from(number) + life) % 2)
 }
 
+/// Half of the processes send no head of an answer to a request with the deadly part; the others
+/// answer it until they end. The stand-in itself does not crash: the process ends instead.
+fn set_crash_course(runner: &RunnerStandIn, number: u8, life: u32) {
+    let course = CrashCourse {
+        answers: (u32::from(number) + life / 2).is_multiple_of(2),
+        crash_after: NEVER,
+        ..CrashCourse::default()
+    };
+    runner.set_crash_course(course);
+    runner.crash_on_parts(&MemoryNetwork::default(), &[DEADLY_PART]);
+}
+
+/// Ends the process some time after it began to run the request with the deadly part.
+async fn end_by_request(id: String) {
+    let drawn = id
+        .bytes()
+        .fold(7_u64, |sum, byte| sum * 31 + u64::from(byte))
+        % MOST_CRASH_MS;
+    sleep(Duration::from_millis(drawn)).await;
+    print(&RunnerEvent::Crashing);
+    std::process::exit(1);
+}
+
 /// The incarnation of a process is the time of its start.
 fn milliseconds_since_1970() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -129,7 +161,10 @@
     let mut was_overcommitted = false;
     loop {
         for id in runner.run_ids_from(runs) {
-            print(&RunnerEvent::Run(id));
+            print(&RunnerEvent::Run(id.clone()));
+            if id.starts_with(DEADLY_ID) {
+                tokio::spawn(end_by_request(id));
+            }
             runs += 1;
         }
         let all_orders = runner.orders();
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -15,6 +15,7 @@
 use crate::checks::check;
 use crate::clients::{ANSWER_SLACK, Clients, STREAM_DEADLINE, balance};
 use crate::copies::record_copies;
+use crate::deadly_parts::{restart_ended_runners, send_deadly_requests};
 use crate::faults::Lane;
 use crate::followers::follow_streams;
 use crate::machines::{EventSource, Machines, Slot};
@@ -85,6 +86,10 @@
     }
     wait_until_served(&recorder).await?;
     sleep(QUIET_START).await;
+    if options.deadly_parts {
+        tokio::spawn(restart_ended_runners(machines.clone(), options.seed));
+        client_tasks.spawn(send_deadly_requests(clients.clone(), options.seed));
+    }
     tokio::spawn(watch_lives(machines.clone()));
     strike(options, &machines, &operator).await?;
     sleep(QUIET_END).await;
