Crash task: one place applies the limit owner's decision, one pass clears what was outlived

Read once more: the decision on a request that had left its runner repeated that on one whose connection broke; each outlived run passed over all tables to drop what is old, now each look does once, whatever the number of runs. No change of behaviour, no test touched.

--- a/crates/callers/src/suspects.rs
+++ b/crates/callers/src/suspects.rs
@@ -172,8 +172,8 @@
         &mut self.presences
     }
 
-    /// Records that a request was at a crashed runner. `own_node` is this node's name. A crash that is explained by a part
-    /// already considered the cause counts against no other part.
+    /// Records that a request was at a crashed runner. A crash that is explained by a part already
+    /// considered the cause counts against no other part. `own_node` is this node's name.
     pub fn record_presence(&mut self, report: &PresenceReport, own_node: &str, now: Instant) {
         let mut parts = report.parts.iter().take(MAX_PARTS_OF_REQUEST);
         if parts.any(|reported| self.is_held(reported.part, now)) {
--- a/crates/gateway/src/crashes/presence.rs
+++ b/crates/gateway/src/crashes/presence.rs
@@ -12,7 +12,6 @@
 use crate::crashes::task::{CrashTask, now};
 use crate::crashes::{BrokenRequest, Command, CrashNews};
 use crate::journal;
-use crate::quota::QuotaDecision;
 
 /// Time from the first report of a crash until it is judged which part was the cause, so that
 /// the reports of all nodes are in.
@@ -120,23 +119,13 @@
     /// that were suspected or held.
     pub(super) fn clear_outlived(&mut self) {
         self.next_outlived_check = Instant::now() + OUTLIVED_CHECK_INTERVAL;
-        let mut cleared = Vec::new();
-        for run in self.watched_runs.take_outlived(now()) {
-            cleared.extend(self.clear_parts(&run.parts));
-        }
-        for parts in cleared.chunks(PARTS_PER_MESSAGE) {
+        let outlived = self.watched_runs.take_outlived(now()).into_iter();
+        let parts: Vec<Fingerprint> = outlived.flat_map(|run| run.parts).collect();
+        for parts in self.clear_parts(&parts).chunks(PARTS_PER_MESSAGE) {
             let news = CrashNews::Outlived(parts.to_vec());
             self.peers.publish_crash_news(news);
         }
     }
-
-    /// Quarantines a request that had left the crashed runner if the limit owner denied
-    /// resending it.
-    pub(super) fn left_run_counted(&self, request: Fingerprint, decision: QuotaDecision) {
-        if let QuotaDecision::Denied(remaining) = decision {
-            self.quarantine(request, remaining, "owner");
-        }
-    }
 }
 
 /// Returns the stay of a request whose connection broke at a runner that did not crash, as far
--- a/crates/gateway/src/crashes/task.rs
+++ b/crates/gateway/src/crashes/task.rs
@@ -78,7 +78,9 @@
             Command::ConnectionBroke(runner, broken) => self.connection_broke(runner, broken),
             Command::ProbeFinished(runner, crashed) => self.probe_finished(&runner, crashed),
             Command::CrashCounted(broken, decision) => self.crash_counted(broken, decision),
-            Command::LeftRunCounted(request, decision) => self.left_run_counted(request, decision),
+            Command::LeftRunCounted(request, decision) => {
+                self.quarantine_if_denied(request, decision)
+            }
             Command::RequestServed(request) => self.recently_served.add(request, now()),
             Command::QuarantineUpdate(updates) => self.apply_updates(&updates),
             Command::AnswerBegan(keys) => self.answer_began(&keys.parts),
@@ -208,13 +210,17 @@
         cleared
     }
 
-    /// Quarantines the request if the limit owner denied resending it after a crash. Then
-    /// signals that the decision on resending is known.
+    /// Applies the limit owner's decision, then signals that the decision on resending is known.
     fn crash_counted(&self, broken: BrokenRequest, decision: QuotaDecision) {
+        self.quarantine_if_denied(broken.keys.request, decision);
+        drop(broken.decision_sender);
+    }
+
+    /// Quarantines the request if the limit owner denied resending it after a crash.
+    fn quarantine_if_denied(&self, request: Fingerprint, decision: QuotaDecision) {
         if let QuotaDecision::Denied(remaining) = decision {
-            self.quarantine(broken.keys.request, remaining, "owner");
+            self.quarantine(request, remaining, "owner");
         }
-        drop(broken.decision_sender);
     }
 
     /// Quarantines a request or a part of prompts. `source` says who decided that.
