Waits and refusals follow from the time that the caller has, not from the route's target

Callers saw: a request for a model that is not loaded was refused after an eighth of its route's target, although its client had ten seconds and the load took three; one that would be late was sent away, since its latency would count only from its retry on; others were held until 0.92 of their client's patience.

Cause: waiting.rs asked what a wait would be worth, in shares of the target, and trusted an unordered load less than the target.

Change: one rule. A request waits while its first event can still come before its client leaves (deadline, or the gap after which clients leave a stream), less the way back, in one place (callers_time.rs); it is refused as soon as it cannot. A load that nobody ordered is called so: it is waited for while it would still end in time if it were ordered now, and nothing of it counts as done before. A request whose runners all refused it, or that has no runner, is refused at once. Where nothing is known, Retry-After is spread over the third of the time for which clients put off a retry, so that they do not come back together.

--- /dev/null
+++ b/crates/dispatch/src/callers_time.rs
@@ -0,0 +1,34 @@
+//! The time that a caller has: how long a request may wait so that its answer still arrives,
+//! and when a refused client should come back.
+
+use std::time::{Duration, Instant};
+
+use barleyspar_domain::rendezvous_weight;
+
+/// Time that an answer takes to its client, which has to be there before the client leaves.
+/// Covers the network and a gateway that is busy at that moment.
+const RETURN_TIME: Duration = Duration::from_millis(150);
+/// Divisor of the time until the deadline: clients put off a retry for a third of that time
+/// at most, as the platform promises, whatever they are told.
+const RETRY_AFTER_DIVISOR: u32 = 3;
+
+/// Returns the time by which a request needs its answer, or its refusal, if its client leaves
+/// at `leaves_at`. A request with little time left has half of it.
+pub fn answer_due_at(leaves_at: Instant, now: Instant) -> Instant {
+    let time_left = leaves_at.saturating_duration_since(now);
+    now + (time_left / 2).max(time_left.saturating_sub(RETURN_TIME))
+}
+
+/// Returns the time after which a client should come back that can be served after `ready_in`
+/// and has `time_left` until its deadline.
+pub fn retry_after(ready_in: Duration, time_left: Duration) -> Duration {
+    ready_in.min(time_left / RETRY_AFTER_DIVISOR)
+}
+
+/// Returns the time after which a client should come back if nothing is known of when it can
+/// be served: spread by `seed` over the time for which clients put off a retry, so that
+/// clients that are refused together do not come back together.
+pub fn spread_retry_after(time_left: Duration, seed: &impl std::hash::Hash) -> Duration {
+    let fraction = rendezvous_weight(seed, "retry") as f64 / u64::MAX as f64;
+    (time_left / RETRY_AFTER_DIVISOR).mul_f64(fraction)
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, Runner, RunnerKey};
 use barleyspar_domain::rendezvous_weight;
@@ -25,10 +25,6 @@
 use crate::selection::{SelectionContext, cheapest_candidate};
 use crate::software_history::SoftwareHistory;
 
-/// `Retry-After` of a refusal if it is not estimated when a runner can take the request,
-/// and target latency of a request whose route sets none.
-pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// A granted attempt that has not ended.
 #[derive(Debug)]
 struct Permit {
@@ -243,9 +239,9 @@
             AttemptKind::Retry => {
                 let share = self.budget_share(&query.service);
                 let is_allowed = self.budget(&query.service).try_take(now, share);
-                return (!is_allowed).then_some(Refusal {
+                return (!is_allowed).then(|| Refusal {
                     reason: RefusalReason::RetryBudget,
-                    retry_after: DEFAULT_RETRY_AFTER,
+                    retry_after: self.spread_retry_after(query, now),
                 });
             }
             AttemptKind::First => self.budget(&query.service).count_request(now),
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -36,15 +36,15 @@
     pub prefix_key: Option<u64>,
     /// When the request is given up, with or without a runner.
     pub deadline: Instant,
+    /// Time by which the request needs its answer, or else its refusal, so that it reaches the
+    /// client before that leaves ([`crate::answer_due_at`]).
+    pub due_at: Instant,
     /// Time within which the first byte should arrive; `None` if the route sets no
     /// target.
     pub target_latency: Option<Duration>,
     /// Longest time between two events of the answer that the route allows; `None` if it does
     /// not say.
     pub target_gap: Option<Duration>,
-    /// Time after which the client gives up if no event comes; `None` if the route does
-    /// not say.
-    pub patience: Option<Duration>,
     /// Whether the client seems to be retrying after a refusal; it may then have no time for
     /// another retry, so its request waits longer, and before new ones.
     pub is_client_retry: bool,
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -15,9 +15,7 @@
     pub ticket: Ticket,
     /// What the request needs of a runner.
     pub query: Query,
-    /// When the request began to wait.
-    pub waiting_since: Instant,
-    /// When the request is refused if no runner can take it before.
+    /// When the request is refused, or examined again, if no runner can take it before.
     pub refuse_at: Instant,
     /// What kept the request from being served when it was last examined: the reason of
     /// its refusal.
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -6,56 +6,39 @@
 
 use barleyspar_catalog::{ModelReference, ModelSpec};
 
-use crate::dispatcher::{DEFAULT_RETRY_AFTER, Dispatcher};
+use crate::callers_time::{retry_after, spread_retry_after};
+use crate::dispatcher::Dispatcher;
 use crate::query::{Acquired, Query, Refusal, RefusalReason, Ticket};
 use crate::queue::WaitingRequest;
 use crate::runner::RunnerEntry;
 
-/// Divisor of the target latency that gives the time within which a request is refused if
-/// it is not worth waiting: a refusal within an eighth of the target hardly delays the
-/// client.
-const EARLY_REFUSAL_DIVISOR: u32 = 8;
 /// Time from the order of a load to the first event of a stream, beyond the load itself.
 const LOAD_OVERHEAD: Duration = Duration::from_millis(600);
 /// Time from the end of a load to the first event of a stream.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
-/// Time before its deadline at which a waiting request is refused.
-pub const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
-/// Divisor of the time until the deadline: a refused client is told to retry within a
-/// third of that time, so that it can still be served.
-pub const RETRY_AFTER_DIVISOR: u32 = 3;
 /// Time after its `Retry-After` within which a refused client is expected to retry.
 const RETRY_SLACK: Duration = Duration::from_secs(2);
-/// Fraction of a client's patience after which a waiting request is refused: a client
-/// that is refused retries, while one that gives up does not.
-pub const PATIENCE_FRACTION: f64 = 0.92;
 /// Largest number of requests that wait at one node.
 const MAX_QUEUE_LENGTH: usize = 2000;
 
-/// When a request that no runner can take now can be served, counted from the present.
+/// When a request that no runner can take now gets its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Availability {
-    /// The time is known: a load was ordered, a pause or a rate limit ends, or an
-    /// available runner has a local weight copy, from which the model is loaded as soon
-    /// as the placement leader learns that it is wanted.
-    Known(Duration),
-    /// The time is an estimate: the model has to come from the weight store, and no load
-    /// of it is known to be ordered. `Duration::MAX` if nothing is known.
-    Unplanned(Duration),
-}
-
-impl Availability {
-    fn ready_in(self) -> Duration {
-        match self {
-            Self::Known(ready_in) | Self::Unplanned(ready_in) => ready_in,
-        }
-    }
+    /// After this time, by what is known to come: the end of a load that was ordered, of a
+    /// pause or of a rate limit.
+    Planned(Duration),
+    /// After this time if the model's load is ordered now, which nobody has done yet.
+    IfOrderedNow(Duration),
+    /// Once another request leaves its slot, which may be at any time.
+    Unknown,
+    /// Nothing is known to come that could serve the request.
+    Never,
 }
 
 impl Dispatcher {
     /// Queues `query`, or refuses it if the queue is full or waiting is of no use.
     pub(crate) fn wait_or_refuse(&mut self, query: Query, now: Instant) -> Acquired {
-        let (reason, refuse_at) = self.waiting_limit(&query, now, now);
+        let (reason, refuse_at) = self.waiting_limit(&query, now);
         if let (Some(wanted), RefusalReason::NotLoaded) = (&query.wanted, reason) {
             self.cold_starts.record_begin(&query.service, wanted, now);
         }
@@ -73,7 +56,6 @@
         self.queue.push(WaitingRequest {
             ticket,
             query,
-            waiting_since: now,
             refuse_at,
             reason,
         });
@@ -93,59 +75,35 @@
         }
     }
 
-    /// Returns the reason why a request that began to wait at `since` cannot be served at
-    /// `now`, and the time at which it is refused if no runner takes it before: soon,
-    /// unless the request is expected to be served early enough.
-    fn waiting_limit(
-        &self,
-        query: &Query,
-        since: Instant,
-        now: Instant,
-    ) -> (RefusalReason, Instant) {
-        let early_refusal =
-            since + query.target_latency.unwrap_or(DEFAULT_RETRY_AFTER) / EARLY_REFUSAL_DIVISOR;
-        let latest = query
-            .deadline
-            .checked_sub(DEADLINE_MARGIN)
-            .unwrap_or(now)
-            .max(now);
-        let patience_end = query.patience.map_or(latest, |patience| {
-            latest.min(since + patience.mul_f64(PATIENCE_FRACTION))
-        });
-        if self.open_runners(query, now).next().is_none() {
-            if query.software.is_some() {
-                // A runner that comes later has a new version rather than an old one.
-                return (RefusalReason::NoRunnerOfVersion, now);
-            }
-            return (RefusalReason::NoRunner, early_refusal.min(latest));
-        }
+    /// Returns the reason why a request cannot be served at `now`, and the time at which it is
+    /// refused, or examined again, if no runner takes it before: as long as it can still be
+    /// served before its client leaves, and `now` if it cannot.
+    fn waiting_limit(&self, query: &Query, now: Instant) -> (RefusalReason, Instant) {
         let reason = self.waiting_reason(query, now);
-        let Some(availability) = self.availability_for(query, reason, now) else {
-            // Slots free up when other requests end. A request for a model waits for one
-            // about as long as its client does. Requests of plain services end quickly, so
-            // one that gets no slot within a moment is refused.
-            let wants_model = query.wanted.is_some();
-            let until = if wants_model {
-                patience_end
-            } else {
-                early_refusal.min(latest)
-            };
-            return (reason, until);
-        };
-        let until = if self.is_worth_waiting(query, availability, patience_end, now) {
-            patience_end
-        } else if reason == RefusalReason::Paused {
-            // Refused at once: unlike the use of a slot, a pause does not end before its
-            // known time.
-            now
-        } else {
-            early_refusal.min(latest)
+        let due_at = query.due_at.max(now);
+        let latest_without = |work: Duration| due_at.checked_sub(work).unwrap_or(now).max(now);
+        let until = match self.availability_for(query, reason, now) {
+            Availability::Never => now,
+            Availability::Unknown => due_at,
+            Availability::Planned(ready_in) if now + ready_in > due_at => now,
+            Availability::Planned(_) => due_at,
+            // If the load is ordered until then, it ends before the client leaves.
+            Availability::IfOrderedNow(ready_in) => latest_without(ready_in),
         };
         (reason, until)
     }
 
     /// Returns what keeps the open runners from taking `query`.
     fn waiting_reason(&self, query: &Query, now: Instant) -> RefusalReason {
+        if self.open_runners(query, now).next().is_none() {
+            // A runner that comes later has a new version rather than an old one.
+            let wants_version = query.software.is_some();
+            return if wants_version {
+                RefusalReason::NoRunnerOfVersion
+            } else {
+                RefusalReason::NoRunner
+            };
+        }
         let Some(wanted) = &query.wanted else {
             let end = self.first_end_if_all_pause(self.open_runners(query, now), now);
             return end.map_or(RefusalReason::Full, |_| RefusalReason::Paused);
@@ -163,31 +121,67 @@
         reason
     }
 
-    /// Returns when a runner can take `query`, which waits for `reason`; `None` if that
-    /// cannot be estimated.
-    fn availability_for(
-        &self,
-        query: &Query,
-        reason: RefusalReason,
-        now: Instant,
-    ) -> Option<Availability> {
+    /// Returns when `query`, which waits for `reason`, gets its first event.
+    fn availability_for(&self, query: &Query, reason: RefusalReason, now: Instant) -> Availability {
         match (reason, &query.wanted) {
-            (RefusalReason::NotLoaded, Some(wanted)) => {
-                Some(self.load_availability(query, wanted, now))
-            }
+            (RefusalReason::NoRunner | RefusalReason::NoRunnerOfVersion, _) => Availability::Never,
+            (RefusalReason::NotLoaded, Some(wanted)) => self.load_availability(query, wanted, now),
             (RefusalReason::Limited | RefusalReason::Paused, Some(wanted)) => {
-                Some(self.holder_availability(query, wanted, now))
+                self.holder_availability(query, wanted, now)
             }
-            (RefusalReason::Paused, None) => {
-                let end = self.first_end_if_all_pause(self.open_runners(query, now), now)?;
-                Some(Availability::Known(end.saturating_duration_since(now)))
+            (RefusalReason::Paused, None) => self.pause_availability(query, now),
+            (_, Some(wanted)) => self.slot_availability(query, wanted, now),
+            (_, None)
+                if self
+                    .untried(self.open_runners(query, now), query)
+                    .next()
+                    .is_none() =>
+            {
+                Availability::Never
             }
-            _ => None,
+            (_, None) => Availability::Unknown,
         }
     }
 
+    /// When a full runner that holds `wanted` takes the request, unless all of them refused it:
+    /// then only a load on another runner helps.
+    fn slot_availability(
+        &self,
+        query: &Query,
+        wanted: &ModelReference,
+        now: Instant,
+    ) -> Availability {
+        let holders = self.open_holders(query, wanted, now);
+        if self.untried(holders, query).next().is_some() {
+            return Availability::Unknown;
+        }
+        let runners = self.untried(self.open_runners(query, now), query);
+        let load_ends = runners.filter_map(|entry| entry.load_ready_at(&wanted.model));
+        load_ends.min().map_or(Availability::Never, |at| {
+            Availability::Planned(at.saturating_duration_since(now) + FIRST_EVENT_TIME)
+        })
+    }
+
+    /// Leaves out the runners that refused the request or at which it failed, which do not get
+    /// it again.
+    fn untried<'a>(
+        &'a self,
+        runners: impl Iterator<Item = &'a RunnerEntry> + 'a,
+        query: &'a Query,
+    ) -> impl Iterator<Item = &'a RunnerEntry> + 'a {
+        runners.filter(|entry| !query.excluded_runners.contains(&entry.runner.id))
+    }
+
+    /// When the first of the runners of a plain service, all of which pause, ends its pause.
+    fn pause_availability(&self, query: &Query, now: Instant) -> Availability {
+        let end = self.first_end_if_all_pause(self.open_runners(query, now), now);
+        end.map_or(Availability::Unknown, |end| {
+            Availability::Planned(end.saturating_duration_since(now))
+        })
+    }
+
     /// Returns the runners of the service that accept new work, may serve `query` and hold
-    /// `wanted`.
+    /// `wanted`, without those at which the request failed.
     fn open_holders<'a>(
         &'a self,
         query: &'a Query,
@@ -199,6 +193,7 @@
                 && entry.is_open(now)
                 && self.is_allowed(entry, query)
                 && entry.holds(wanted, now)
+                && !is_lost(entry, query, wanted, now)
         })
     }
 
@@ -216,52 +211,11 @@
         if waiting.refuse_at > now && !rechecked_reasons.contains(&waiting.reason) {
             return None;
         }
-        let (reason, until) = self.waiting_limit(&waiting.query, waiting.waiting_since, now);
+        let (reason, until) = self.waiting_limit(&waiting.query, now);
         (waiting.reason, waiting.refuse_at) = (reason, until);
         (until <= now).then_some(reason)
     }
 
-    /// Whether a request waits for its expected availability, until `patience_end` at
-    /// most.
-    ///
-    /// A load that is not known to be ordered is waited for only if it is expected to end
-    /// within the target latency: it may never be ordered, and the client would learn
-    /// that only when it can no longer retry.
-    fn is_worth_waiting(
-        &self,
-        query: &Query,
-        availability: Availability,
-        patience_end: Instant,
-        now: Instant,
-    ) -> bool {
-        let ready_in = availability.ready_in();
-        let time_left = patience_end.saturating_duration_since(now);
-        let target = query.target_latency.unwrap_or(DEFAULT_RETRY_AFTER);
-        match availability {
-            Availability::Unplanned(_) if ready_in > target => false,
-            _ if query.is_client_retry || query.software.is_some() => ready_in <= time_left,
-            _ => !self.gains_from_refusal(query, ready_in, time_left, now),
-        }
-    }
-
-    /// Whether a client whose request can be served after `ready_in` is better off with a
-    /// refusal at once: its latency then counts only from its retry on. That is so if the
-    /// request cannot be served within its target latency, and either the retry may be put
-    /// off until then or the request would wait longer than `time_left`.
-    fn gains_from_refusal(
-        &self,
-        query: &Query,
-        ready_in: Duration,
-        time_left: Duration,
-        now: Instant,
-    ) -> bool {
-        let target = query.target_latency.unwrap_or(DEFAULT_RETRY_AFTER);
-        let longest_retry_after =
-            query.deadline.saturating_duration_since(now) / RETRY_AFTER_DIVISOR;
-        let can_retry_in_time = ready_in <= longest_retry_after;
-        ready_in > target && (can_retry_in_time || ready_in > time_left)
-    }
-
     /// When a rate-limited or pausing runner that holds `wanted` can take the request, or
     /// an ordered load on another runner ends.
     fn holder_availability(
@@ -278,8 +232,8 @@
             .open_runners(query, now)
             .filter_map(|entry| entry.load_ready_at(&wanted.model));
         let earliest = callable_times.chain(load_ends).min();
-        earliest.map_or(Availability::Unplanned(Duration::MAX), |at| {
-            Availability::Known(at.saturating_duration_since(now) + FIRST_EVENT_TIME)
+        earliest.map_or(Availability::Never, |at| {
+            Availability::Planned(at.saturating_duration_since(now) + FIRST_EVENT_TIME)
         })
     }
 
@@ -301,7 +255,7 @@
         &'a self,
         query: &'a Query,
         now: Instant,
-    ) -> impl Iterator<Item = &'a RunnerEntry> + Clone + 'a {
+    ) -> impl Iterator<Item = &'a RunnerEntry> + 'a {
         self.runners
             .values()
             .filter(move |entry| entry.runner.service == query.service && entry.is_open(now))
@@ -315,33 +269,26 @@
         wanted: &ModelReference,
         now: Instant,
     ) -> Availability {
-        let open_runners = self.open_runners(query, now);
-        let planned_at = open_runners
-            .clone()
+        let planned_at = self
+            .untried(self.open_runners(query, now), query)
             .filter_map(|entry| entry.load_ready_at(&wanted.model))
             .min();
         if let Some(at) = planned_at {
             let time_left = at.saturating_duration_since(now);
-            return Availability::Known(time_left + FIRST_EVENT_TIME);
+            return Availability::Planned(time_left + FIRST_EVENT_TIME);
         }
         let spec = self.model_spec(query, wanted);
         let remote_load = spec.map_or(Duration::ZERO, |spec| spec.remote_load);
-        let copy_load_times: Vec<Option<Duration>> = open_runners
-            .map(|entry| load_time_from_copy(entry, &wanted.model, spec))
-            .collect();
-        let shortest_load = copy_load_times
-            .iter()
-            .map(|load| load.unwrap_or(remote_load))
+        let shortest_load = self
+            .untried(self.open_runners(query, now), query)
+            .filter_map(|entry| load_time_from_copy(entry, &wanted.model, spec))
             .min();
-        let load = shortest_load.unwrap_or(remote_load) + LOAD_OVERHEAD;
-        let ready_in = self
+        let load = shortest_load.map_or(remote_load, |load| load.min(remote_load)) + LOAD_OVERHEAD;
+        let expected = self
             .cold_starts
             .remaining(&query.service, wanted, load, now);
-        if copy_load_times.iter().any(Option::is_some) {
-            Availability::Known(ready_in)
-        } else {
-            Availability::Unplanned(ready_in)
-        }
+        // Nothing of a load that is not ordered is done, however long the request has waited.
+        Availability::IfOrderedNow(expected.max(load))
     }
 
     fn model_spec(&self, query: &Query, wanted: &ModelReference) -> Option<&ModelSpec> {
@@ -349,13 +296,24 @@
         service.engine.as_ref()?.models.get(&wanted.model)
     }
 
+    /// Returns when the client of `query` should come back if nothing is known of when a runner
+    /// can take the request.
+    pub(crate) fn spread_retry_after(&mut self, query: &Query, now: Instant) -> Duration {
+        self.last_id += 1;
+        let time_left = query.deadline.saturating_duration_since(now);
+        spread_retry_after(time_left, &(&self.name, self.last_id))
+    }
+
     /// Creates the refusal of `query`, and notes in the demand that its client is expected
     /// to retry.
     pub(crate) fn refuse(&mut self, query: &Query, reason: RefusalReason, now: Instant) -> Refusal {
         let time_left = query.deadline.saturating_duration_since(now);
-        let availability = self.availability_for(query, reason, now);
-        let expected_wait = availability.map_or(DEFAULT_RETRY_AFTER, Availability::ready_in);
-        let retry_after = expected_wait.min(time_left / RETRY_AFTER_DIVISOR);
+        let retry_after = match self.availability_for(query, reason, now) {
+            Availability::Planned(ready_in) | Availability::IfOrderedNow(ready_in) => {
+                retry_after(ready_in, time_left)
+            }
+            Availability::Unknown | Availability::Never => self.spread_retry_after(query, now),
+        };
         if let Some(wanted) = &query.wanted {
             let until = now + retry_after + RETRY_SLACK;
             self.demand.expect_retry(&query.service, wanted, until);
@@ -367,6 +325,13 @@
     }
 }
 
+/// Whether the request failed at a runner that holds `wanted`, so that the model has to be
+/// loaded elsewhere. A runner that refused it for lack of room holds the model still.
+fn is_lost(entry: &RunnerEntry, query: &Query, wanted: &ModelReference, now: Instant) -> bool {
+    let has_refused = entry.health().is_busy(now) || !entry.accepts(wanted, now);
+    query.excluded_runners.contains(&entry.runner.id) && !has_refused
+}
+
 /// Returns the time that a runner takes to load `model` from its local weight copy: zero
 /// if it holds the model already, `None` if it has no copy.
 fn load_time_from_copy(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -283,7 +283,6 @@
     /// Builds the dispatcher's query for the next attempt. If `may_wait` is false, the
     /// dispatcher refuses instead of queueing.
     pub fn query(&self, attempt: AttemptKind, may_wait: bool) -> Query {
-        let since_last_event = self.last_event_at.elapsed();
         Query {
             service: self.service.clone(),
             wanted: self.wanted(),
@@ -293,12 +292,9 @@
             cache_tokens: self.cache_tokens(),
             prefix_key: self.prefix_key(),
             deadline: self.deadline.into_std(),
+            due_at: self.answer_due_at().into_std(),
             target_latency: self.route.target_latency,
             target_gap: self.route.target_gap,
-            patience: self
-                .route
-                .stream_patience
-                .map(|patience| patience.saturating_sub(since_last_event)),
             is_client_retry: self.is_client_retry(),
             allowed_regions: AllowedRegions::for_request(&self.route, self.tenant.as_deref()),
             software: self.software.clone(),
@@ -309,6 +305,21 @@
         }
     }
 
+    /// Returns the time by which the client needs an answer, or a refusal, to get it before it
+    /// leaves: at the deadline or, for a stream, when the gap since the last event is longer
+    /// than clients bear.
+    pub fn answer_due_at(&self) -> Instant {
+        let patience = self.route.stream_patience;
+        let leaves_at = patience.map_or(self.deadline, |patience| {
+            self.deadline.min(self.last_event_at + patience)
+        });
+        let now = Instant::now().into_std();
+        Instant::from_std(barleyspar_dispatch::answer_due_at(
+            leaves_at.into_std(),
+            now,
+        ))
+    }
+
     /// Returns the number of the prompt's tokens that a runner may have to read: no more than
     /// its cache holds, whatever the client names.
     pub fn readable_prompt_tokens(&self) -> u64 {
--- a/crates/gateway/src/prefill/pacing.rs
+++ b/crates/gateway/src/prefill/pacing.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{RequestKind, runner_key};
-use barleyspar_dispatch::{
-    DEADLINE_MARGIN, PATIENCE_FRACTION, RETRY_AFTER_DIVISOR, Refusal, RefusalReason,
-};
+use barleyspar_dispatch::{Refusal, RefusalReason, retry_after};
 use barleyspar_prefill::MAX_PROMPT_TOKENS;
 use tokio::time::{Instant, interval};
 
@@ -72,8 +70,7 @@
     let Some(handle) = &exchange.context.prefill else {
         return Turn::Send;
     };
-    let started = Instant::now();
-    let gives_up_at = gives_up_at(exchange, started);
+    let gives_up_at = exchange.answer_due_at();
     let may_leave = moves.may_leave(permit);
     let Some(ask) = ask_for(exchange, permit, gives_up_at, may_leave) else {
         return Turn::Send;
@@ -155,19 +152,6 @@
     })
 }
 
-/// Returns when the request stops waiting for a permit: before its client does, and in time
-/// before its deadline. A request with little time left waits for half of it.
-fn gives_up_at(exchange: &Exchange, now: Instant) -> Instant {
-    let time_left = exchange.remaining_time();
-    let latest = now + (time_left / 2).max(time_left.saturating_sub(DEADLINE_MARGIN));
-    let since_last_event = exchange.last_event_at.elapsed();
-    let patience = exchange.route.stream_patience;
-    patience.map_or(latest, |patience| {
-        let remaining = patience.saturating_sub(since_last_event);
-        latest.min(now + remaining.mul_f64(PATIENCE_FRACTION))
-    })
-}
-
 /// Waits until the permit's runner accepts no more work.
 async fn runner_stops(permit: &Permit) {
     let mut checks = interval(RUNNER_CHECK_INTERVAL);
@@ -216,6 +200,6 @@
 fn refusal(exchange: &Exchange, wait: Duration) -> Refusal {
     Refusal {
         reason: RefusalReason::PrefillFull,
-        retry_after: wait.min(exchange.remaining_time() / RETRY_AFTER_DIVISOR),
+        retry_after: retry_after(wait, exchange.remaining_time()),
     }
 }
