First tries and repeats are treated alike: the time that is left tells them apart by itself

Callers saw: a request that allowed less than 0.95 of its route's timeout was taken for a repeat.

Change: the mark is gone from the order, the waits, the log and the metrics. Waiting requests go by priority, their tenants' shares, then by when their clients need the answer: one that came back has less time left than a new one. A refused client counts in the demand until it has come back, to whichever node: its Retry-After and the second that clients allow a new connection. It was two seconds, shortened when any request that looked like a repeat came to this node.

Tests: a_returning_client_waits_behind_new_requests and a_crowd_that_claims_to_return_... asserted the mark; replaced by the order of those whose clients leave first, and of a crowd that claims to be in a hurry; a route's target changes no order.

--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -101,20 +101,12 @@
         demand.waiting = demand.waiting.saturating_sub(1);
     }
 
-    /// Counts a refused client that is expected to retry before `until`, until then or
-    /// until [`Self::record_retry`] is called.
+    /// Counts a refused client until `until`, when it has come back, to whichever node.
     pub fn expect_retry(&mut self, service: &Arc<str>, wanted: &ModelReference, until: Instant) {
         let demand = self.model_demand(service, wanted);
         demand.expected_retries.expect(until);
     }
 
-    /// Notes that a refused client has retried, so that it is not counted twice: the next
-    /// one that is expected at this node counts no longer.
-    pub fn record_retry(&mut self, service: &Arc<str>, wanted: &ModelReference, now: Instant) {
-        let demand = self.model_demand(service, wanted);
-        demand.expected_retries.remove_next(now);
-    }
-
     /// Counts a request that is granted a runner, until [`Self::remove_in_flight`] is
     /// called for it.
     pub fn add_in_flight(&mut self, service: &Arc<str>, wanted: &ModelReference) {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -249,9 +249,6 @@
         if let Some(wanted) = &query.wanted {
             self.demand
                 .record_request(&query.service, wanted, query.priority, now);
-            if query.is_client_retry {
-                self.demand.record_retry(&query.service, wanted, now);
-            }
         }
         self.record_prompt(query, now);
         None
--- a/crates/dispatch/src/expected_lateness_tests.rs
+++ b/crates/dispatch/src/expected_lateness_tests.rs
@@ -41,7 +41,6 @@
         due_at: now,
         target_latency: Some(target),
         target_gap: Some(Duration::from_millis(300)),
-        is_client_retry: false,
         tenant: None,
         allowed_regions: AllowedRegions::default(),
         software: None,
--- a/crates/dispatch/src/expected_retries.rs
+++ b/crates/dispatch/src/expected_retries.rs
@@ -26,13 +26,7 @@
         }
     }
 
-    /// Counts the client that is expected next no longer, if there is one at `now`.
-    pub(crate) fn remove_next(&mut self, now: Instant) {
-        self.remove_overdue(now);
-        self.remove_first();
-    }
-
-    /// Drops the clients that have not retried in time.
+    /// Drops the clients whose time to come back is over.
     pub(crate) fn remove_overdue(&mut self, now: Instant) {
         self.by_time.retain(|until, _| now < *until);
     }
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -45,9 +45,6 @@
     /// Longest time between two events of the answer that the route allows; `None` if it does
     /// not say.
     pub target_gap: Option<Duration>,
-    /// Whether the client seems to be retrying after a refusal; it may then have no time for
-    /// another retry, so its request waits longer, and before new ones.
-    pub is_client_retry: bool,
     /// The regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
     /// The software version that began the stream, at which alone it may go on; `None` for a
--- a/crates/dispatch/src/slot_shares.rs
+++ b/crates/dispatch/src/slot_shares.rs
@@ -32,8 +32,8 @@
 
     /// Sorts waiting requests into the order in which they are served: by priority; within
     /// a priority, those beyond their tenant's share after the others, the furthest beyond
-    /// last; then clients that retry, which were told to come now; then by deadline and
-    /// ticket.
+    /// last; then by the time by which clients need their answers, and by ticket. A client that
+    /// came back has less time left than a new one, and needs no other mark.
     pub fn sort(&self, entries: &mut Vec<WaitingRequest>) {
         entries.sort_by_key(urgency);
         let least_starts = self.least_starts(entries);
@@ -93,7 +93,5 @@
 }
 
 fn urgency(entry: &WaitingRequest) -> impl Ord + use<> {
-    let query = &entry.query;
-    let is_new = !query.is_client_retry;
-    (query.priority, is_new, query.deadline, entry.ticket)
+    (entry.query.priority, entry.query.due_at, entry.ticket)
 }
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -16,8 +16,9 @@
 const LOAD_OVERHEAD: Duration = Duration::from_millis(600);
 /// Time from the end of a load to the first event of a stream.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
-/// Time after its `Retry-After` within which a refused client is expected to retry.
-const RETRY_SLACK: Duration = Duration::from_secs(2);
+/// Time after its `Retry-After` within which a refused client has come back: it opens a new
+/// connection, for which clients allow a second.
+const RETURN_CONNECTION_TIME: Duration = Duration::from_secs(1);
 /// Largest number of requests that wait at one node.
 const MAX_QUEUE_LENGTH: usize = 2000;
 
@@ -315,7 +316,7 @@
             Availability::Unknown | Availability::Never => self.spread_retry_after(query, now),
         };
         if let Some(wanted) = &query.wanted {
-            let until = now + retry_after + RETRY_SLACK;
+            let until = now + retry_after + RETURN_CONNECTION_TIME;
             self.demand.expect_retry(&query.service, wanted, until);
         }
         Refusal {
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -115,7 +115,6 @@
         due_at: answer_due_at(now + patience.min(DEADLINE), now),
         target_latency: Some(target),
         target_gap: None,
-        is_client_retry: false,
         allowed_regions: AllowedRegions::default(),
         software: None,
         excluded_runners: Vec::new(),
--- a/crates/dispatch/tests/expected_retries.rs
+++ b/crates/dispatch/tests/expected_retries.rs
@@ -8,8 +8,8 @@
 use common::{SECOND, dispatcher, query};
 
 const CHAT_TARGET: Duration = Duration::from_millis(600);
-/// Time after its `Retry-After` within which a client is expected.
-const SLACK: Duration = Duration::from_secs(2);
+/// Time after its `Retry-After` within which a client has come back.
+const SLACK: Duration = Duration::from_secs(1);
 
 /// Refuses a request for a model that is not loaded, at `now`; returns the time that its
 /// client was told to wait.
@@ -66,9 +66,10 @@
     assert_eq!(waiting(&mut dispatcher, ends[2]), 0);
 }
 
-/// Three clients are refused; one of them comes back and is refused again.
+/// Three clients are refused; one of them comes back and is refused again. The others come back
+/// to other nodes, where they count.
 #[test]
-fn a_client_that_came_back_counts_twice() {
+fn clients_that_came_back_count_on() {
     let now = Instant::now();
     let mut dispatcher = dispatcher(now);
     let retry_after = (0..3)
@@ -76,12 +77,9 @@
         .max()
         .expect("three clients were refused");
     let at = now + retry_after;
-    let retry = Query {
-        is_client_retry: true,
-        ..query(at, CHAT_TARGET, 5 * SECOND)
-    };
-    refuse(&mut dispatcher, retry, at);
-    assert_eq!(waiting(&mut dispatcher, at), 3);
+    let again = refuse_new(&mut dispatcher, at);
+    assert!(again >= SLACK, "{again:?}");
+    assert_eq!(waiting(&mut dispatcher, at + SLACK), 1);
 }
 
 /// 5,000 clients of one model are refused within five seconds.
--- a/crates/dispatch/tests/slot_shares.rs
+++ b/crates/dispatch/tests/slot_shares.rs
@@ -107,7 +107,7 @@
     for (tenant, label) in [(2, "second"), (3, "third"), (4, "fourth")] {
         for _ in 0..4 {
             let mut request = full.request(Some(tenant));
-            request.deadline += SECOND;
+            request.due_at += SECOND;
             full.wait(request, label);
         }
     }
@@ -125,7 +125,7 @@
     for _ in 0..100 {
         full.wait(full.request(Some(1)), "early");
         let mut request = full.request(Some(2));
-        request.deadline += SECOND;
+        request.due_at += SECOND;
         full.wait(request, "late");
     }
     let served = full.serve(100);
@@ -145,7 +145,7 @@
     }
     for (tenant, label) in [(2, "second"), (3, "third"), (4, "fourth")] {
         let mut request = full.request(Some(tenant));
-        request.deadline += SECOND;
+        request.due_at += SECOND;
         full.wait(request, label);
     }
     let served = full.serve_at_once();
@@ -163,28 +163,42 @@
     assert_eq!(full.serve(2), ["urgent", "usual"]);
 }
 
-/// Twenty new requests wait, then a client comes back whose deadline is later.
+/// Twenty requests wait, then one whose client has less time left.
 #[test]
-fn a_returning_client_waits_behind_new_requests() {
+fn a_request_whose_client_leaves_first_is_served_last() {
     let mut full = FullRunner::new(None);
     for _ in 0..20 {
-        full.wait(full.request(None), "new");
+        full.wait(full.request(None), "patient");
     }
-    let mut returning = full.request(None);
-    returning.is_client_retry = true;
-    returning.deadline += SECOND;
-    full.wait(returning, "returning");
-    assert_eq!(full.serve(1), ["returning"]);
+    let mut urgent = full.request(None);
+    urgent.due_at -= SECOND;
+    full.wait(urgent, "leaving");
+    assert_eq!(full.serve(1), ["leaving"]);
 }
 
-/// A tenant over its share says with each request that it comes back.
+/// Two kinds of request that differ in their routes' targets alone, by turns.
 #[test]
-fn a_crowd_that_claims_to_return_goes_before_other_tenants() {
+fn a_shorter_target_goes_first() {
+    let mut full = FullRunner::new(None);
+    for _ in 0..20 {
+        for (target, label) in [(9 * SECOND, "long"), (SECOND / 10, "short")] {
+            let mut request = full.request(None);
+            request.target_latency = Some(target);
+            full.wait(request, label);
+        }
+    }
+    let served = full.serve(8);
+    assert_eq!(count(&served, "long"), 4, "{served:?}");
+}
+
+/// A tenant over its share says with each request that it has little time left.
+#[test]
+fn a_crowd_that_claims_to_be_in_a_hurry_goes_before_other_tenants() {
     let mut full = FullRunner::new(Some(CROWD));
     for _ in 0..100 {
-        let mut returning = full.request(Some(CROWD));
-        returning.is_client_retry = true;
-        full.wait(returning, "crowd");
+        let mut hurried = full.request(Some(CROWD));
+        hurried.due_at -= SECOND;
+        full.wait(hurried, "crowd");
     }
     full.wait(full.request(Some(2)), "other");
     let served = full.serve(16);
@@ -208,7 +222,7 @@
     }
     full.wait(full.request(Some(1)), "moved");
     let mut request = full.request(Some(2));
-    request.deadline += SECOND;
+    request.due_at += SECOND;
     full.wait(request, "other");
     assert_eq!(full.serve(2), ["moved", "other"]);
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,9 +28,6 @@
 /// A request gets no further attempt after more than this number of attempts that failed
 /// before any byte was sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// Fraction of the route's timeout. A client that allows the request less time than this
-/// seems to have used up the rest in earlier attempts.
-const CLIENT_RETRY_FRACTION: f64 = 0.95;
 /// Longest wait for the decision whether a request may be resent after its connection to a
 /// runner broke. The decision takes one connection attempt to the runner and, after a crash,
 /// one exchange of datagrams with the limit owner.
@@ -229,12 +226,9 @@
 
     /// Logs and counts that the dispatcher refused the request.
     pub fn record_refusal(&self, refusal: Refusal) {
-        let is_client_retry = self.is_client_retry();
-        journal::refused(self.id(), refusal, self.verdict, is_client_retry);
+        journal::refused(self.id(), refusal, self.verdict);
         let reason = refusal.reason.name();
-        self.context
-            .metrics
-            .request_refused(reason, is_client_retry);
+        self.context.metrics.request_refused(reason);
     }
 
     /// Returns the time until the deadline; zero after it.
@@ -295,7 +289,6 @@
             due_at: self.answer_due_at().into_std(),
             target_latency: self.route.target_latency,
             target_gap: self.route.target_gap,
-            is_client_retry: self.is_client_retry(),
             allowed_regions: AllowedRegions::for_request(&self.route, self.tenant.as_deref()),
             software: self.software.clone(),
             excluded_runners: self.excluded_runners.clone(),
@@ -332,15 +325,6 @@
         prompt.saturating_add(answer).min(self.engine_cache_tokens)
     }
 
-    /// Returns whether the client seems to retry after a refusal: it allows the request
-    /// clearly less time than the route's timeout.
-    fn is_client_retry(&self) -> bool {
-        match (self.facts.deadline, self.route.timeout) {
-            (Some(remaining), Some(allowed)) => remaining < allowed.mul_f64(CLIENT_RETRY_FRACTION),
-            _ => false,
-        }
-    }
-
     /// Returns the key of the caller's tenant; `None` if the route requires no tenant.
     pub fn tenant_key(&self) -> Option<TenantKey> {
         let tenant = self.tenant.as_ref()?;
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -353,15 +353,13 @@
 }
 
 /// Logs that the dispatcher refused a request, with the reason of the refusal.
-/// `is_client_retry`: whether its client came back after an earlier refusal.
-pub fn refused(request: &str, refusal: Refusal, verdict: Verdict, is_client_retry: bool) {
+pub fn refused(request: &str, refusal: Refusal, verdict: Verdict) {
     tracing::warn!(
         event = "refused",
         request,
         reason = refusal.reason.name(),
         verdict = verdict.as_str(),
-        retry_after_ms = milliseconds(refusal.retry_after),
-        is_client_retry
+        retry_after_ms = milliseconds(refusal.retry_after)
     );
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,21 +58,13 @@
     cause: &'static str,
 }
 
-/// Labels of refused requests: the reason, and whether the client is new or came back after
-/// an earlier refusal.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RefusedLabels {
-    reason: &'static str,
-    client: &'static str,
-}
-
 /// The metrics of one gateway process.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     requests: Family<EndLabels, Counter>,
     turned_away: Family<ReasonLabels, Counter>,
-    refused: Family<RefusedLabels, Counter>,
+    refused: Family<ReasonLabels, Counter>,
     quota_decisions: Family<CallLabels, Counter>,
     prefill_decisions: Family<OutcomeLabels, Counter>,
     prefill_wait_seconds: Histogram,
@@ -235,12 +227,9 @@
             .inc();
     }
 
-    /// Counts a request that the dispatcher refused. `is_client_retry`: whether its client came
-    /// back after an earlier refusal.
-    pub fn request_refused(&self, reason: &'static str, is_client_retry: bool) {
-        let client = if is_client_retry { "returned" } else { "new" };
-        let labels = RefusedLabels { reason, client };
-        self.refused.get_or_create(&labels).inc();
+    /// Counts a request that the dispatcher refused, by the reason.
+    pub fn request_refused(&self, reason: &'static str) {
+        self.refused.get_or_create(&ReasonLabels { reason }).inc();
     }
 
     /// Counts a decision on a permit request of this node. `call` says on which kind of limit,
