Prompts are read in the order in which their callers leave, not by their routes' targets

Callers saw: at a runner with prompts waiting, a prompt that could not be read by its route's target went behind all that could, whatever time its caller had; a share of one token in four, from 16,000 tokens on, kept such prompts from never being read. Prompts moved to another runner only where they would miss the target here, and the priority of requests did not count at all.

Cause: the queue asked whom to serve to meet most targets.

Change: prompts go by priority, their tenants' shares, then by the last time at which they can be granted and still be read before their request gives up. A long prompt has to begin earlier, so none needs a share to be read: LateShare is gone. A queued prompt moves to another runner if its wait is longer than the move and reading it anew take; without an owner it is sent in time to be read. The message keeps its shape: the priority stands where nodes of earlier builds read a time, by which they order, and are ordered, alike.

--- a/crates/gateway/src/prefill/mod.rs
+++ b/crates/gateway/src/prefill/mod.rs
@@ -21,8 +21,7 @@
 pub use pacing::{Moves, Turn, await_turn, await_turn_briefly};
 pub use task::PrefillTask;
 
-/// Shortest wait for which a request moves to another runner, which takes two exchanges of
-/// datagrams and a new choice.
+/// Time that a move to another runner takes: two exchanges of datagrams and a new choice.
 const MIN_MOVE_WAIT: Duration = Duration::from_millis(20);
 /// Time before a request gives up at which its prompt is sent if no owner answers.
 const UNOWNED_SEND_MARGIN: Duration = Duration::from_millis(20);
@@ -34,8 +33,8 @@
     pub runner: Arc<str>,
     /// Number of tokens of the prompt.
     pub prompt_tokens: u64,
-    /// Target for the first event.
-    pub target_at: Instant,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
     /// When the request stops waiting for the permit.
     pub gives_up_at: Instant,
     /// Longest pause between two events that the route allows.
@@ -46,19 +45,15 @@
     pub tokens_per_second: Option<f64>,
     /// Attempts of all nodes in flight at the runner, this one included.
     pub in_flight: u32,
-    /// Whether the request may go to another runner instead of waiting past its target.
+    /// Whether the request may go to another runner instead of waiting at this one.
     pub may_move: bool,
 }
 
 impl PrefillAsk {
-    /// Whether the request goes to another runner at `now`, if it would wait for `wait`: it
-    /// may, and would miss its target.
-    fn moves_after(&self, wait: Duration, now: Instant) -> bool {
-        if !self.may_move || wait < MIN_MOVE_WAIT {
-            return false;
-        }
-        let first_event_in = wait.saturating_add(self.read_time());
-        first_event_in > self.target_at.saturating_duration_since(now)
+    /// Whether the request goes to another runner if it would wait for `wait` here: it may, and
+    /// gains by that even if it has to be read anew there, without what this runner keeps of it.
+    fn moves_after(&self, wait: Duration) -> bool {
+        self.may_move && wait >= MIN_MOVE_WAIT + self.read_time()
     }
 
     /// Time that the runner takes to read the prompt; zero if its speed is unknown.
@@ -67,19 +62,18 @@
         read_time(self.prompt_tokens, speed)
     }
 
-    /// Returns the last time at which the prompt is sent if no owner answers, in time before
-    /// the request gives up.
+    /// Returns the last time at which the prompt is sent if no owner answers: early enough to be
+    /// read before the request gives up.
     fn last_send_at(&self) -> Instant {
-        let last_send_at = self.gives_up_at.checked_sub(UNOWNED_SEND_MARGIN);
+        let reading = self.read_time().saturating_add(UNOWNED_SEND_MARGIN);
+        let last_send_at = self.gives_up_at.checked_sub(reading);
         last_send_at.unwrap_or(self.gives_up_at)
     }
 
     /// Returns when this node sends the prompt without an owner, if its own turn comes at
-    /// `turn_at`: early enough to be read by its target, and before the request gives up.
+    /// `turn_at`.
     fn unowned_send_at(&self, turn_at: Instant, now: Instant) -> Instant {
-        let read_by_target = self.target_at.checked_sub(self.read_time());
-        let latest = read_by_target.unwrap_or(self.target_at);
-        turn_at.min(latest.min(self.last_send_at()).max(now))
+        turn_at.min(self.last_send_at()).max(now)
     }
 }
 
@@ -88,7 +82,7 @@
 pub enum PrefillDecision {
     /// The prompt may be sent now.
     Granted(PrefillPermit),
-    /// The expected wait misses the target, and the request may go to another runner.
+    /// The request is expected to be read sooner at another runner than after this wait.
     Elsewhere(Duration),
     /// The expected wait exceeds the request's patience.
     Denied(Duration),
--- a/crates/gateway/src/prefill/pacing.rs
+++ b/crates/gateway/src/prefill/pacing.rs
@@ -138,11 +138,10 @@
     if route.kind != RequestKind::Streaming || !has_prompt {
         return None;
     }
-    let target = route.target_latency;
     Some(PrefillAsk {
         runner: permit.runner().id.clone(),
         prompt_tokens: prompt_tokens.min(MAX_PROMPT_TOKENS.into()),
-        target_at: target.map_or(gives_up_at, |target| exchange.received + target),
+        priority: exchange.priority(),
         gives_up_at,
         target_gap,
         tenant: exchange.tenant_key(),
--- a/crates/gateway/src/prefill/task.rs
+++ b/crates/gateway/src/prefill/task.rs
@@ -192,7 +192,7 @@
             number,
             runner: runner_key(&ask.runner),
             prompt_tokens: u32::try_from(ask.prompt_tokens).unwrap_or(u32::MAX),
-            until_target_ms: milliseconds(ask.target_at.saturating_duration_since(now)),
+            priority: ask.priority.into(),
             patience_ms: milliseconds(ask.gives_up_at.saturating_duration_since(now)),
             target_gap_ms: milliseconds(ask.target_gap),
             tenant: ask.tenant,
@@ -275,7 +275,7 @@
             }
             (PrefillAnswer::Queued { wait_ms }, _) => {
                 let wait = Duration::from_millis(wait_ms.into());
-                if question.ask.moves_after(wait, Instant::now()) {
+                if question.ask.moves_after(wait) {
                     return self.give_up(number, question, PrefillDecision::Elsewhere(wait));
                 }
                 question.expected_wait = question.expected_wait.max(wait);
--- a/crates/prefill/src/lib.rs
+++ b/crates/prefill/src/lib.rs
@@ -12,7 +12,6 @@
 mod ended;
 mod estimates;
 mod gaps;
-mod late_share;
 mod messages;
 mod owner;
 mod pace;
--- a/crates/prefill/src/messages.rs
+++ b/crates/prefill/src/messages.rs
@@ -29,8 +29,9 @@
     pub runner: RunnerKey,
     /// Number of tokens of the prompt; more than [`MAX_PROMPT_TOKENS`] count as that.
     pub prompt_tokens: u32,
-    /// Milliseconds until the target for the request's first event; 0 once it has passed.
-    pub until_target_ms: u32,
+    /// Priority of the request; 0 is the most urgent. Nodes of earlier builds send and read a
+    /// time in milliseconds here, by which they order prompts.
+    pub priority: u32,
     /// Milliseconds for which the request may wait for the permit.
     pub patience_ms: u32,
     /// Longest pause between two events that the request's route allows, in milliseconds.
--- a/crates/prefill/src/queue.rs
+++ b/crates/prefill/src/queue.rs
@@ -1,13 +1,10 @@
 //! The prompts that wait for a permit at one runner, and which of them goes first.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use barleyspar_domain::rendezvous_weight;
-
 use crate::TenantKey;
-use crate::late_share::LateShare;
 use crate::shares::TenantShares;
 use crate::speed::read_time;
 
@@ -25,8 +22,8 @@
     pub tenant: Option<TenantKey>,
     /// Longest pause between two events of the request's answer.
     pub target_gap: Duration,
-    /// Target for the request's first event.
-    pub target_at: Instant,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u32,
     /// When the request stops waiting.
     pub gives_up_at: Instant,
 }
@@ -40,42 +37,22 @@
 /// Key by which waiting prompts are ordered, smallest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Urgency {
+    priority: u32,
     /// Whether the prompt's tenant was granted more than its share, so that it waits for
     /// those of the others.
     over_share: bool,
-    /// Whether the prompt cannot be read by its target any more. Reading it first would make
-    /// another one late and gain nothing.
-    late: bool,
-    /// The target or, for a late prompt, when the request gives up.
-    due_at: Instant,
+    /// The last time at which the prompt can be granted and still be read before its request
+    /// gives up. A long prompt has to begin earlier than a short one.
+    latest_start: Instant,
 }
 
 /// Prompts that wait for one runner.
 #[derive(Debug, Default)]
 pub struct PrefillQueue {
     waiting: Vec<WaitingPrompt>,
-    /// Shares of the tenants that have late prompts; `None` for prompts without a tenant.
-    late_shares: HashMap<Option<TenantKey>, LateShare>,
 }
 
 impl PrefillQueue {
-    /// Counts a prompt that is granted by a runner that reads `tokens_per_second`.
-    pub fn record_grant(&mut self, prompt: &WaitingPrompt, tokens_per_second: f64, now: Instant) {
-        let is_late = |prompt: &WaitingPrompt| is_late(prompt, tokens_per_second, now);
-        let late_tenants: HashSet<Option<TenantKey>> = self
-            .waiting
-            .iter()
-            .filter(|other| is_late(other))
-            .map(|other| other.tenant)
-            .collect();
-        self.late_shares
-            .retain(|tenant, _| late_tenants.contains(tenant));
-        if late_tenants.contains(&prompt.tenant) {
-            let share = self.late_shares.entry(prompt.tenant).or_default();
-            share.charge(prompt.tokens, is_late(prompt));
-        }
-    }
-
     /// Adds a prompt.
     pub fn push(&mut self, prompt: WaitingPrompt) {
         self.waiting.push(prompt);
@@ -128,23 +105,8 @@
         now: Instant,
     ) -> Option<&WaitingPrompt> {
         let order = self.order(tokens_per_second, shares, now);
-        let most_urgent = self
-            .readable(tokens_per_second, now)
-            .min_by_key(|prompt| order.urgency(prompt))?;
-        let owed = self.owed_late_prompt(most_urgent.tenant, &order);
-        Some(owed.unwrap_or(most_urgent))
-    }
-
-    /// Returns the late prompt on which `tenant` spends its turn: any, since each order by
-    /// time would always put off some kind of request. `None` if its late prompts were granted
-    /// their share, or none of them can be read before it gives up.
-    fn owed_late_prompt(&self, tenant: Option<TenantKey>, order: &Order) -> Option<&WaitingPrompt> {
-        if !self.late_shares.get(&tenant)?.is_owed() {
-            return None;
-        }
-        let own = self.waiting.iter().filter(|prompt| prompt.tenant == tenant);
-        own.filter(|prompt| order.is_late(prompt) && order.can_be_read(prompt))
-            .min_by_key(|prompt| rendezvous_weight(&prompt.id, ""))
+        self.readable(tokens_per_second, now)
+            .min_by_key(|prompt| order.urgency(prompt))
     }
 
     /// Returns the tokens of the other waiting prompts that are expected to be granted before
@@ -166,15 +128,17 @@
         if !others().any(|other| is_before(&other)) {
             return 0;
         }
-        let (own_prompts, others): (Vec<&WaitingPrompt>, Vec<&WaitingPrompt>) =
-            others().partition(|other| other.tenant == prompt.tenant);
-        let own_prompts = own_prompts.into_iter().filter(is_before);
-        let own_tokens = own_tokens_before(prompt, own_prompts, &order);
         let Some(tenant) = prompt.tenant else {
-            return own_tokens + tokens(others.into_iter().filter(is_before));
+            return tokens(others().filter(is_before));
         };
+        let is_more_urgent = |other: &&WaitingPrompt| other.priority < prompt.priority;
+        let more_urgent = tokens(others().filter(is_more_urgent));
+        let equals = others().filter(|other| other.priority == prompt.priority);
+        let (own_prompts, equals): (Vec<&WaitingPrompt>, Vec<&WaitingPrompt>) =
+            equals.partition(|other| other.tenant == prompt.tenant);
+        let own_tokens = tokens(own_prompts.into_iter().filter(is_before));
         let own_start = shares.start(tenant) + own_tokens;
-        own_tokens + tokens_of_others_before(own_start, others, shares)
+        more_urgent + own_tokens + tokens_of_others_before(own_start, equals, shares)
     }
 
     fn order<'a>(
@@ -217,23 +181,6 @@
     prompts.map(|prompt| prompt.tokens).sum()
 }
 
-/// Returns the tokens of a tenant's own `more_urgent` prompts that are granted before
-/// `prompt`: of those in time, a late prompt waits only for their share.
-fn own_tokens_before<'a>(
-    prompt: &WaitingPrompt,
-    more_urgent: impl Iterator<Item = &'a WaitingPrompt>,
-    order: &Order,
-) -> u64 {
-    let (late, in_time): (Vec<&WaitingPrompt>, Vec<&WaitingPrompt>) =
-        more_urgent.partition(|other| order.is_late(other));
-    let in_time = tokens(in_time.into_iter());
-    if !order.is_late(prompt) {
-        return in_time;
-    }
-    let late = tokens(late.into_iter());
-    late + in_time.min(LateShare::tokens_in_time_before(late + prompt.tokens))
-}
-
 /// Returns the tokens that other tenants are granted before a prompt that starts at the
 /// virtual time `own_start`. Prompts without a tenant have no share, so all of them count.
 fn tokens_of_others_before(
@@ -263,34 +210,17 @@
 impl Order<'_> {
     fn urgency(&self, prompt: &WaitingPrompt) -> Urgency {
         let is_over_share = |tenant| self.shares.is_over_share(tenant, self.least_start);
-        let late = self.is_late(prompt);
+        let reading = read_time(prompt.tokens, self.tokens_per_second);
+        let latest_start = prompt.gives_up_at.checked_sub(reading);
         Urgency {
+            priority: prompt.priority,
             over_share: prompt.tenant.is_some_and(is_over_share),
-            late,
-            due_at: if late {
-                prompt.gives_up_at
-            } else {
-                prompt.target_at
-            },
+            latest_start: latest_start.unwrap_or(self.now),
         }
     }
-
-    fn is_late(&self, prompt: &WaitingPrompt) -> bool {
-        is_late(prompt, self.tokens_per_second, self.now)
-    }
-
-    /// Whether a prompt can be read before it gives up.
-    fn can_be_read(&self, prompt: &WaitingPrompt) -> bool {
-        can_be_read(prompt, self.tokens_per_second, self.now)
-    }
 }
 
 fn can_be_read(prompt: &WaitingPrompt, tokens_per_second: f64, now: Instant) -> bool {
     let time_left = prompt.gives_up_at.saturating_duration_since(now);
     read_time(prompt.tokens, tokens_per_second) <= time_left
 }
-
-/// Whether a prompt cannot be read by its target any more.
-fn is_late(prompt: &WaitingPrompt, tokens_per_second: f64, now: Instant) -> bool {
-    prompt.target_at.saturating_duration_since(now) < read_time(prompt.tokens, tokens_per_second)
-}
--- a/crates/prefill/src/runner.rs
+++ b/crates/prefill/src/runner.rs
@@ -324,7 +324,6 @@
 
     fn grant(&mut self, prompt: WaitingPrompt, now: Instant) {
         let tokens = prompt.tokens;
-        self.queue.record_grant(&prompt, self.rate(now), now);
         self.gaps.record(prompt.target_gap, now);
         if self.is_over_budget(tokens, now) {
             self.over_budget_until = now + bounded_read_time(tokens, self.rate(now));
@@ -350,7 +349,7 @@
         tokens: request.prompt_tokens.clamp(1, MAX_PROMPT_TOKENS).into(),
         tenant: request.tenant,
         target_gap: Duration::from_millis(request.target_gap_ms.into()),
-        target_at: now + Duration::from_millis(request.until_target_ms.into()),
+        priority: request.priority,
         gives_up_at: now + Duration::from_millis(request.patience_ms.into()),
     }
 }
