The choice of a runner weighs the wait for the first event in seconds, not in parts of the target

Callers saw: of two requests with the same prompt, that with the shorter target was spread over more runners, at the cost of the other; below 50 ms and above a second the target did not count.

Cause: expected_lateness.rs divided the wait by the route's target, to meet most targets.

Change: first_event_forecast.rs counts the seconds until the first event, the same for all requests: a patient one still holds up those read after it. The dispatcher's query knows no target any more.

--- a/crates/dispatch/src/expected_lateness.rs
+++ b/crates/dispatch/src/first_event_forecast.rs
@@ -1,5 +1,5 @@
-//! Expected time until a runner sends the first event of a stream, as a part of the target
-//! latency, where it is known how fast the candidates read prompts.
+//! Expected time until a runner sends the first event of a stream, where it is known how fast
+//! the candidates read prompts.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,21 +17,17 @@
 /// Part of a runner's reading time that other nodes are assumed to fill with new prompts
 /// after its owner has told a wait.
 const OTHER_NODES_SHARE: f64 = 0.5;
-/// Range of the target latencies by which a delay is divided. Prompts with a longer target
-/// still have to be spread, since those of other requests wait behind them.
-const MIN_TARGET_SECONDS: f64 = 0.05;
-const MAX_TARGET_SECONDS: f64 = 1.0;
-
-/// Cost of each running stream that a prompt holds up beyond the pause that its route allows,
-/// relative to the lateness of the prompt's own request by its target latency. Some of them
-/// end before it is read.
+/// Cost of each second that the caller waits for the first event. The same for all requests: one
+/// that could wait longer still holds up those that are read after it.
+const SECOND_COST: f64 = 2.0;
+/// Cost of each running stream that a prompt holds up beyond the pause that its route allows.
+/// Some of them end before it is read.
 const HELD_UP_STREAM_COST: f64 = 0.5;
 
 /// What the expected delays of a request at all candidates depend on.
-pub struct LatenessForecast<'a> {
+pub struct FirstEventForecast<'a> {
     context: SelectionContext<'a>,
     prompt_tokens: f64,
-    target_seconds: f64,
     /// Longest pause that running streams bear; infinite if the route names none.
     target_gap_seconds: f64,
     /// The model that the request needs.
@@ -40,15 +36,14 @@
     fastest_seconds_per_token: f64,
 }
 
-impl<'a> LatenessForecast<'a> {
-    /// Creates the forecast for `query`; `None` if the request has no target or no prompt, or
-    /// no candidate's speed is known.
+impl<'a> FirstEventForecast<'a> {
+    /// Creates the forecast for `query`; `None` if the request has no prompt, or no candidate's
+    /// speed is known.
     pub fn new(
         candidates: &[&RunnerEntry],
         query: &Query,
         context: SelectionContext<'a>,
     ) -> Option<Self> {
-        let target_seconds = query.target_latency?.as_secs_f64();
         let fastest_seconds_per_token = candidates
             .iter()
             .filter_map(|entry| context.estimates.speed(entry.key))
@@ -61,20 +56,20 @@
                 .target_gap
                 .map_or(f64::INFINITY, |gap| gap.as_secs_f64()),
             model: query.wanted.as_ref().map(|wanted| wanted.model.clone()),
-            target_seconds: target_seconds.clamp(MIN_TARGET_SECONDS, MAX_TARGET_SECONDS),
             fastest_seconds_per_token,
         })
     }
 
-    /// Returns the cost of the runner of `entry`: the expected time until the first event, as
-    /// a part of the target, and a cost for each running stream that the prompt holds up.
+    /// Returns the cost of the runner of `entry`: of the expected time until the first event, and
+    /// of each running stream that the prompt holds up.
     pub fn cost(&self, entry: &RunnerEntry) -> f64 {
         let seconds_per_token = self.expected_seconds_per_token(entry);
         let unread_seconds = entry.unread.tokens() as f64 * seconds_per_token;
         let told_seconds = self.told_wait_seconds(entry, seconds_per_token);
         let read_seconds = self.prompt_tokens * seconds_per_token;
-        let lateness = (unread_seconds.max(told_seconds) + read_seconds) / self.target_seconds;
-        lateness + HELD_UP_STREAM_COST * self.held_up_streams(entry, read_seconds)
+        let first_event_seconds = unread_seconds.max(told_seconds) + read_seconds;
+        SECOND_COST * first_event_seconds
+            + HELD_UP_STREAM_COST * self.held_up_streams(entry, read_seconds)
     }
 
     /// Returns the number of running streams whose pause the prompt, read in `read_seconds`,
@@ -129,5 +124,5 @@
 }
 
 #[cfg(test)]
-#[path = "expected_lateness_tests.rs"]
+#[path = "first_event_forecast_tests.rs"]
 mod tests;
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -39,9 +39,6 @@
     /// Time by which the request needs its answer, or else its refusal, so that it reaches the
     /// client before that leaves ([`crate::answer_due_at`]).
     pub due_at: Instant,
-    /// Time within which the first byte should arrive; `None` if the route sets no
-    /// target.
-    pub target_latency: Option<Duration>,
     /// Longest time between two events of the answer that the route allows; `None` if it does
     /// not say.
     pub target_gap: Option<Duration>,
--- a/crates/dispatch/src/selection.rs
+++ b/crates/dispatch/src/selection.rs
@@ -4,7 +4,7 @@
 
 use barleyspar_prefill::RunnerEstimates;
 
-use crate::expected_lateness::LatenessForecast;
+use crate::first_event_forecast::FirstEventForecast;
 use crate::query::Query;
 use crate::runner::RunnerEntry;
 
@@ -100,7 +100,7 @@
     let cached_index = query
         .prefix_key
         .and_then(|key| likely_cached_at(candidates, key));
-    let forecast = LatenessForecast::new(candidates, query, context);
+    let forecast = FirstEventForecast::new(candidates, query, context);
     let cost = |index: usize| {
         let entry = candidates[index];
         let in_flight = f64::from(entry.total_in_flight()) + context.load_jitter(entry);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -287,7 +287,6 @@
             prefix_key: self.prefix_key(),
             deadline: self.deadline.into_std(),
             due_at: self.answer_due_at().into_std(),
-            target_latency: self.route.target_latency,
             target_gap: self.route.target_gap,
             allowed_regions: AllowedRegions::for_request(&self.route, self.tenant.as_deref()),
             software: self.software.clone(),
