A quota's answer is waited for as long as clients let a request wait unread

Callers saw: a request whose limit owner did not answer and whose reserve was used up was refused after half of its route's target (75 ms on some, 3 s on others), and without a target at once.

Cause: QUOTA_PATIENCE_DIVISOR, a share of the target.

Change: clients give up a request that is not read after a second, or a third of the time that they have, as the platform promises; the decision is waited for until then, less the way back. It comes before the body is read.

--- a/crates/dispatch/src/callers_time.rs
+++ b/crates/dispatch/src/callers_time.rs
@@ -11,6 +11,16 @@
 /// Divisor of the time until the deadline: clients put off a retry for a third of that time
 /// at most, as the platform promises, whatever they are told.
 const RETRY_AFTER_DIVISOR: u32 = 3;
+/// Time after which clients give up a request that the gateway has not read, as the platform
+/// promises, or after a third of the time that they have, if that is shorter.
+const UNREAD_PATIENCE: Duration = Duration::from_secs(1);
+const UNREAD_PATIENCE_DIVISOR: u32 = 3;
+
+/// Returns the time for which a request with `time_left` may wait before its body is read.
+pub fn unread_patience(time_left: Duration) -> Duration {
+    let patience = UNREAD_PATIENCE.min(time_left / UNREAD_PATIENCE_DIVISOR);
+    (patience / 2).max(patience.saturating_sub(RETURN_TIME))
+}
 
 /// Returns the time by which a request needs its answer, or its refusal, if its client leaves
 /// at `leaves_at`. A request with little time left has half of it.
@@ -32,3 +42,7 @@
     let fraction = rendezvous_weight(seed, "retry") as f64 / u64::MAX as f64;
     (time_left / RETRY_AFTER_DIVISOR).mul_f64(fraction)
 }
+
+#[cfg(test)]
+#[path = "callers_time_tests.rs"]
+mod tests;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -43,7 +43,7 @@
 pub use barleyspar_catalog::{RunnerKey, runner_key};
 pub use brittle::BrittleUpdate;
 pub use budget::{BudgetLimits, BudgetShare, RetryBudget};
-pub use callers_time::{answer_due_at, retry_after, spread_retry_after};
+pub use callers_time::{answer_due_at, retry_after, spread_retry_after, unread_patience};
 pub use demand::DemandItem;
 pub use dispatcher::{Dispatcher, Site};
 pub use draining::DrainingUpdate;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,6 +6,7 @@
 
 use barleyspar_callers::{Fingerprint, request_cost};
 use barleyspar_catalog::{RequestFacts, RequestKind, Route, Tenant};
+use barleyspar_dispatch::unread_patience;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{StatusCode, request};
@@ -43,10 +44,6 @@
 /// route's timeout if that is shorter. Streams are refused.
 const USUAL_MAX_DURATION: Duration = Duration::from_millis(1500);
 
-/// The longest wait for a quota decision is the route's target latency divided by this
-/// number. The other half of the target latency is left to serve the request.
-const QUOTA_PATIENCE_DIVISOR: u32 = 2;
-
 /// Admits a request and reads its body. Returns the answer for the client if the request
 /// cannot be admitted.
 pub async fn admit(
@@ -124,7 +121,7 @@
     };
     let cost = request_cost(quota.unit, facts);
     let name = tenant.name.clone();
-    let patience = route.target_latency.unwrap_or_default() / QUOTA_PATIENCE_DIVISOR;
+    let patience = unread_patience(allowed_time(facts, route));
     let decision = context.quota.admit(name.clone(), cost, patience).await;
     match decision {
         QuotaDecision::Granted => Ok(Some(Charge::new(context.quota.clone(), name, cost))),
