A silent attempt is given up by what its runner usually takes and the time left for another one

Callers saw: a request at a silent runner went to another one after 1.5 or 2 targets of its route: after 9 s on a route with a target of 6 s, though the runner usually answers within 0.1 s.

Cause: exchange.rs set the time without a byte by the target, stream.rs by the pause that routes allow.

Change: silence.rs: four times what the runner, or the stream, usually takes, and at most half of the time until the client leaves, so that another runner has as much. The least silence stays (0.3 s, 1.4 s for streams): a sound runner may be silent for a second or so.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{ColdBounds, Configuration, ModelReference, Runner, RunnerKey};
 use barleyspar_domain::rendezvous_weight;
@@ -294,6 +294,7 @@
         entry.unread.add(permit, query.prompt_tokens, now);
         let runner = entry.runner.clone();
         let is_rate_limited = entry.is_rate_limited();
+        let usual_response = entry.health().response_seconds();
         let tokens_per_second = self.estimates.tokens_per_second(entry.key);
         let accepts_work = entry.accepts_work();
         if let Some(wanted) = &query.wanted {
@@ -314,6 +315,7 @@
             candidates,
             in_flight,
             is_rate_limited,
+            usual_response: usual_response.map(Duration::from_secs_f64),
             tokens_per_second,
             accepts_work,
         }
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -83,6 +83,8 @@
     pub in_flight: u32,
     /// Whether the runner has a rate limit in this node's view.
     pub is_rate_limited: bool,
+    /// Usual time until the first byte of the runner's answer; `None` if it is not known.
+    pub usual_response: Option<Duration>,
     /// Prompt tokens that the runner reads a second; `None` if it is not known.
     pub tokens_per_second: Option<f64>,
     /// Whether the runner accepts new work, checked again before the attempt is sent.
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -54,6 +54,12 @@
         self.grant.in_flight
     }
 
+    /// Returns the usual time until the first byte of the runner's answer; `None` if it is not
+    /// known.
+    pub fn usual_response(&self) -> Option<Duration> {
+        self.grant.usual_response
+    }
+
     /// Returns the number of prompt tokens that the runner reads a second; `None` if it is
     /// not known.
     pub fn tokens_per_second(&self) -> Option<f64> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,11 +17,13 @@
 use crate::attempt::{AttemptError, Outgoing};
 use crate::context::Context;
 use crate::crashes::{AppliedQuarantine, BrokenRequest, QuarantineKeys, ResendDecision};
+use crate::dispatch::Permit;
 use crate::event_gaps::EventGaps;
 use crate::inflight::InFlightGuard;
 use crate::journal;
 use crate::origins::StreamKey;
 use crate::quota::Charge;
+use crate::silence::silence_timeout;
 
 /// A request that runners rejected more often than this gets no further attempt.
 const MAX_REJECTIONS: u32 = 2;
@@ -32,11 +34,12 @@
 /// runner broke. The decision takes one connection attempt to the runner and, after a crash,
 /// one exchange of datagrams with the limit owner.
 const RESEND_DECISION_TIMEOUT: Duration = Duration::from_millis(100);
-/// Lower bound of the stall timeout for requests that are not streams.
-const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Lower bound of the stall timeout for streams before their first event, for the same reason
-/// as between two events.
-const MIN_STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(1400);
+/// Least silence for which an attempt is given up whose answer is no stream.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+/// Least silence for which an attempt is given up whose answer is a stream. A sound runner may
+/// be silent for a second or so; a run that is left meanwhile goes on beside the one that takes
+/// its place.
+const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1400);
 
 /// Result of the admission of a request: its route, service, tenant and quota charge.
 pub struct Admitted {
@@ -371,24 +374,29 @@
     }
 
     /// Returns the time until which the next attempt waits for the head of an answer: the
-    /// request's deadline, or an earlier time if `other_runners` are eligible and the
-    /// request may be sent to one of them after this attempt.
-    pub fn head_deadline(&self, other_runners: bool) -> Instant {
+    /// request's deadline, or an earlier time if other runners than that of `permit` are
+    /// eligible and the request may be sent to one of them after this attempt.
+    pub fn head_deadline(&self, permit: &Permit) -> Instant {
         let may_run_again =
             self.route.repeatable() && self.possible_runs + 1 < self.route.maximum_attempts;
-        if !(may_run_again && other_runners) {
+        if !(may_run_again && permit.candidates() > 1) {
             return self.deadline;
         }
-        self.deadline.min(Instant::now() + self.stall_timeout())
+        let timeout = self.silence_timeout(permit.usual_response());
+        self.deadline.min(Instant::now() + timeout)
     }
 
-    /// Returns the time without a first byte after which an attempt counts as failed.
-    pub fn stall_timeout(&self) -> Duration {
-        let target = self.route.target_latency.unwrap_or_default();
-        match self.route.kind {
-            RequestKind::Streaming => (target * 3 / 2).max(MIN_STREAM_STALL_TIMEOUT),
-            _ => (target * 2).max(MIN_STALL_TIMEOUT),
-        }
+    /// Returns the time without a byte from a runner after which its attempt is given up, if
+    /// `usual` passes usually.
+    pub fn silence_timeout(&self, usual: Option<Duration>) -> Duration {
+        let shortest = match self.route.kind {
+            RequestKind::Streaming => MIN_STREAM_SILENCE,
+            RequestKind::Idempotent | RequestKind::NonIdempotent => MIN_SILENCE,
+        };
+        let time_left = self
+            .answer_due_at()
+            .saturating_duration_since(Instant::now());
+        silence_timeout(usual, time_left, shortest)
     }
 
     /// Records that the request is now sent to `runner`.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod restore_tracker;
 mod resumption;
 mod signals;
+mod silence;
 mod software_record;
 mod stagger;
 mod stalls;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -161,7 +161,7 @@
     journal::chosen(exchange.id(), &permit, acquire_started.elapsed());
     let runner = permit.runner().clone();
     let forward = exchange.added_header_values(&runner, None);
-    let head_deadline = exchange.head_deadline(permit.candidates() > 1);
+    let head_deadline = exchange.head_deadline(&permit);
     let context = exchange.context.clone();
     exchange.arrive_at(&runner);
     let attempted = tokio::select! {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,9 +20,6 @@
 use crate::prefill::await_turn_briefly;
 use crate::relay;
 
-/// Lower bound of the stall timeout between two events. A sound runner may be silent for a
-/// second or so; a run that is left meanwhile goes on beside the one that takes its place.
-const MIN_GAP_STALL_TIMEOUT: Duration = Duration::from_millis(1400);
 /// Time after a runner's first event of a stream from which the request is unlikely to crash it.
 const ESTABLISHED_AFTER: Duration = Duration::from_secs(5);
 /// Minimum time between two searches for another runner while a stream stalls. They are a
@@ -148,7 +145,8 @@
         let mut splitter = EventSplitter::default();
         let mut last_received = Instant::now();
         loop {
-            let stalled_at = last_received + self.stall_timeout();
+            let stall_timeout = self.stall_timeout(&answered.permit);
+            let stalled_at = last_received + stall_timeout;
             let client = self.body_sender.clone();
             tokio::select! {
                 biased;
@@ -174,7 +172,7 @@
                     }
                     // The next search for another runner follows after the stall timeout, or
                     // after `STALL_RECHECK_INTERVAL` if that is longer.
-                    last_received = Instant::now() + STALL_RECHECK_INTERVAL - self.stall_timeout().min(STALL_RECHECK_INTERVAL);
+                    last_received = Instant::now() + STALL_RECHECK_INTERVAL - stall_timeout.min(STALL_RECHECK_INTERVAL);
                 }
             }
         }
@@ -185,13 +183,14 @@
         self.exchange.route.resumable && self.exchange.may_retry()
     }
 
-    /// Returns the time without data after which the stream counts as stalled.
-    fn stall_timeout(&self) -> Duration {
-        if self.events_sent == 0 {
-            return self.exchange.stall_timeout();
-        }
-        let gap = self.exchange.route.target_gap.unwrap_or_default();
-        (gap * 2).max(MIN_GAP_STALL_TIMEOUT)
+    /// Returns the time without data after which the stream counts as stalled at the runner of
+    /// `permit`.
+    fn stall_timeout(&self, permit: &Permit) -> Duration {
+        let usual = match self.events_sent {
+            0 => permit.usual_response(),
+            _ => self.exchange.gaps.usual(),
+        };
+        self.exchange.silence_timeout(usual)
     }
 
     /// Acquires a permit for another runner; `None` if none is available at once.
@@ -297,7 +296,7 @@
             );
             let last_event_id = self.last_event_id.clone();
             let forward = self.exchange.added_header_values(&runner, last_event_id);
-            let head_deadline = self.exchange.head_deadline(chosen.candidates() > 1);
+            let head_deadline = self.exchange.head_deadline(&chosen);
             let context = self.exchange.context.clone();
             self.exchange.arrive_at(&runner);
             let outgoing = &self.exchange.outgoing;
