Full runners: whether a request is reached follows from the queue and from how long slots are held

Callers saw: at full runners a request waited until just before its client left (7.4 s of 8 s), then got 503, though the queue had told at its arrival that it would not be reached; one whose model's only holder had refused it waited as long for a slot that it may not use.

Cause: availability_for knew no wait at all for a full model.

Change: turnover.rs measures how long requests of a model, or of a plain service, hold a slot, and counts what this node's requests hold; the turn of a waiting request follows from those that go before it, in the order in which they are served. It is refused as soon as its turn would come too late even if slots became free two standard deviations faster than expected, and told the expected time. Without a measure it waits.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::runner::RunnerEntry;
 use crate::selection::{SelectionContext, cheapest_candidate};
 use crate::software_history::SoftwareHistory;
+use crate::turnover::{SlotGroup, Turnover, WaitingTurns};
 
 /// A granted attempt that has not ended.
 #[derive(Debug)]
@@ -33,6 +34,10 @@
     service: Arc<str>,
     wanted: Option<ModelReference>,
     cache_tokens: u64,
+    granted_at: Instant,
+    /// Whether the runner was seen to accept the request, so that it holds a slot.
+    accepted: bool,
+    group: SlotGroup,
 }
 
 /// Static settings of the site that a dispatcher belongs to.
@@ -56,6 +61,7 @@
     pub(crate) runners: BTreeMap<Arc<str>, RunnerEntry>,
     pub(crate) queue: Queue,
     permits: HashMap<PermitId, Permit>,
+    pub(crate) turnover: Turnover,
     /// Ids of the runners that this node has sent a request. Reports on this node's own
     /// load and on unreachable runners look only at these few of the thousands that it
     /// knows.
@@ -101,6 +107,7 @@
             runners: BTreeMap::new(),
             queue: Queue::default(),
             permits: HashMap::new(),
+            turnover: Turnover::default(),
             used_runner_ids: BTreeSet::new(),
             budgets: HashMap::new(),
             brittle: BrittleServices::default(),
@@ -124,6 +131,8 @@
 
     /// Replaces the configuration; applies to all decisions from now on.
     pub fn set_configuration(&mut self, configuration: Arc<Configuration>) {
+        self.turnover
+            .retain(|service| configuration.services.contains_key(service));
         self.configuration = configuration;
     }
 
@@ -297,6 +306,7 @@
         let usual_response = entry.health().response_seconds();
         let tokens_per_second = self.estimates.tokens_per_second(entry.key);
         let accepts_work = entry.accepts_work();
+        self.turnover.begin(query.slot_group());
         if let Some(wanted) = &query.wanted {
             self.demand.add_in_flight(&query.service, wanted);
         }
@@ -307,6 +317,9 @@
                 service: query.service.clone(),
                 wanted: query.wanted.clone(),
                 cache_tokens: query.cache_tokens,
+                granted_at: now,
+                accepted: false,
+                group: query.slot_group(),
             },
         );
         Grant {
@@ -326,17 +339,21 @@
     pub fn poll(&mut self, now: Instant) -> Vec<(Ticket, Result<Grant, Refusal>)> {
         let mut answers = Vec::new();
         let mut still_waiting = Vec::new();
+        let mut turns = WaitingTurns::default();
         for mut waiting in self.queue.take_all() {
             if let Some(grant) = self.try_grant(&waiting.query, now) {
                 self.stop_waiting(&waiting.query);
                 answers.push((waiting.ticket, Ok(grant)));
-            } else if let Some(reason) = self.refusal_due(&mut waiting, now) {
+                continue;
+            }
+            let group = waiting.query.slot_group();
+            if let Some(refusal) = self.refusal_due(&mut waiting, turns.count(&group), now) {
                 self.stop_waiting(&waiting.query);
-                let refusal = self.refuse(&waiting.query, reason, now);
                 answers.push((waiting.ticket, Err(refusal)));
-            } else {
-                still_waiting.push(waiting);
+                continue;
             }
+            turns.add(group);
+            still_waiting.push(waiting);
         }
         self.queue.restore(still_waiting);
         answers
@@ -357,6 +374,10 @@
         if outcome.shows_acceptance() {
             self.requested_pauses.on_accepted(&permit.runner, id);
         }
+        let held = now.saturating_duration_since(permit.granted_at);
+        let has_held = permit.accepted || outcome.shows_acceptance();
+        self.turnover
+            .end(permit.group.clone(), has_held.then_some(held));
         self.requested_pauses.on_end(&permit.runner, id);
         if let Some(wanted) = &permit.wanted {
             self.demand.remove_in_flight(&permit.service, wanted);
@@ -375,10 +396,11 @@
 
     /// Records an outcome of an attempt that goes on; the permit stays in use.
     pub fn record_interim_outcome(&mut self, id: PermitId, outcome: Outcome, now: Instant) {
-        let Some(permit) = self.permits.get(&id) else {
+        let Some(permit) = self.permits.get_mut(&id) else {
             return;
         };
         if outcome.shows_acceptance() {
+            permit.accepted = true;
             self.requested_pauses.on_accepted(&permit.runner, id);
         }
         let wanted = permit.wanted.clone();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod software_history;
 mod split;
 mod stream_demand;
+mod turnover;
 mod unread;
 mod waiting;
 
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -7,6 +7,7 @@
 use barleyspar_prefill::TenantKey;
 
 use crate::accepts_work::AcceptsWork;
+use crate::turnover::SlotGroup;
 
 /// Number of a queued request, unique within one dispatcher. [`crate::Dispatcher::poll`]
 /// returns it with the request's answer, and [`crate::Dispatcher::cancel`] takes it.
@@ -59,6 +60,16 @@
     pub may_wait: bool,
 }
 
+impl Query {
+    /// Returns the requests that wait for the same slots.
+    pub(crate) fn slot_group(&self) -> SlotGroup {
+        SlotGroup {
+            service: self.service.clone(),
+            model: self.wanted.as_ref().map(|wanted| wanted.model.clone()),
+        }
+    }
+}
+
 /// Kind of an attempt, by the attempt of the same request that preceded it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptKind {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -6,6 +6,7 @@
 
 use crate::query::{Query, RefusalReason, Ticket};
 use crate::slot_shares::SlotShares;
+use crate::turnover::WaitingTurns;
 
 /// A request that waits for a runner.
 #[derive(Debug)]
@@ -62,6 +63,20 @@
         self.entries = entries;
     }
 
+    /// Counts the waiting requests of the same group that are served before that of `ticket`.
+    pub fn count_ahead(&mut self, ticket: Ticket) -> usize {
+        self.shares.sort(&mut self.entries);
+        let mut turns = WaitingTurns::default();
+        for entry in &self.entries {
+            let group = entry.query.slot_group();
+            if entry.ticket == ticket {
+                return turns.count(&group);
+            }
+            turns.add(group);
+        }
+        0
+    }
+
     /// Counts the waiting requests of `service` for the model `wanted`.
     pub fn count_waiting_for(&self, service: &str, wanted: &ModelReference) -> usize {
         let matches =
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -11,6 +11,7 @@
 use crate::query::{Acquired, Query, Refusal, RefusalReason, Ticket};
 use crate::queue::WaitingRequest;
 use crate::runner::RunnerEntry;
+use crate::turnover::Turn;
 
 /// Time from the order of a load to the first event of a stream, beyond the load itself.
 const LOAD_OVERHEAD: Duration = Duration::from_millis(600);
@@ -30,7 +31,9 @@
     Planned(Duration),
     /// After this time if the model's load is ordered now, which nobody has done yet.
     IfOrderedNow(Duration),
-    /// Once another request leaves its slot, which may be at any time.
+    /// Once other requests leave their slots, by how long these are held.
+    InTurn(Turn),
+    /// Once another request leaves its slot; nothing is measured of when that is.
     Unknown,
     /// Nothing is known to come that could serve the request.
     Never,
@@ -39,27 +42,33 @@
 impl Dispatcher {
     /// Queues `query`, or refuses it if the queue is full or waiting is of no use.
     pub(crate) fn wait_or_refuse(&mut self, query: Query, now: Instant) -> Acquired {
-        let (reason, refuse_at) = self.waiting_limit(&query, now);
+        let (reason, refuse_at) = self.waiting_limit(&query, 0, now);
         if let (Some(wanted), RefusalReason::NotLoaded) = (&query.wanted, reason) {
             self.cold_starts.record_begin(&query.service, wanted, now);
         }
         if self.queue.len() >= MAX_QUEUE_LENGTH {
-            return Acquired::Refused(self.refuse(&query, RefusalReason::QueueFull, now));
+            let ahead = self.queue.len();
+            return Acquired::Refused(self.refuse(&query, RefusalReason::QueueFull, ahead, now));
         }
         if refuse_at <= now || !query.may_wait {
-            return Acquired::Refused(self.refuse(&query, reason, now));
+            return Acquired::Refused(self.refuse(&query, reason, 0, now));
         }
         self.last_id += 1;
         let ticket = self.last_id;
-        if let Some(wanted) = &query.wanted {
-            self.demand.add_waiting(&query.service, wanted);
-        }
         self.queue.push(WaitingRequest {
             ticket,
-            query,
+            query: query.clone(),
             refuse_at,
             reason,
         });
+        let ahead = self.queue.count_ahead(ticket);
+        if reason == RefusalReason::Full && self.waiting_limit(&query, ahead, now).1 <= now {
+            self.queue.remove(ticket);
+            return Acquired::Refused(self.refuse(&query, reason, ahead, now));
+        }
+        if let Some(wanted) = &query.wanted {
+            self.demand.add_waiting(&query.service, wanted);
+        }
         Acquired::Waiting(ticket)
     }
 
@@ -78,16 +87,25 @@
 
     /// Returns the reason why a request cannot be served at `now`, and the time at which it is
     /// refused, or examined again, if no runner takes it before: as long as it can still be
-    /// served before its client leaves, and `now` if it cannot.
-    fn waiting_limit(&self, query: &Query, now: Instant) -> (RefusalReason, Instant) {
+    /// served before its client leaves, and `now` if it cannot. `ahead`: waiting requests that are
+    /// served before it by the same runners.
+    fn waiting_limit(&self, query: &Query, ahead: usize, now: Instant) -> (RefusalReason, Instant) {
         let reason = self.waiting_reason(query, now);
         let due_at = query.due_at.max(now);
         let latest_without = |work: Duration| due_at.checked_sub(work).unwrap_or(now).max(now);
-        let until = match self.availability_for(query, reason, now) {
+        let until = match self.availability_for(query, reason, ahead, now) {
             Availability::Never => now,
             Availability::Unknown => due_at,
-            Availability::Planned(ready_in) if now + ready_in > due_at => now,
-            Availability::Planned(_) => due_at,
+            Availability::Planned(ready_in)
+            | Availability::InTurn(Turn {
+                soonest: ready_in, ..
+            }) => {
+                if now + ready_in > due_at {
+                    now
+                } else {
+                    due_at
+                }
+            }
             // If the load is ordered until then, it ends before the client leaves.
             Availability::IfOrderedNow(ready_in) => latest_without(ready_in),
         };
@@ -123,7 +141,13 @@
     }
 
     /// Returns when `query`, which waits for `reason`, gets its first event.
-    fn availability_for(&self, query: &Query, reason: RefusalReason, now: Instant) -> Availability {
+    fn availability_for(
+        &self,
+        query: &Query,
+        reason: RefusalReason,
+        ahead: usize,
+        now: Instant,
+    ) -> Availability {
         match (reason, &query.wanted) {
             (RefusalReason::NoRunner | RefusalReason::NoRunnerOfVersion, _) => Availability::Never,
             (RefusalReason::NotLoaded, Some(wanted)) => self.load_availability(query, wanted, now),
@@ -131,30 +155,54 @@
                 self.holder_availability(query, wanted, now)
             }
             (RefusalReason::Paused, None) => self.pause_availability(query, now),
-            (_, Some(wanted)) => self.slot_availability(query, wanted, now),
-            (_, None)
-                if self
-                    .untried(self.open_runners(query, now), query)
-                    .next()
-                    .is_none() =>
-            {
-                Availability::Never
+            (_, Some(wanted)) => self.slot_availability(query, wanted, ahead, now),
+            (_, None) => {
+                let runners = self.untried(self.open_runners(query, now), query);
+                self.next_turn(query, runners, ahead)
+                    .unwrap_or(Availability::Never)
             }
-            (_, None) => Availability::Unknown,
         }
     }
 
+    /// When one of `runners`, all of which are full, takes the request after `ahead` others of
+    /// this node; `None` if there are none.
+    fn next_turn<'a>(
+        &'a self,
+        query: &Query,
+        runners: impl Iterator<Item = &'a RunnerEntry>,
+        ahead: usize,
+    ) -> Option<Availability> {
+        let runners: Vec<&RunnerEntry> = runners.collect();
+        if runners.is_empty() {
+            return None;
+        }
+        let in_flight: u32 = runners.iter().map(|entry| entry.total_in_flight()).sum();
+        let share = f64::from(in_flight) / self.node_count() as f64;
+        let responses = runners
+            .iter()
+            .filter_map(|entry| entry.health().response_seconds());
+        let response = Duration::from_secs_f64(responses.reduce(f64::min).unwrap_or_default());
+        let turn = self.turnover.turn(&query.slot_group(), share, ahead);
+        Some(turn.map_or(Availability::Unknown, |turn| {
+            Availability::InTurn(Turn {
+                expected: turn.expected.saturating_add(response),
+                soonest: turn.soonest.saturating_add(response),
+            })
+        }))
+    }
+
     /// When a full runner that holds `wanted` takes the request, unless all of them refused it:
     /// then only a load on another runner helps.
     fn slot_availability(
         &self,
         query: &Query,
         wanted: &ModelReference,
+        ahead: usize,
         now: Instant,
     ) -> Availability {
         let holders = self.open_holders(query, wanted, now);
-        if self.untried(holders, query).next().is_some() {
-            return Availability::Unknown;
+        if let Some(turn) = self.next_turn(query, self.untried(holders, query), ahead) {
+            return turn;
         }
         let runners = self.untried(self.open_runners(query, now), query);
         let load_ends = runners.filter_map(|entry| entry.load_ready_at(&wanted.model));
@@ -198,23 +246,27 @@
         })
     }
 
-    /// Returns why a waiting request is to be refused now; `None` if it waits on. A
-    /// request whose time is up waits on if a load of its model was ordered meanwhile. A
-    /// request that waits for a permit is refused as soon as the limit owner says that
-    /// the permit comes too late, and one that waits for a requested pause as soon as the
-    /// pause is extended too far.
+    /// Returns the refusal of a waiting request that cannot be served in time any more; `None`
+    /// if it waits on. A request whose time is up waits on if a load of its model was ordered
+    /// meanwhile. One that waits for a slot, a permit or the end of a pause is refused as soon as
+    /// it is known that this comes too late.
     pub(crate) fn refusal_due(
-        &self,
+        &mut self,
         waiting: &mut WaitingRequest,
+        ahead: usize,
         now: Instant,
-    ) -> Option<RefusalReason> {
-        let rechecked_reasons = [RefusalReason::Limited, RefusalReason::Paused];
+    ) -> Option<Refusal> {
+        let rechecked_reasons = [
+            RefusalReason::Full,
+            RefusalReason::Limited,
+            RefusalReason::Paused,
+        ];
         if waiting.refuse_at > now && !rechecked_reasons.contains(&waiting.reason) {
             return None;
         }
-        let (reason, until) = self.waiting_limit(&waiting.query, now);
+        let (reason, until) = self.waiting_limit(&waiting.query, ahead, now);
         (waiting.reason, waiting.refuse_at) = (reason, until);
-        (until <= now).then_some(reason)
+        (until <= now).then(|| self.refuse(&waiting.query, reason, ahead, now))
     }
 
     /// When a rate-limited or pausing runner that holds `wanted` can take the request, or
@@ -307,12 +359,20 @@
 
     /// Creates the refusal of `query`, and notes in the demand that its client is expected
     /// to retry.
-    pub(crate) fn refuse(&mut self, query: &Query, reason: RefusalReason, now: Instant) -> Refusal {
+    fn refuse(
+        &mut self,
+        query: &Query,
+        reason: RefusalReason,
+        ahead: usize,
+        now: Instant,
+    ) -> Refusal {
         let time_left = query.deadline.saturating_duration_since(now);
-        let retry_after = match self.availability_for(query, reason, now) {
-            Availability::Planned(ready_in) | Availability::IfOrderedNow(ready_in) => {
-                retry_after(ready_in, time_left)
-            }
+        let retry_after = match self.availability_for(query, reason, ahead, now) {
+            Availability::Planned(ready_in)
+            | Availability::InTurn(Turn {
+                expected: ready_in, ..
+            })
+            | Availability::IfOrderedNow(ready_in) => retry_after(ready_in, time_left),
             Availability::Unknown | Availability::Never => self.spread_retry_after(query, now),
         };
         if let Some(wanted) = &query.wanted {
