Dispatch: one way to an ordered load, a slot group and the time before the way back; no sort without need

Read once more, no change of behaviour. load_availability and slot_availability looked for an ordered load in two ways, the time less the way back was computed twice, SlotGroup was built twice and kept in each permit beside what it is derived from, and each request that begins to wait sorted the queue, though only one at full runners needs its place.

--- a/crates/dispatch/src/callers_time.rs
+++ b/crates/dispatch/src/callers_time.rs
@@ -18,15 +18,18 @@
 
 /// Returns the time for which a request with `time_left` may wait before its body is read.
 pub fn unread_patience(time_left: Duration) -> Duration {
-    let patience = UNREAD_PATIENCE.min(time_left / UNREAD_PATIENCE_DIVISOR);
-    (patience / 2).max(patience.saturating_sub(RETURN_TIME))
+    before_return(UNREAD_PATIENCE.min(time_left / UNREAD_PATIENCE_DIVISOR))
 }
 
 /// Returns the time by which a request needs its answer, or its refusal, if its client leaves
 /// at `leaves_at`. A request with little time left has half of it.
 pub fn answer_due_at(leaves_at: Instant, now: Instant) -> Instant {
-    let time_left = leaves_at.saturating_duration_since(now);
-    now + (time_left / 2).max(time_left.saturating_sub(RETURN_TIME))
+    now + before_return(leaves_at.saturating_duration_since(now))
+}
+
+/// Returns the part of `time` that is left once an answer's way to its client is taken off.
+fn before_return(time: Duration) -> Duration {
+    (time / 2).max(time.saturating_sub(RETURN_TIME))
 }
 
 /// Returns the time after which a client should come back that can be served after `ready_in`
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -37,7 +37,6 @@
     granted_at: Instant,
     /// Whether the runner was seen to accept the request, so that it holds a slot.
     accepted: bool,
-    group: SlotGroup,
 }
 
 /// Static settings of the site that a dispatcher belongs to.
@@ -319,7 +318,6 @@
                 cache_tokens: query.cache_tokens,
                 granted_at: now,
                 accepted: false,
-                group: query.slot_group(),
             },
         );
         Grant {
@@ -376,8 +374,8 @@
         }
         let held = now.saturating_duration_since(permit.granted_at);
         let has_held = permit.accepted || outcome.shows_acceptance();
-        self.turnover
-            .end(permit.group.clone(), has_held.then_some(held));
+        let group = SlotGroup::of(&permit.service, permit.wanted.as_ref());
+        self.turnover.end(group, has_held.then_some(held));
         self.requested_pauses.on_end(&permit.runner, id);
         if let Some(wanted) = &permit.wanted {
             self.demand.remove_in_flight(&permit.service, wanted);
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -63,10 +63,7 @@
 impl Query {
     /// Returns the requests that wait for the same slots.
     pub(crate) fn slot_group(&self) -> SlotGroup {
-        SlotGroup {
-            service: self.service.clone(),
-            model: self.wanted.as_ref().map(|wanted| wanted.model.clone()),
-        }
+        SlotGroup::of(&self.service, self.wanted.as_ref())
     }
 }
 
--- a/crates/dispatch/src/turnover.rs
+++ b/crates/dispatch/src/turnover.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use barleyspar_catalog::ModelReference;
+
 /// Weight of the newest time in the moving average.
 const NEWEST_WEIGHT: f64 = 0.05;
 /// Number of standard deviations by which the slots that become free until a request's turn may be
@@ -29,6 +31,16 @@
     pub model: Option<Arc<str>>,
 }
 
+impl SlotGroup {
+    /// Returns the group of requests of `service` that need `wanted`.
+    pub fn of(service: &Arc<str>, wanted: Option<&ModelReference>) -> Self {
+        Self {
+            service: service.clone(),
+            model: wanted.map(|wanted| wanted.model.clone()),
+        }
+    }
+}
+
 /// What this node's requests of each group hold, and for how long.
 #[derive(Debug, Default)]
 pub struct Turnover {
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -61,10 +61,12 @@
             refuse_at,
             reason,
         });
-        let ahead = self.queue.count_ahead(ticket);
-        if reason == RefusalReason::Full && self.waiting_limit(&query, ahead, now).1 <= now {
-            self.queue.remove(ticket);
-            return Acquired::Refused(self.refuse(&query, reason, ahead, now));
+        if reason == RefusalReason::Full {
+            let ahead = self.queue.count_ahead(ticket);
+            if self.waiting_limit(&query, ahead, now).1 <= now {
+                self.queue.remove(ticket);
+                return Acquired::Refused(self.refuse(&query, reason, ahead, now));
+            }
         }
         if let Some(wanted) = &query.wanted {
             self.demand.add_waiting(&query.service, wanted);
@@ -204,11 +206,21 @@
         if let Some(turn) = self.next_turn(query, self.untried(holders, query), ahead) {
             return turn;
         }
+        self.ordered_load(query, wanted, now)
+            .unwrap_or(Availability::Never)
+    }
+
+    /// When the first load of `wanted` that was ordered ends; `None` if none was.
+    fn ordered_load(
+        &self,
+        query: &Query,
+        wanted: &ModelReference,
+        now: Instant,
+    ) -> Option<Availability> {
         let runners = self.untried(self.open_runners(query, now), query);
         let load_ends = runners.filter_map(|entry| entry.load_ready_at(&wanted.model));
-        load_ends.min().map_or(Availability::Never, |at| {
-            Availability::Planned(at.saturating_duration_since(now) + FIRST_EVENT_TIME)
-        })
+        let time_left = load_ends.min()?.saturating_duration_since(now);
+        Some(Availability::Planned(time_left + FIRST_EVENT_TIME))
     }
 
     /// Leaves out the runners that refused the request or at which it failed, which do not get
@@ -322,13 +334,8 @@
         wanted: &ModelReference,
         now: Instant,
     ) -> Availability {
-        let planned_at = self
-            .untried(self.open_runners(query, now), query)
-            .filter_map(|entry| entry.load_ready_at(&wanted.model))
-            .min();
-        if let Some(at) = planned_at {
-            let time_left = at.saturating_duration_since(now);
-            return Availability::Planned(time_left + FIRST_EVENT_TIME);
+        if let Some(ordered) = self.ordered_load(query, wanted, now) {
+            return ordered;
         }
         let spec = self.model_spec(query, wanted);
         let remote_load = spec.map_or(Duration::ZERO, |spec| spec.remote_load);
