Bytes from a runner that belong to no body have one bound, whatever they are

Cause: hyper bounds the length of one head and of one line, not how many heads, digits or extensions follow each other, and only the time of the attempt ended it.

Change: the socket counts what was read since the request was sent, less the bodies taken from it and eight bytes of framing for each of their bytes (a chunk of one byte has five). More than 256 KiB beyond that fail the connection, so that the attempt has broken and goes on by the usual rules. Orders, reports, the store and tunnels read through the same socket. The cause is in `attempt_failed`, `answer_broken` and `stream_broken`.

Ruled out: a bound for each script (heads, digits, trailers): the next one would be another.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,6 @@
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout_at};
 
@@ -16,7 +15,7 @@
 use crate::dispatch::Permit;
 use crate::journal;
 use crate::signals::{self, SignalledCall};
-use crate::upstream::{ConnectError, Connection};
+use crate::upstream::{ConnectError, Connection, ReceivedBody};
 
 /// A caller's request as it is sent to runners, the same for each attempt.
 #[derive(Debug)]
@@ -55,7 +54,7 @@
     /// Values that the platform's dialect reads from the head.
     pub facts: AnswerFacts,
     /// The part of the runner's body that has not been read yet.
-    pub body: Incoming,
+    pub body: ReceivedBody,
     /// Time from sending the request to the head of the answer.
     pub waited: Duration,
 }
@@ -135,7 +134,7 @@
     Connection,
     http::response::Parts,
     AnswerFacts,
-    Incoming,
+    ReceivedBody,
     Duration,
 );
 
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -230,6 +230,11 @@
     tracing::info!(event = "tunnel_not_answered", runner, peer, cause = %error);
 }
 
+/// Logs that the connection to a runner broke, or was closed, within the body of an answer.
+pub fn answer_broken(request: &str, runner: &str, cause: &str) {
+    tracing::info!(event = "answer_broken", request, runner, cause);
+}
+
 /// Logs that a runner answered a request with a failure of its own.
 pub fn runner_failed(request: &str, runner: &str, status: u16) {
     tracing::warn!(event = "runner_failed", request, runner, status);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -49,7 +49,9 @@
     match timeout_at(exchange.deadline, answered.body.frame()).await {
         Ok(Some(Ok(frame))) => Chunk::Data(frame.into_data().unwrap_or_default()),
         Ok(None) => Chunk::End,
-        Ok(Some(Err(_))) => {
+        Ok(Some(Err(error))) => {
+            let cause = answered.connection.cause_of(&error);
+            journal::answer_broken(exchange.id(), &answered.permit.runner().id, &cause);
             exchange.report_broken_connection(answered.permit.runner(), Progress::Answering);
             Chunk::Broken
         }
@@ -66,11 +68,6 @@
             Chunk::Data(data) => collected.extend_from_slice(&data),
             Chunk::End => break,
             Chunk::Broken => {
-                tracing::info!(
-                    event = "answer_broken",
-                    request = exchange.id(),
-                    runner = &*answered.permit.runner().id
-                );
                 answered.permit.finish(Outcome::Failed(Failure::Broken));
                 return Relayed::Broken;
             }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,14 +9,13 @@
 use http::header::HOST;
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
 use crate::journal::milliseconds;
 use crate::metrics::Metrics;
 use crate::network::Network;
-use crate::upstream::Connection;
+use crate::upstream::{Connection, ReceivedBody};
 
 /// Time for which a connection to the store may stay idle, in seconds.
 const KEEP_ALIVE_SECONDS: u64 = 5;
@@ -185,7 +184,10 @@
         self.dialect.read_store_answer(call, era, status, &body)
     }
 
-    async fn send(&self, call: &StoreCall) -> Result<(Connection, Response<Incoming>), StoreError> {
+    async fn send(
+        &self,
+        call: &StoreCall,
+    ) -> Result<(Connection, Response<ReceivedBody>), StoreError> {
         let mut connection = match self.take_idle_connection() {
             Some(connection) => connection,
             None => Connection::open(&*self.network, self.address, Duration::from_secs(60), None)
@@ -208,7 +210,7 @@
     /// part.
     async fn read_body(
         &self,
-        mut body: Incoming,
+        mut body: ReceivedBody,
         answer_timeout: Duration,
     ) -> Result<Bytes, StoreError> {
         let mut bytes = BytesMut::new();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -153,7 +153,9 @@
                 () = client.closed() => return RunEnd::ClientLeft,
                 frame = answered.body.frame() => match frame {
                     None => return self.end_of_body(&mut splitter).await,
-                    Some(Err(error)) => return RunEnd::Broken(error.to_string()),
+                    Some(Err(error)) => {
+                        return RunEnd::Broken(answered.connection.cause_of(&error));
+                    }
                     Some(Ok(frame)) => {
                         last_received = Instant::now();
                         let data = frame.into_data().unwrap_or_default();
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -15,6 +14,7 @@
 
 use crate::network::{ByteStream, Network};
 use crate::upstream::pool::OpenSlot;
+use crate::upstream::received_body::ReceivedBody;
 use crate::upstream::tracked::{SocketState, TrackedStream};
 
 /// Size of the read buffer in bytes. It is small, since a few buffers are kept for each
@@ -125,8 +125,12 @@
         self.peer
     }
 
-    /// Sends `request` and waits for the head of the answer. There is no timeout.
-    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, SendError> {
+    /// Sends `request` and waits for the head of the answer. There is no timeout. Fails, as the
+    /// body does, if the peer sends too many bytes that belong to no body.
+    pub async fn send(
+        &mut self,
+        request: Request<Bytes>,
+    ) -> Result<Response<ReceivedBody>, SendError> {
         let written_before = self.socket.written();
         let failed = |cause: String, returned: bool, written: u64| SendError {
             sent: !returned || written != written_before,
@@ -136,16 +140,29 @@
         if let Err(error) = self.sender.ready().await {
             return Err(failed(error.to_string(), true, self.socket.written()));
         }
+        self.socket.expect_answer();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                let socket = self.socket.clone();
+                Ok(response.map(|body| ReceivedBody::new(body, socket)))
+            }
             Err(mut error) => {
                 let returned = error.take_message().is_some();
-                let cause = error.into_error().to_string();
+                let cause = self.cause_of(&error.into_error());
                 Err(failed(cause, returned, self.socket.written()))
             }
         }
     }
 
+    /// Returns a description, for the log, of the failure `error` of a send or a body.
+    pub fn cause_of(&self, error: &hyper::Error) -> String {
+        if self.socket.is_excessive() {
+            "the peer sent too many bytes that belong to no body".to_owned()
+        } else {
+            error.to_string()
+        }
+    }
+
     /// Marks the connection as idle from now on, after an answer was read completely.
     /// `keep_alive_seconds`: the keep-alive time that the peer announced in it, if any.
     pub fn mark_idle(&mut self, keep_alive_seconds: Option<u64>) {
--- a/crates/gateway/src/upstream/tracked.rs
+++ b/crates/gateway/src/upstream/tracked.rs
@@ -1,21 +1,25 @@
 //! A socket that counts the bytes written to it, so that it is certain whether any byte of a
-//! request was sent, and that can discard undelivered bytes when it is closed.
+//! request was sent, that bounds the bytes read from it which belong to no body, and that can
+//! discard undelivered bytes when it is closed.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::network::ByteStream;
+use crate::upstream::excess::ExcessLimit;
 
 /// Values shared by a [`TrackedStream`] and its [`SocketState`].
 #[derive(Debug, Default)]
 struct SharedState {
     written: AtomicU64,
     should_discard: AtomicBool,
+    /// The lock is never held across an await.
+    excess: Mutex<ExcessLimit>,
 }
 
 /// Gives the owner of a connection access to its socket's state while hyper owns the
@@ -29,13 +33,33 @@
         self.0.written.load(Ordering::Relaxed)
     }
 
+    /// Records that a request is sent, whose answer may begin from now on.
+    pub fn expect_answer(&self) {
+        self.lock_excess().expect_answer();
+    }
+
+    /// Records that `bytes` of a body were taken from the connection.
+    pub fn record_body(&self, bytes: usize) {
+        self.lock_excess().record_body(bytes as u64);
+    }
+
+    /// Returns whether the peer sent more bytes that belong to no body than are accepted.
+    pub fn is_excessive(&self) -> bool {
+        self.lock_excess().is_exceeded()
+    }
+
+    fn lock_excess(&self) -> MutexGuard<'_, ExcessLimit> {
+        let excess = self.0.excess.lock();
+        excess.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes the socket discard the bytes that are not delivered yet when it is dropped.
     pub fn discard_unsent(&self) {
         self.0.should_discard.store(true, Ordering::Relaxed);
     }
 }
 
-/// A stream that counts the bytes written to it.
+/// A stream that counts the bytes written to it, and fails when too many were read.
 pub struct TrackedStream {
     stream: Box<dyn ByteStream>,
     state: SocketState,
@@ -75,7 +99,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - filled_before;
+        let mut excess = self.state.lock_excess();
+        excess.record_read(read as u64);
+        if excess.is_exceeded() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/standin/tests/unframed_answers.rs
+++ b/crates/standin/tests/unframed_answers.rs
@@ -219,9 +219,68 @@
     ]
 }
 
+/// Scripts whose bytes without end stand in the framing of an answer, not in its body.
+fn endless_framing() -> Vec<(&'static str, Target, Script)> {
+    let kilobyte = "x".repeat(1000);
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let early_hints = format!("HTTP/1.1 103 Early Hints\r\nlink: {kilobyte}\r\n\r\n");
+    let endless = |first: String, repeated: String| Script::Endless(first, repeated);
+    let stream = format!(
+        "{HEAD}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\nb\r\nid: 1\ndata:\r\n"
+    );
+    vec![
+        ("plain-1", WRITE, endless(String::new(), early_hints)),
+        (
+            "engine-1",
+            STREAM,
+            endless(String::new(), "HTTP/1.1 102 Processing\r\n\r\n".repeat(50)),
+        ),
+        ("plain-1", PLAIN, endless(chunked.clone(), "0".repeat(4000))),
+        ("plain-1", PLAIN, endless(chunked.clone(), " ".repeat(4000))),
+        (
+            "plain-1",
+            WRITE,
+            endless(format!("{chunked}5;a="), kilobyte.repeat(8)),
+        ),
+        (
+            "plain-1",
+            WRITE,
+            endless(
+                chunked.clone(),
+                format!("1;a={}\r\nx\r\n", kilobyte.repeat(8)),
+            ),
+        ),
+        (
+            "plain-1",
+            WRITE,
+            endless(
+                format!("{chunked}2\r\nok\r\n0\r\n"),
+                format!("t: {kilobyte}\r\n"),
+            ),
+        ),
+        ("engine-1", STREAM, endless(stream, "0".repeat(4000))),
+        ("plain-1", WRITE, endless(String::new(), "\r\n".repeat(500))),
+        (
+            "plain-1",
+            PLAIN,
+            endless("HTTP/1.1 200 ".to_owned(), kilobyte.repeat(4)),
+        ),
+    ]
+}
+
 #[tokio::test(start_paused = true)]
 async fn bytes_without_end_that_are_no_answer_are_cut_off() {
-    for (number, (runner, target, text)) in (0..).zip(endless_answers()) {
+    assert_all_are_cut_off(endless_answers()).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn framing_without_end_around_no_body_is_cut_off() {
+    assert_all_are_cut_off(endless_framing()).await;
+}
+
+/// Asserts that no gateway reads any of the scripted answers for long.
+async fn assert_all_are_cut_off(scripts: Vec<(&'static str, Target, Script)>) {
+    for (number, (runner, target, text)) in (0..).zip(scripts) {
         let world = world().await;
         let scripted = script(&world, runner, text);
         let sent = Instant::now();
