A stopping process answers each request that it has read

Cause: from the stage `Closing` on, a request that is no stream was taken if the process still ran for 1.5 s (`USUAL_MAX_DURATION`), a guess of how long work takes, not the time that the request has. Nothing looked again at those that were read, charged, queued or waiting for a turn, and nothing answered any of them before the process ended. Besides, a connection that was accepted in `Closing` could be closed before its first request was read.

Change, one rule for all kinds: from `Closing` on, a request begins at a runner only if its deadline comes before the last answers (150 ms before the process ends); otherwise it is refused at once, as not run, also while it waits. What a runner works on goes on until then, and gets 502 (or 503 if it has not run) in place of a cut connection. A late connection has 500 ms for its first request, and bytes that have arrived are read before a connection is closed.

Ruled out: another guess of a usual duration; refusing from the signal on, since load balancers still send requests then, most of which end in time.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use barleyspar_callers::{Fingerprint, request_cost};
-use barleyspar_catalog::{RequestFacts, RequestKind, Route, Tenant};
+use barleyspar_catalog::{RequestFacts, Route, Tenant};
 use barleyspar_dispatch::unread_patience;
 use bytes::Bytes;
 use http::header::HOST;
@@ -21,7 +21,6 @@
 use crate::context::{BODY_UNIT, Context};
 use crate::exchange::{Admitted, Exchange};
 use crate::journal;
-use crate::lifecycle::Stage;
 use crate::quota::{Charge, QuotaDecision};
 use crate::trust;
 
@@ -39,11 +38,6 @@
 /// Retry-After of a request without a route at a node that may not know of a new one. It is
 /// short because another node can serve the request at once.
 const UNKNOWN_ROUTE_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Time within which most requests that are not streams end. From the stage `Closing` on, such
-/// a request is admitted only if the process will run for longer than this time, or than the
-/// route's timeout if that is shorter. Streams are refused.
-const USUAL_MAX_DURATION: Duration = Duration::from_millis(1500);
-
 /// Admits a request and reads its body. Returns the answer for the client if the request
 /// cannot be admitted.
 pub async fn admit(
@@ -65,7 +59,8 @@
         .cloned()
         .ok_or_else(|| without_route(is_certain))?;
     let configuration = table.configuration();
-    if !ends_before_process(context, &route) {
+    let deadline = received + allowed_time(&facts, &route);
+    if !context.lifecycle.may_begin(deadline) {
         return Err(OwnAnswer::refused("stopping", STOPPING_RETRY_AFTER));
     }
     let credential = facts.credential.as_ref();
@@ -77,7 +72,6 @@
     let memory = reserve_memory(context, &body, configuration.limits.body_bytes)?;
     let body = read_body(body, configuration.limits.body_bytes).await?;
     let service = context.dispatch.choose_service(&route).await;
-    let deadline = received + allowed_time(&facts, &route);
     let version = configuration.version;
     let outgoing = build_outgoing(context, head, body, &facts, memory);
     let exchange = Exchange::new(
@@ -142,21 +136,6 @@
     }
 }
 
-/// Returns whether a request that arrives now is likely to end before the process does. Before
-/// the stage `Closing` this is assumed of every request, from then on of no stream.
-fn ends_before_process(context: &Context, route: &Route) -> bool {
-    if context.lifecycle.stage() < Stage::Closing {
-        return true;
-    }
-    let remaining = context.lifecycle.remaining_time();
-    route.kind != RequestKind::Streaming
-        && remaining
-            > route
-                .timeout
-                .unwrap_or(DEFAULT_TIMEOUT)
-                .min(USUAL_MAX_DURATION)
-}
-
 /// Returns the time from a request's arrival to its deadline: the shorter one of the
 /// client's and the route's.
 fn allowed_time(facts: &RequestFacts, route: &Route) -> Duration {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -404,6 +404,11 @@
         self.at_runner = Some(runner.clone());
     }
 
+    /// Returns whether the request is at a runner, which may be working on it.
+    pub fn is_at_runner(&self) -> bool {
+        self.at_runner.is_some()
+    }
+
     /// Records that the request left its runner, which may still be working on it.
     pub fn leave_runner(&mut self) {
         self.end_stay(false);
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -6,6 +6,12 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::tasks::sleep_until_some;
+
+/// Time before the process ends at which requests that are not answered yet get an answer of the
+/// gateway's own, so that it reaches their callers.
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(150);
+
 /// A stage of the process; later stages compare greater.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -14,8 +20,8 @@
     /// The process has received the signal to stop. It reports itself as not ready but still
     /// accepts requests.
     Draining,
-    /// Requests that would not end in time are refused, and callers' idle connections are
-    /// closed.
+    /// Requests whose time may outlast the process are refused unless they run already, and
+    /// callers' idle connections are closed.
     Closing,
 }
 
@@ -52,12 +58,30 @@
         let _ = self.deadline.set(at);
     }
 
-    /// Returns the time until the process ends at the latest; `Duration::MAX` if it is not
-    /// being stopped.
-    pub fn remaining_time(&self) -> Duration {
-        self.deadline.get().map_or(Duration::MAX, |at| {
-            at.saturating_duration_since(Instant::now())
-        })
+    /// Returns whether a request with this deadline may begin to run now. From the stage `Closing`
+    /// on, one that may still run when the process ends must not: it would be cut off.
+    pub fn may_begin(&self, deadline: Instant) -> bool {
+        self.stage() < Stage::Closing || self.last_answers_at().is_none_or(|at| deadline <= at)
+    }
+
+    /// Waits until a request with this deadline must not begin to run any more.
+    pub async fn wait_until_too_late(&self, deadline: Instant) {
+        self.wait_for_stage(Stage::Closing).await;
+        if self.may_begin(deadline) {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits until the process ends so soon that each request must be answered now.
+    pub async fn wait_for_last_answers(&self) {
+        self.wait_for_stage(Stage::Closing).await;
+        sleep_until_some(self.last_answers_at()).await;
+    }
+
+    /// Returns when requests get their last answers; `None` if the process is not being stopped.
+    fn last_answers_at(&self) -> Option<Instant> {
+        let ends_at = *self.deadline.get()?;
+        ends_at.checked_sub(LAST_ANSWERS_MARGIN)
     }
 
     /// Waits until `stage` or a later one is reached.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::Semaphore;
+use tokio::time::sleep;
 use tokio_io_timeout::TimeoutStream;
 
 use crate::body::AnswerBody;
@@ -22,6 +23,8 @@
 
 /// Pause after an error of `accept`, such as a lack of descriptors.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// Time for the first request on a connection that is accepted from the stage `Closing` on.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Smallest buffer for a request's head that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
@@ -69,7 +72,7 @@
             }
             Err(error) => {
                 tracing::warn!(%error, event = "accept_failed");
-                tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
+                sleep(ACCEPT_ERROR_PAUSE).await;
             }
         }
     }
@@ -99,12 +102,24 @@
         );
     tokio::pin!(connection);
     tokio::select! {
+        // A request that has arrived is read and answered before its connection is closed.
+        biased;
         result = connection.as_mut() => return log_end(result),
-        () = lifecycle.wait_for_stage(Stage::Closing) => connection.as_mut().graceful_shutdown(),
+        () = wait_until_idle_is_closed(&lifecycle) => connection.as_mut().graceful_shutdown(),
     }
     log_end(connection.await);
 }
 
+/// Waits until a connection that is accepted now is to be closed once it is idle. A caller that
+/// has just connected to a stopping process gets the time to send a request.
+async fn wait_until_idle_is_closed(lifecycle: &Lifecycle) {
+    let is_late = lifecycle.stage() >= Stage::Closing;
+    lifecycle.wait_for_stage(Stage::Closing).await;
+    if is_late {
+        sleep(FIRST_REQUEST_TIME).await;
+    }
+}
+
 /// Makes writes to `stream` fail after `write_timeout` without progress, so that a caller that
 /// reads nothing cannot keep an answer in memory for as long as it stays connected.
 fn with_write_timeout(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use barleyspar_callers::Denial;
-use barleyspar_catalog::RequestKind;
 use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal};
 use barleyspar_domain::Verdict;
+use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -21,7 +21,6 @@
 use crate::dispatch::Permit;
 use crate::exchange::Exchange;
 use crate::journal;
-use crate::lifecycle::Stage;
 use crate::prefill::{Moves, Turn, await_turn};
 use crate::relay::{self, MAX_COLLECTED_BYTES};
 use crate::resumption::bind_to_origin;
@@ -46,7 +45,14 @@
     let (head, body) = request.into_parts();
     let facts = context.dialect.read_request(&head);
     let request_id = facts.request_id.clone();
-    match admit(&context, head, body, facts, received).await {
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(&context, head, body, facts, received) => admitted,
+        () = context.lifecycle.wait_for_last_answers() => {
+            Err(OwnAnswer::refused("stopping", STOPPING_RETRY_AFTER))
+        }
+    };
+    match admitted {
         Ok(exchange) => {
             let mut response = run(exchange).await;
             close_if_draining(&context, &mut response);
@@ -61,30 +67,69 @@
     }
 }
 
+/// How a request goes on once a runner has answered it, or none will.
+enum Progress {
+    /// The request ended with this answer for the client.
+    Ended(Response<AnswerBody>),
+    /// The runner answers with a stream of events, which is to be relayed.
+    Stream(Answered),
+    /// The runner's answer is long: the bytes already read, and the attempt from which the
+    /// remaining ones are to be relayed.
+    LongAnswer(Bytes, Box<Answered>),
+}
+
+/// Serves an admitted request. One that is still unanswered when the process ends gets an answer
+/// of the gateway's own, since its connection would be cut otherwise.
+async fn run(mut exchange: Exchange) -> Response<AnswerBody> {
+    let lifecycle = exchange.context.lifecycle.clone();
+    let progress = tokio::select! {
+        biased;
+        progress = send_to_runners(&mut exchange) => progress,
+        () = lifecycle.wait_for_last_answers() => return end_unanswered(&mut exchange),
+    };
+    match progress {
+        Progress::Ended(response) => response,
+        Progress::Stream(answered) => stream::relay_events(exchange, answered),
+        Progress::LongAnswer(collected, answered) => {
+            relay::relay_chunks(exchange, collected, answered)
+        }
+    }
+}
+
+/// Ends a request that waits, or that a runner has not answered completely, when the process ends.
+fn end_unanswered(exchange: &mut Exchange) -> Response<AnswerBody> {
+    if exchange.is_at_runner() {
+        exchange.leave_runner();
+        exchange.verdict = exchange.verdict.combined_with(Verdict::MayHaveRun);
+    }
+    refuse(exchange, "stopping", STOPPING_RETRY_AFTER)
+}
+
 /// Sends the request to runners, one after the other, until there is an answer for the
 /// client.
-async fn run(mut exchange: Exchange) -> Response<AnswerBody> {
-    if !bind_to_origin(&mut exchange).await {
-        return refuse(&mut exchange, "unknown_origin", REJECTED_RETRY_AFTER);
+async fn send_to_runners(exchange: &mut Exchange) -> Progress {
+    if !bind_to_origin(exchange).await {
+        let refusal = refuse(exchange, "unknown_origin", REJECTED_RETRY_AFTER);
+        return Progress::Ended(refusal);
     }
     let mut kind = AttemptKind::First;
     let mut fallback = None;
     loop {
-        let answered = match attempt_once(&mut exchange, kind, fallback.take()).await {
+        let answered = match attempt_once(exchange, kind, fallback.take()).await {
             Ok(answered) => answered,
-            Err(Next::Answer(response)) => return response,
+            Err(Next::Answer(response)) => return Progress::Ended(response),
             Err(Next::Again(next)) => {
                 kind = next;
                 continue;
             }
         };
         if answered.facts.event_stream && answered.status == StatusCode::OK {
-            return stream::relay_events(exchange, answered);
+            return Progress::Stream(answered);
         }
-        match relay::collect(&mut exchange, answered).await {
-            relay::Relayed::Answer(response) => return response,
+        match relay::collect(exchange, answered).await {
+            relay::Relayed::Answer(response) => return Progress::Ended(response),
             relay::Relayed::TooLong(collected, answered) => {
-                return relay::relay_chunks(exchange, collected, answered);
+                return Progress::LongAnswer(collected, answered);
             }
             relay::Relayed::Failed(response) if exchange.may_retry() => {
                 fallback = Some(response);
@@ -92,11 +137,13 @@
             }
             relay::Relayed::Failed(response) => {
                 exchange.end(response.status().as_u16(), "runner_failed");
-                return response;
+                return Progress::Ended(response);
             }
             relay::Relayed::Broken if exchange.may_retry() => kind = AttemptKind::Retry,
-            relay::Relayed::Broken => return end_with(&mut exchange, bad_gateway("answer_broken")),
-            relay::Relayed::DeadlinePassed => return give_up(&mut exchange),
+            relay::Relayed::Broken => {
+                return Progress::Ended(end_with(exchange, bad_gateway("answer_broken")));
+            }
+            relay::Relayed::DeadlinePassed => return Progress::Ended(give_up(exchange)),
         }
     }
 }
@@ -126,7 +173,6 @@
     exchange.await_resend_decision().await;
     let acquire_started = Instant::now();
     let lifecycle = exchange.context.lifecycle.clone();
-    let is_stream = exchange.route.kind == RequestKind::Streaming;
     let acquired = tokio::select! {
         biased;
         remaining = exchange.wait_until_quarantined() => {
@@ -137,10 +183,10 @@
                 remaining,
             )));
         }
+        // Another node can serve a request that did not run yet, and has the time for it.
+        () = lifecycle.wait_until_too_late(exchange.deadline),
+            if exchange.verdict == Verdict::NotRun => None,
         acquired = acquire_turn(exchange, kind, may_wait) => acquired,
-        // A stream that starts now would not end before the process does; another node
-        // can serve it.
-        () = lifecycle.wait_for_stage(Stage::Closing), if is_stream => None,
     };
     let permit = match acquired {
         Some(Ok(permit)) => permit,
