A stream of unknown origin goes on only by what the store held when the client came

Cause: when neither this gateway nor a keeper knows what began a stream, it went on at the only version that this gateway knows, if its view was under 2 s old. A runner's entry, its first stream and the break fit into less. No age proves it either: a frame from a peer may have been on its way, or waited unread in a paused process, for longer than it says.

Change: after the client has come, the gateway asks the store for the changes since its copy, and decides once they are applied (`feed/confirmation.rs`); all that wait share one call at a time, and none is made where the local view already says no. The stream's runner was in the store before it served, the stream broke before the client came, and the call was sent after that, so its answer names the version. This rests on no clock: it holds after a freeze or a suspension.

Ruled out: a smaller age (an entry, its first stream and its break fit into 0.3 s); the keepers' "unknown" as proof (one datagram tells them, and clients may name no attempt); the age in a frame.

Evidence: `a_gateway_out_of_step_does_not_take_its_former_version_for_the_only_one`, six ways of being out of step, six times of joining: mixed streams in the first of them before, none now.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -10,6 +10,7 @@
 
 use crate::crashes::CrashHandle;
 use crate::dispatch::DispatchHandle;
+use crate::feed::Confirmations;
 use crate::inflight::InFlight;
 use crate::journal;
 use crate::lifecycle::Lifecycle;
@@ -55,6 +56,8 @@
     /// When the routes in force were last confirmed to be the latest that the operators have
     /// set; `None` before the first confirmation.
     pub confirmed_at: watch::Receiver<Option<Instant>>,
+    /// Lets tasks wait until this node knows what the store holds at present.
+    pub confirmations: Confirmations,
     /// When the view that those routes belong to was noticed to be old.
     pub old_view: Arc<OldView>,
     /// Maximum staleness of the local view with which this node still checks credentials, and
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -46,6 +46,9 @@
     /// The latest time as of which the routes in force are known to be the operators'
     /// newest; `None` before the first confirmation.
     pub confirmed_at: watch::Sender<Option<Instant>>,
+    /// The time of the last call to the store whose answer is applied, as
+    /// [`Change::ReadAt`] tells it.
+    pub read_at: watch::Sender<Option<Instant>>,
     /// Writes the configuration in force to the store if the store shows an older one.
     pub configuration_keeper: ConfigurationKeeper,
     /// The store's item from which the configuration in force was read; `None` before
@@ -92,6 +95,9 @@
             Change::Event(Event::Written(item)) => self.apply_written(&item, false),
             Change::Event(Event::Removed { key, .. }) => self.apply_removed(&key),
             Change::CompleteAt(at) => self.confirm_routes(at),
+            Change::ReadAt(at) => {
+                self.read_at.send_replace(Some(at));
+            }
         }
     }
 
--- a/crates/gateway/src/feed/copy.rs
+++ b/crates/gateway/src/feed/copy.rs
@@ -105,6 +105,11 @@
         Ok(())
     }
 
+    /// Sends `change` behind all changes of the copy so far.
+    pub async fn publish(&self, change: Change) {
+        self.publisher.publish(change).await;
+    }
+
     /// Publishes entries that do not become part of the copy: the members' entries,
     /// from which the node learns which peers it can follow.
     pub async fn publish_entries(&self, items: Vec<Item>) {
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -9,6 +9,7 @@
 //! the limit.
 
 mod call_schedule;
+mod confirmation;
 mod copy;
 mod follower;
 mod frame;
@@ -35,6 +36,7 @@
 #[path = "tree_tests.rs"]
 mod tree_tests;
 
+pub use confirmation::Confirmations;
 pub use serve::serve;
 pub use snapshot::{CopySnapshot, read_copy};
 pub use state::{Change, FeedState};
--- a/crates/gateway/src/feed/state.rs
+++ b/crates/gateway/src/feed/state.rs
@@ -40,8 +40,12 @@
     Everything(Vec<Item>, u32),
     /// An item of the store was written or removed.
     Event(Event),
-    /// All changes before this time have been sent.
+    /// All changes before this time have been sent, as far as the sender of the latest ones
+    /// knew.
     CompleteAt(Instant),
+    /// All changes before this time have been sent: the store answered a call of this node that
+    /// was sent then.
+    ReadAt(Instant),
 }
 
 /// Consecutive changes in the store's order, as they are sent to followers.
--- a/crates/gateway/src/feed/task.rs
+++ b/crates/gateway/src/feed/task.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 
 use crate::context::Context;
+use crate::feed::confirmation::ConfirmationReader;
 use crate::feed::copy::FeedCopy;
 use crate::feed::follower::Follower;
 use crate::feed::poll::read_members;
@@ -57,6 +58,9 @@
         let copy = &self.copy;
         let (is_watcher_sender, is_watcher) = watch::channel(false);
         let (unreachable_sender, unreachable) = watch::channel(false);
+        let confirmation_store = self.store.with_own_connections();
+        let confirmations = &self.context.confirmations;
+        let confirmation_reader = ConfirmationReader::new(copy, confirmation_store, confirmations);
         let reader = StoreReader::new(copy, self.store, is_watcher, unreachable_sender);
         let follower = Follower::new(
             copy,
@@ -69,6 +73,7 @@
             () = copy.closed() => {}
             () = reader.run() => {}
             () = follower.run() => {}
+            () = confirmation_reader.run() => {}
             () = report_staleness(copy.subscribe(), copy.times, &self.context) => {}
         }
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,7 +24,7 @@
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
 use crate::essential_tasks::EssentialTasks;
-use crate::feed::{FeedState, FeedTask};
+use crate::feed::{Confirmations, FeedState, FeedTask};
 use crate::kept_configuration::ConfigurationKeeper;
 use crate::lifecycle::{Lifecycle, Stage};
 use crate::listener::{self, ListenerLimits};
@@ -231,6 +231,7 @@
     let urgent_demand = Arc::new(Notify::new());
     let (routes_sender, routes) = watch::channel(None);
     let (confirmed_sender, confirmed_at) = watch::channel(None);
+    let (read_sender, read_at) = watch::channel(None);
     let (quota, quota_inbox) = quota::channel();
     let (prefill, prefill_inbox) = prefill::channel();
     let uses_prefill = placement_options.switches.is_enabled(Mechanism::Prefill);
@@ -256,6 +257,7 @@
         started_at: Instant::now(),
         routes,
         confirmed_at,
+        confirmations: Confirmations::new(read_at),
         old_view: Arc::default(),
         quota,
         prefill: uses_prefill.then(|| prefill.clone()),
@@ -314,6 +316,7 @@
         leader: leader_sender,
         lease_era: lease_era_sender,
         confirmed_at: confirmed_sender,
+        read_at: read_sender,
         configuration_keeper: ConfigurationKeeper {
             context: context.clone(),
             store: store.clone(),
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -14,8 +14,6 @@
 const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(60);
 /// Time for which runners' entries may be known here and not yet at other gateways.
 const ENTRY_LAG: Duration = Duration::from_secs(5);
-/// Age of this node's view of the store up to which its runners' versions can be relied on.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(2);
 
 /// Binds a request that resumes a stream to the software version that began it. Returns
 /// false if that version is unknown: the request must not run then, since what another
@@ -44,9 +42,17 @@
 /// there may have been several: of a client that names no attempt nothing else is known.
 async fn sole_version(exchange: &Exchange) -> Option<SoftwareVersion> {
     let context = &exchange.context;
-    context.view_staleness().filter(|age| *age < MAX_VIEW_AGE)?;
     let patience = exchange.route.timeout.unwrap_or_default();
     let time = patience.max(MIN_CLIENT_PATIENCE) + ENTRY_LAG;
-    let service = exchange.service.clone();
-    context.dispatch.sole_software(service, time).await
+    let service = &exchange.service;
+    context
+        .dispatch
+        .sole_software(service.clone(), time)
+        .await?;
+    // The runner that began the stream was in the store before the client came here. Whether this
+    // node knew of it then cannot be told by the age of its view, which may be older than it looks.
+    if !context.confirmations.confirm(exchange.received).await {
+        return None;
+    }
+    context.dispatch.sole_software(service.clone(), time).await
 }
--- a/crates/standin/tests/software_versions.rs
+++ b/crates/standin/tests/software_versions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{Fault, FollowedStream, RunnerStandIn, World, engine_service, route};
+use barleyspar_standin::{Cut, Fault, FollowedStream, RunnerStandIn, World, engine_service, route};
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -228,6 +228,121 @@
     assert_all_whole(&streams);
 }
 
+/// Longer than any client waits, so that the only version so far is known to be the only one.
+const LONG_TIME: Duration = Duration::from_secs(70);
+
+/// How gateway 1 is out of step with the other gateways and the store.
+#[derive(Debug, Clone, Copy)]
+enum OutOfStep {
+    /// Its links to them are cut in this way.
+    Cut(Cut),
+    /// The same, but its links to the other gateways are restored before streams are taken up.
+    CutFromStore(Cut),
+    /// It stands still.
+    Paused,
+    /// It stands still, and loses what is sent to it meanwhile but for what waits on connections.
+    PausedAndDeaf,
+}
+
+impl OutOfStep {
+    const ALL: [Self; 6] = [
+        Self::Cut(Cut::Silent),
+        Self::Cut(Cut::Reset),
+        Self::CutFromStore(Cut::Silent),
+        Self::CutFromStore(Cut::Reset),
+        Self::Paused,
+        Self::PausedAndDeaf,
+    ];
+
+    fn begin(self, world: &World) {
+        match self {
+            Self::Cut(way) | Self::CutFromStore(way) => {
+                cut_from_gateways(world, way);
+                let hosts = (World::gateway_host(1), World::store_host());
+                world.network.cut_in_way(hosts.0, hosts.1, way);
+            }
+            Self::Paused => world.pause_gateway(1),
+            Self::PausedAndDeaf => {
+                world.pause_gateway(1);
+                cut_from_gateways(world, Cut::Silent);
+            }
+        }
+    }
+
+    /// Changes what must change before streams are taken up at gateway 1.
+    fn go_on(self, world: &World) {
+        match self {
+            Self::Cut(_) => {}
+            Self::CutFromStore(way) => {
+                world.network.heal();
+                let hosts = (World::gateway_host(1), World::store_host());
+                world.network.cut_in_way(hosts.0, hosts.1, way);
+            }
+            Self::Paused | Self::PausedAndDeaf => world.resume_gateway(1),
+        }
+    }
+}
+
+fn cut_from_gateways(world: &World, way: Cut) {
+    for other in 2..=GATEWAYS {
+        let hosts = (World::gateway_host(1), World::gateway_host(other));
+        world.network.cut_in_way(hosts.0, hosts.1, way);
+    }
+}
+
+/// Gateway 1 is out of step while runners of a second version join. Streams that begin at them
+/// through the other gateways break and are taken up at gateway 1.
+async fn streams_taken_up_out_of_step(
+    out_of_step: OutOfStep,
+    joined_after: u64,
+) -> Vec<FollowedStream> {
+    let mut world = world(&["v1"]).await;
+    world.run_for(LONG_TIME).await;
+    out_of_step.begin(&world);
+    world.run_for(Duration::from_millis(joined_after)).await;
+    for runner in world.runners.values() {
+        runner.set_fault(Some(Fault::Reject));
+    }
+    for number in 1..=RUNNERS_OF_VERSION {
+        let runner = world.start_runner(&format!("engine-v2-{number}"), "engine", &["a"]);
+        runner.set_software("v2");
+        runner.set_fault(Some(Fault::BreakStream(7)));
+    }
+    // The other gateways learn of them meanwhile.
+    world.run_for(SECOND * 3 / 10).await;
+    let clients: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let tries = [2 + number % (GATEWAYS - 1), 1, 1, 1, 1, 1, 1, 1];
+            world.spawn_stream(&tries, STREAM, &format!("stream-{number}"))
+        })
+        .collect();
+    world.run_for(SECOND * 3 / 10).await;
+    for runner in world.runners.values() {
+        runner.set_fault(None);
+    }
+    out_of_step.go_on(&world);
+    world.run_for(SECOND).await;
+    world.network.heal();
+    results(clients).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_out_of_step_does_not_take_its_former_version_for_the_only_one() {
+    for out_of_step in OutOfStep::ALL {
+        let mut resumed = 0;
+        for joined_after in [0, 100, 300, 600, 1200, 2500] {
+            let streams = streams_taken_up_out_of_step(out_of_step, joined_after).await;
+            let mixed = streams.iter().filter(|stream| stream.mixes_versions());
+            assert_eq!(mixed.count(), 0, "{out_of_step:?}, {joined_after} ms");
+            resumed += streams
+                .iter()
+                .filter(|stream| stream.resumed_tries > 0)
+                .count();
+        }
+        assert!(resumed > 20, "{out_of_step:?}: {resumed} streams taken up");
+    }
+}
+
 fn random_runner(world: &World, random: &mut StdRng) -> RunnerStandIn {
     let index = random.random_range(0..world.runners.len());
     let runner = world.runners.values().nth(index);
