A version that came and went while a gateway missed the changes is not forgotten

What callers would see: a stream that began at a version which served for a few seconds, while one gateway was cut off, goes on there at another version.

Cause: a gateway that reads the store's whole state, because its history is gone or its answer took too long, sees the runners of that moment only. Its own history of versions showed none that came and left in between, and it went on to count as complete.

--- a/crates/dispatch/src/software_history.rs
+++ b/crates/dispatch/src/software_history.rs
@@ -14,7 +14,7 @@
 /// The versions of one service.
 #[derive(Debug)]
 struct ServiceVersions {
-    /// When this node first saw a runner of the service.
+    /// Since when this node knows of all runners of the service.
     since: Instant,
     /// When a runner of each version was last seen.
     last_seen: BTreeMap<SoftwareVersion, Instant>,
@@ -49,6 +49,14 @@
             .retain(|_, seen| now.saturating_duration_since(*seen) < KEPT_FOR);
     }
 
+    /// Records that runners of any version may have come and gone before `now` without this
+    /// node's knowledge.
+    pub fn record_unknown(&mut self, now: Instant) {
+        for versions in self.services.values_mut() {
+            versions.since = now;
+        }
+    }
+
     /// Sets the versions of the shared record, in place of the former ones.
     pub fn set_shared_record(&mut self, record: VersionsByService) {
         self.shared_record = record;
@@ -81,6 +89,12 @@
         self.software_history.set_shared_record(record);
     }
 
+    /// Records that runners of any software version may have come and gone before `now` without
+    /// this node's knowledge.
+    pub fn record_unknown_software(&mut self, now: Instant) {
+        self.software_history.record_unknown(now);
+    }
+
     /// Returns the versions of the runners that are there now.
     pub fn present_software(&self) -> VersionsByService {
         let mut present = VersionsByService::new();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -141,6 +141,8 @@
             self.lease_era.send_replace(0);
         }
         self.update_recorded_software(RecordedVersions::clear);
+        // A runner may have come and gone since the last change that is known.
+        self.context.dispatch.record_unknown_software();
         let dialect = self.context.dialect.clone();
         if is_restored {
             self.record_missing(&items);
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -165,6 +165,7 @@
     FindSoleSoftware(Arc<str>, Duration, oneshot::Sender<Option<SoftwareVersion>>),
     PresentSoftware(oneshot::Sender<VersionsByService>),
     SetSharedSoftwareRecord(VersionsByService),
+    RecordUnknownSoftware,
     FindCallable(Arc<str>, oneshot::Sender<Option<Arc<Runner>>>),
     Snapshot(oneshot::Sender<Snapshot>),
     ReadingSpeeds(oneshot::Sender<Vec<(RunnerKey, f64)>>),
@@ -450,6 +451,11 @@
         self.send(Command::SetSharedSoftwareRecord(record));
     }
 
+    /// Records that runners may have come and gone without this node's knowledge.
+    pub fn record_unknown_software(&self) {
+        self.send(Command::RecordUnknownSoftware);
+    }
+
     /// Returns the part of the dispatcher's state that is sent to other nodes; `None` if the
     /// dispatcher's task is gone.
     pub async fn snapshot(&self) -> Option<Snapshot> {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -259,6 +259,7 @@
             Command::SetSharedSoftwareRecord(record) => {
                 self.dispatcher.set_shared_software_record(record);
             }
+            Command::RecordUnknownSoftware => self.dispatcher.record_unknown_software(now()),
             Command::FindSoleSoftware(service, time, reply) => {
                 // Sending fails if the client has left; then nobody waits for the version.
                 let _ = reply.send(self.dispatcher.sole_software(&service, time, now()));
--- a/crates/standin/tests/software_versions.rs
+++ b/crates/standin/tests/software_versions.rs
@@ -343,6 +343,25 @@
     }
 }
 
+/// What a gateway that was out of step reads anew shows the present runners only.
+#[tokio::test(start_paused = true)]
+async fn a_version_that_came_and_went_unseen_is_not_forgotten() {
+    let mut world = world(&["v1"]).await;
+    world.run_for(LONG_TIME).await;
+    OutOfStep::Cut(Cut::Reset).begin(&world);
+    let joined = world.start_runner("engine-v2-1", "engine", &["a"]);
+    joined.set_software("v2");
+    joined.publish_entry();
+    world.run_for(3 * SECOND).await;
+    joined.crash(&world.network);
+    world.store.remove("runner/engine-v2-1");
+    world.store.compact_history();
+    world.network.heal();
+    world.run_for(3 * SECOND).await;
+    let code = take_up(&world, 1, "resumed", &[("after-event", "3")]).await;
+    assert_eq!((code, world.run_count("resumed")), (503, 0));
+}
+
 fn random_runner(world: &World, random: &mut StdRng) -> RunnerStandIn {
     let index = random.random_range(0..world.runners.len());
     let runner = world.runners.values().nth(index);
