What a node keeps of all answers together has a bound

Cause: one answer has a limit (256 KiB collected, 1 MiB of an unfinished event), their number has none: a hundred unfinished events take 100 MB of a node's 128 MB, and a collected answer was kept until its caller had read it.

Where none is left, an answer is relayed as it comes instead of collected, and a long event breaks its stream's attempt. Streams of usual events never ask.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, timeout_at};
 
+use crate::answer_memory::AnswerMemory;
 use crate::crashes::CrashHandle;
 use crate::dispatch::DispatchHandle;
 use crate::feed::Confirmations;
@@ -87,6 +88,8 @@
     pub lifecycle: Lifecycle,
     /// Memory for request bodies, in units of [`BODY_UNIT`] bytes.
     pub body_memory: Arc<Semaphore>,
+    /// Memory for what this node keeps of runners' answers.
+    pub answer_memory: AnswerMemory,
     /// Metrics of the gateway, which the metrics listener serves.
     pub metrics: Arc<Metrics>,
     /// Counter of the callers' requests in flight.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -37,6 +37,11 @@
         Ok(())
     }
 
+    /// Returns the number of bytes that are not returned as events yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the next complete event; `None` if more bytes are needed.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.find_end()?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! lease it decides which models are loaded on which runners.
 
 mod admission;
+mod answer_memory;
 mod answers;
 mod arrivals;
 mod attempt;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::answer_memory::AnswerMemory;
 use crate::arrivals::Arrivals;
 use crate::body::AnswerBody;
 use crate::context::{Context, body_memory};
@@ -273,6 +274,7 @@
         caller_connections: Arc::default(),
         metrics: Arc::default(),
         body_memory: body_memory(settings.limits.memory_bytes),
+        answer_memory: AnswerMemory::new(settings.limits.memory_bytes),
     };
     let store = Store::new(
         settings.store_address,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,8 +23,8 @@
     /// The complete answer, with a status (5xx) by which the runner reports a failure of its
     /// own.
     Failed(Response<AnswerBody>),
-    /// The answer exceeds [`MAX_COLLECTED_BYTES`]: the bytes already read, and the attempt
-    /// from which the remaining ones are to be read.
+    /// The answer exceeds [`MAX_COLLECTED_BYTES`], or this node has no more memory for it: the
+    /// bytes already read, and the attempt from which the remaining ones are to be read.
     TooLong(Bytes, Box<Answered>),
     /// The connection broke.
     Broken,
@@ -63,6 +63,7 @@
 /// Ends the request too if the complete answer reports no failure.
 pub async fn collect(exchange: &mut Exchange, mut answered: Answered) -> Relayed {
     let mut collected = BytesMut::new();
+    let mut memory = exchange.context.answer_memory.reserve_none();
     loop {
         match next_chunk(exchange, &mut answered).await {
             Chunk::Data(data) => collected.extend_from_slice(&data),
@@ -74,12 +75,14 @@
             // The permit is dropped, since this says nothing about the runner.
             Chunk::DeadlinePassed => return Relayed::DeadlinePassed,
         }
-        if collected.len() > MAX_COLLECTED_BYTES {
-            return Relayed::TooLong(collected.freeze(), Box::new(answered));
+        if collected.len() > MAX_COLLECTED_BYTES || !memory.grow_to(collected.len()) {
+            let collected = memory.attach_to(collected.freeze());
+            return Relayed::TooLong(collected, Box::new(answered));
         }
     }
     let failed = answered.status.is_server_error();
-    let response = build_response(exchange, &answered, AnswerBody::whole(collected.freeze()));
+    let body = AnswerBody::whole(memory.attach_to(collected.freeze()));
+    let response = build_response(exchange, &answered, body);
     let outcome = if failed {
         Outcome::Failed(Failure::Error)
     } else {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::answer_memory::ReservedMemory;
 use crate::attempt::{Answered, attempt, rejection_outcome};
 use crate::body::{AnswerBody, BodySender, cut_off};
 use crate::dispatch::Permit;
@@ -26,6 +27,10 @@
 /// stall timeout apart if that is longer.
 const STALL_RECHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Length in bytes of an unfinished event up to which no memory is reserved for it. Streams of
+/// usual events go on, whatever the memory for answers is used for.
+const SHORT_EVENT_BYTES: usize = 16 * 1024;
+
 /// How the relaying of a stream from one runner ended.
 enum RunEnd {
     /// The runner's body ended after a complete event.
@@ -60,17 +65,21 @@
     events_sent: u64,
     /// When the first event from the current runner was sent; `None` before that.
     runner_answers_since: Option<Instant>,
+    /// Memory for the event that the current runner has not finished.
+    memory: ReservedMemory,
 }
 
 impl StreamRelay {
     /// Creates a relay that sends events to `body_sender`.
     pub fn new(exchange: Exchange, body_sender: BodySender) -> Self {
+        let memory = exchange.context.answer_memory.reserve_none();
         Self {
             exchange,
             body_sender,
             last_event_id: None,
             events_sent: 0,
             runner_answers_since: None,
+            memory,
         }
     }
 
@@ -143,6 +152,7 @@
     async fn relay_from_runner(&mut self, answered: &mut Answered) -> RunEnd {
         self.runner_answers_since = None;
         let mut splitter = EventSplitter::default();
+        drop(self.take_memory());
         let mut last_received = Instant::now();
         loop {
             let stall_timeout = self.stall_timeout(&answered.permit);
@@ -165,6 +175,10 @@
                         if let Err(end) = self.send_complete_events(&mut splitter, answered).await {
                             return end;
                         }
+                        let unfinished = splitter.buffered_bytes();
+                        if unfinished > SHORT_EVENT_BYTES && !self.memory.grow_to(unfinished) {
+                            return RunEnd::Broken("no memory for a long event".to_owned());
+                        }
                     }
                 },
                 () = sleep_until(self.exchange.deadline) => return RunEnd::Deadline,
@@ -207,8 +221,9 @@
         splitter: &mut EventSplitter,
         answered: &Answered,
     ) -> Result<(), RunEnd> {
-        while let Some(event) = splitter.next_event() {
+        while let Some(mut event) = splitter.next_event() {
             answered.permit.record_event();
+            event.bytes = self.take_memory().attach_to(event.bytes);
             if self.is_already_sent(&event) {
                 continue;
             }
@@ -229,6 +244,12 @@
         Ok(())
     }
 
+    /// Returns what is reserved for the event that was unfinished until now.
+    fn take_memory(&mut self) -> ReservedMemory {
+        let none = self.exchange.context.answer_memory.reserve_none();
+        std::mem::replace(&mut self.memory, none)
+    }
+
     /// Sends one event to the client; waits until the client's connection takes it.
     async fn send_event(&mut self, event: StreamEvent) -> Result<(), RunEnd> {
         if event.id.is_some() {
