An answer to a question of a node's former life is not taken for one to another question

What callers would see: a stream of unknown origin goes on at the version of another stream, a request passes a quota that nobody charged, a prompt is sent by a permit for another one.

Cause: nodes number their questions (origins of streams, permits of quotas, permits of prompts) and know the answers by these numbers alone, which began with 1 in each life of a process. A peer that stood still answers what it was asked before the process was killed and started again. It was found by looking for each answer that is taken by a number or an id.

Change: the numbers of a process begin at a random one. No message changes its shape. The draw of a quota's reserve counts for itself, so that it stays the same in virtual time.

Evidence: `an_answer_to_a_question_of_a_former_life_names_no_other_streams_version`: status 200 and a run at the other stream's version before, 503 and none now.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod peers;
 mod placement;
 mod prefill;
+mod question_numbers;
 mod quota;
 mod rate_permits;
 mod reachability;
--- a/crates/gateway/src/origins/task.rs
+++ b/crates/gateway/src/origins/task.rs
@@ -15,6 +15,7 @@
 use crate::origins::{Command, OriginInbox, StreamKey};
 use crate::owners::Owners;
 use crate::peers::PeerHandle;
+use crate::question_numbers::number_before_first;
 
 /// Time to wait for a keeper's answer before it is asked again: ten times the duration of a
 /// message exchange between zones.
@@ -50,7 +51,7 @@
             peers,
             table: OriginTable::default(),
             pending: BTreeMap::new(),
-            last_number: 0,
+            last_number: number_before_first(),
             retry_at: Instant::now(),
             inbox: inbox.0,
         }
--- a/crates/gateway/src/prefill/mod.rs
+++ b/crates/gateway/src/prefill/mod.rs
@@ -18,6 +18,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::question_numbers::number_before_first;
+
 pub use pacing::{Moves, Turn, await_turn, await_turn_briefly};
 pub use task::PrefillTask;
 
@@ -186,7 +188,7 @@
     let (commands, inbox) = mpsc::unbounded_channel();
     let handle = PrefillHandle {
         commands,
-        last_number: Arc::default(),
+        last_number: Arc::new(AtomicU64::new(number_before_first())),
     };
     (handle, PrefillInbox(inbox))
 }
--- a/crates/gateway/src/quota/task.rs
+++ b/crates/gateway/src/quota/task.rs
@@ -15,6 +15,7 @@
 use crate::messages::Message;
 use crate::owners::Owners;
 use crate::peers::{PeerHandle, peer_timeout};
+use crate::question_numbers::number_before_first;
 use crate::quota::{Command, QuotaDecision, QuotaInbox};
 
 /// Time to wait for an owner's answer before the request is sent again: ten times the
@@ -56,6 +57,8 @@
     /// requests that have been answered are skipped.
     retries: VecDeque<(Instant, u64)>,
     last_number: u64,
+    /// Number of requests decided by the reserve so far.
+    reserve_decisions: u64,
     cleaned_at: Instant,
     inbox: mpsc::UnboundedReceiver<Command>,
 }
@@ -71,7 +74,8 @@
             ledger: QuotaLedger::new(context.settings.bounds.quota.window),
             pending: BTreeMap::new(),
             retries: VecDeque::new(),
-            last_number: 0,
+            last_number: number_before_first(),
+            reserve_decisions: 0,
             cleaned_at: Instant::now(),
             peers,
             context,
@@ -227,7 +231,8 @@
     fn decide_by_reserve(&mut self, number: u64, mut pending: Pending) {
         // A pseudo-random number from 0 to 1, which decides if the reserve covers only a part
         // of the cost.
-        let draw = rendezvous_weight(&self.last_number, &*self.context.settings.name) as f64
+        self.reserve_decisions += 1;
+        let draw = rendezvous_weight(&self.reserve_decisions, &*self.context.settings.name) as f64
             / u64::MAX as f64;
         let granted = self
             .ledger
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -366,6 +366,25 @@
         send_request(&self.network, client_request).await
     }
 
+    /// Takes the stream that the request `began_as` began up at gateway `number`, behind its third
+    /// event. As all tries of a stream, it has the same body, here `began_as`.
+    pub async fn take_up_stream(
+        &self,
+        number: u8,
+        (path, model): (&str, &str),
+        id: &str,
+        began_as: &str,
+    ) -> Answer {
+        let to = SocketAddr::new(Self::gateway_host(number), CALLER_PORT);
+        let client_request = ClientRequest {
+            model: Some(model),
+            body: Some(began_as),
+            extra: &[(names::RESUMES, began_as), (names::AFTER_EVENT, "3")],
+            ..ClientRequest::plain(CLIENT_HOST, to, path, id)
+        };
+        send_request(&self.network, client_request).await
+    }
+
     /// Starts a client that follows one stream over its tries, in a task of its own. It sends
     /// them to `gateways` in turn; `id` begins their ids and is their body.
     pub fn spawn_stream(
--- a/crates/standin/tests/software_versions.rs
+++ b/crates/standin/tests/software_versions.rs
@@ -343,6 +343,39 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_answer_to_a_question_of_a_former_life_names_no_other_streams_version() {
+    let mut world = World::new(
+        vec![engine_service("engine", &["a"])],
+        vec![route("/stream/", "engine", RequestKind::Streaming)],
+    );
+    for version in ["v1", "v2"] {
+        let runner = world.start_runner(&format!("engine-{version}"), "engine", &["a"]);
+        runner.set_software(version);
+    }
+    world.start_gateways(1..=2).await;
+    world.run_for(8 * SECOND).await;
+    let (path, model) = STREAM;
+    let began = world.request(2, path, "known", Some(model)).await;
+    assert_eq!(began.code(), 200);
+    world.kill_gateway(1);
+    world.start_gateway(1).await;
+    world.run_for(SECOND).await;
+    world.pause_gateway(2);
+    let asked = world.take_up_stream(1, STREAM, "asked", "known").await;
+    assert_eq!(asked.code(), 503, "the keeper answers");
+    world.kill_gateway(1);
+    world.start_gateway(1).await;
+    world.run_for(SECOND / 3).await;
+    let late_answer = async {
+        world.run_for(SECOND / 50).await;
+        world.resume_gateway(2);
+    };
+    let other = world.take_up_stream(1, STREAM, "other", "unheard-of");
+    let (other, ()) = tokio::join!(other, late_answer);
+    assert_eq!((other.code(), world.run_count("other")), (503, 0));
+}
+
 /// What a gateway that was out of step reads anew shows the present runners only.
 #[tokio::test(start_paused = true)]
 async fn a_version_that_came_and_went_unseen_is_not_forgotten() {
