A request without an id shares no connection with others

What callers would see: the answer to another caller's request. A runner that sends its last answer a second time, late, in the place of the next one is known by the id in it; a request whose client gave no id had nothing to compare. Clients that keep to their protocol give one, so that none of them meets this.

Change: such a request gets a new connection, which is closed after its answer. Ruled out: an id made up by the gateway, which no client sent; a refusal, since the request can be served.

Evidence: `a_caller_without_an_id_does_not_get_the_answer_to_another_caller`: the second caller got "answer 0" before, gets its own now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -72,6 +72,23 @@
     pub cause: String,
 }
 
+impl Outgoing {
+    /// Returns a connection to the pool after the answer to this request was read completely from
+    /// it. Without an id, a late copy of the answer could not be told from the answer to another
+    /// request, so the connection is closed then.
+    pub fn put_back(
+        &self,
+        context: &Context,
+        runner: &Runner,
+        connection: Connection,
+        keep_alive_seconds: Option<u64>,
+    ) {
+        if self.request_id.is_some() {
+            context.put_back(runner, connection, keep_alive_seconds);
+        }
+    }
+}
+
 impl AttemptError {
     /// Creates the error of an attempt that wrote no byte of the request, so it did not run.
     fn unsent(outcome: Outcome, cause: String) -> Self {
@@ -147,7 +164,7 @@
     forward: ForwardedHeaders,
     head_deadline: Instant,
 ) -> Result<HeadParts, AttemptError> {
-    let mut connection = connect(context, permit.runner(), head_deadline).await?;
+    let mut connection = connect(context, permit.runner(), outgoing, head_deadline).await?;
     if !permit.runner_accepts_work() {
         let cause = "the runner started to drain".to_owned();
         return Err(AttemptError::unsent(Outcome::Abandoned, cause));
@@ -238,16 +255,21 @@
     }
 }
 
-/// Gets a connection to `runner`, at the latest by `head_deadline`.
+/// Gets a connection to `runner`, at the latest by `head_deadline`. A request without an id gets a
+/// new one, on which no answer to another request can arrive.
 async fn connect(
     context: &Context,
     runner: &Runner,
+    outgoing: &Outgoing,
     head_deadline: Instant,
 ) -> Result<Connection, AttemptError> {
     let remaining = head_deadline.saturating_duration_since(Instant::now());
-    let connected = context
-        .connect(runner, CONNECT_TIMEOUT.min(remaining))
-        .await;
+    let timeout = CONNECT_TIMEOUT.min(remaining);
+    let connected = if outgoing.request_id.is_some() {
+        context.connect(runner, timeout).await
+    } else {
+        context.open_connection(runner, timeout).await
+    };
     connected.map_err(|error| {
         let outcome = match error {
             ConnectError::ConnectionLimitReached => Outcome::Busy,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -120,7 +120,8 @@
 /// Ends an attempt whose answer was read completely: reports `outcome` and returns the
 /// connection to the pool.
 pub fn finish_attempt(exchange: &Exchange, answered: Answered, outcome: Outcome) {
-    exchange.context.put_back(
+    exchange.outgoing.put_back(
+        &exchange.context,
         answered.permit.runner(),
         answered.connection,
         answered.facts.keep_alive_seconds,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -364,8 +364,10 @@
         let read_deadline = Instant::now() + REJECTION_BODY_TIMEOUT;
         let rejection = Limited::new(body, MAX_COLLECTED_BYTES).collect();
         if let Ok(Ok(_)) = timeout_at(read_deadline, rejection).await {
-            let context = &exchange.context;
-            context.put_back(permit.runner(), connection, facts.keep_alive_seconds);
+            let (context, keep_alive) = (&exchange.context, facts.keep_alive_seconds);
+            exchange
+                .outgoing
+                .put_back(context, permit.runner(), connection, keep_alive);
         }
     }
     permit.finish(outcome);
