The log tells a stream whose origin the store did not confirm; the answer to a request is a type

`stream_origin` says `store_unanswered` where the store did not answer in time, which was not to be told from several versions before. The result of sending a request to runners is named for what it is and kept small (clippy's lint on large variants).

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -67,32 +67,30 @@
     }
 }
 
-/// How a request goes on once a runner has answered it, or none will.
-enum Progress {
-    /// The request ended with this answer for the client.
-    Ended(Response<AnswerBody>),
-    /// The runner answers with a stream of events, which is to be relayed.
-    Stream(Answered),
-    /// The runner's answer is long: the bytes already read, and the attempt from which the
-    /// remaining ones are to be relayed.
-    LongAnswer(Bytes, Box<Answered>),
+/// The answer to a request, complete or as far as it was read.
+enum Answer {
+    /// The whole answer for the client; the request has ended.
+    Whole(Response<AnswerBody>),
+    /// A stream of events, all of which are to be relayed.
+    Stream(Box<Answered>),
+    /// A long answer: the bytes already read, and the attempt from which the remaining ones are to
+    /// be relayed.
+    Long(Bytes, Box<Answered>),
 }
 
 /// Serves an admitted request. One that is still unanswered when the process ends gets an answer
 /// of the gateway's own, since its connection would be cut otherwise.
 async fn run(mut exchange: Exchange) -> Response<AnswerBody> {
     let lifecycle = exchange.context.lifecycle.clone();
-    let progress = tokio::select! {
+    let answer = tokio::select! {
         biased;
-        progress = send_to_runners(&mut exchange) => progress,
+        answer = send_to_runners(&mut exchange) => answer,
         () = lifecycle.wait_for_last_answers() => return end_unanswered(&mut exchange),
     };
-    match progress {
-        Progress::Ended(response) => response,
-        Progress::Stream(answered) => stream::relay_events(exchange, answered),
-        Progress::LongAnswer(collected, answered) => {
-            relay::relay_chunks(exchange, collected, answered)
-        }
+    match answer {
+        Answer::Whole(response) => response,
+        Answer::Stream(answered) => stream::relay_events(exchange, *answered),
+        Answer::Long(collected, answered) => relay::relay_chunks(exchange, collected, answered),
     }
 }
 
@@ -107,29 +105,29 @@
 
 /// Sends the request to runners, one after the other, until there is an answer for the
 /// client.
-async fn send_to_runners(exchange: &mut Exchange) -> Progress {
+async fn send_to_runners(exchange: &mut Exchange) -> Answer {
     if !bind_to_origin(exchange).await {
         let refusal = refuse(exchange, "unknown_origin", REJECTED_RETRY_AFTER);
-        return Progress::Ended(refusal);
+        return Answer::Whole(refusal);
     }
     let mut kind = AttemptKind::First;
     let mut fallback = None;
     loop {
         let answered = match attempt_once(exchange, kind, fallback.take()).await {
             Ok(answered) => answered,
-            Err(Next::Answer(response)) => return Progress::Ended(response),
+            Err(Next::Answer(response)) => return Answer::Whole(response),
             Err(Next::Again(next)) => {
                 kind = next;
                 continue;
             }
         };
         if answered.facts.event_stream && answered.status == StatusCode::OK {
-            return Progress::Stream(answered);
+            return Answer::Stream(Box::new(answered));
         }
         match relay::collect(exchange, answered).await {
-            relay::Relayed::Answer(response) => return Progress::Ended(response),
+            relay::Relayed::Answer(response) => return Answer::Whole(response),
             relay::Relayed::TooLong(collected, answered) => {
-                return Progress::LongAnswer(collected, answered);
+                return Answer::Long(collected, answered);
             }
             relay::Relayed::Failed(response) if exchange.may_retry() => {
                 fallback = Some(response);
@@ -137,13 +135,13 @@
             }
             relay::Relayed::Failed(response) => {
                 exchange.end(response.status().as_u16(), "runner_failed");
-                return Progress::Ended(response);
+                return Answer::Whole(response);
             }
             relay::Relayed::Broken if exchange.may_retry() => kind = AttemptKind::Retry,
             relay::Relayed::Broken => {
-                return Progress::Ended(end_with(exchange, bad_gateway("answer_broken")));
+                return Answer::Whole(end_with(exchange, bad_gateway("answer_broken")));
             }
-            relay::Relayed::DeadlinePassed => return Progress::Ended(give_up(exchange)),
+            relay::Relayed::DeadlinePassed => return Answer::Whole(give_up(exchange)),
         }
     }
 }
--- a/crates/gateway/src/resumption.rs
+++ b/crates/gateway/src/resumption.rs
@@ -25,7 +25,7 @@
     }
     let (origin, source) = match recorded_origin(exchange).await {
         Some(recorded) => (Some(recorded), "record"),
-        None => (sole_version(exchange).await, "sole_version"),
+        None => sole_version(exchange).await,
     };
     journal::stream_origin(exchange.id(), origin.as_ref(), source);
     exchange.software = origin;
@@ -39,20 +39,24 @@
 }
 
 /// Returns the only version that can have begun any stream that is taken up now; `None` if
-/// there may have been several: of a client that names no attempt nothing else is known.
-async fn sole_version(exchange: &Exchange) -> Option<SoftwareVersion> {
+/// there may have been several: of a client that names no attempt nothing else is known. The
+/// second value says for the log by what this was decided.
+async fn sole_version(exchange: &Exchange) -> (Option<SoftwareVersion>, &'static str) {
+    const KNOWN_HERE: &str = "sole_version";
     let context = &exchange.context;
     let patience = exchange.route.timeout.unwrap_or_default();
     let time = patience.max(MIN_CLIENT_PATIENCE) + ENTRY_LAG;
-    let service = &exchange.service;
-    context
-        .dispatch
-        .sole_software(service.clone(), time)
-        .await?;
+    let sole_software = || {
+        let service = exchange.service.clone();
+        context.dispatch.sole_software(service, time)
+    };
+    if sole_software().await.is_none() {
+        return (None, KNOWN_HERE);
+    }
     // The runner that began the stream was in the store before the client came here. Whether this
     // node knew of it then cannot be told by the age of its view, which may be older than it looks.
     if !context.confirmations.confirm(exchange.received).await {
-        return None;
+        return (None, "store_unanswered");
     }
-    context.dispatch.sole_software(service.clone(), time).await
+    (sole_software().await, KNOWN_HERE)
 }
