--- a/crates/soak/src/arguments.rs
+++ b/crates/soak/src/arguments.rs
@@ -12,11 +12,12 @@
 /// Help text.
 pub const USAGE: &str = "\
 usage: barleyspar-soak [--seed N] [--seconds S] [--gateways N] [--runners N] [--clients N]
-                       [--faults N] [--deadly-parts] [--directory DIR]
+                       [--faults N] [--deadly-parts] [--standstills] [--directory DIR]
 
 Runs N gateways and runners and a store as processes under faults that the seed draws, for S
 seconds, and checks what clients and runners see. --faults: how many strike at a time.
 --deadly-parts: requests come, too, that end each engine which begins to run them.
+--standstills: the runners of a service stand still together, too, for up to 25 s.
 --directory: where the processes' logs go. The last line is JSON; exit 0 without a violation.";
 
 /// Largest number of processes of a kind, so that a soak fits a machine.
@@ -50,6 +51,8 @@
     pub faults: usize,
     /// Whether requests come that end each engine which begins to run them.
     pub deadly_parts: bool,
+    /// Whether runners of one service stand still together for longer than a retry window.
+    pub standstills: bool,
     /// Directory for the logs of the processes; `None` for one in the temporary directory.
     pub directory: Option<PathBuf>,
 }
@@ -64,6 +67,7 @@
             clients: 24,
             faults: 3,
             deadly_parts: false,
+            standstills: false,
             directory: None,
         }
     }
@@ -84,6 +88,7 @@
             Long("clients") => options.clients = parser.value()?.parse()?,
             Long("faults") => options.faults = parser.value()?.parse()?,
             Long("deadly-parts") => options.deadly_parts = true,
+            Long("standstills") => options.standstills = true,
             Long("directory") => options.directory = Some(parser.value()?.into()),
             Long("role") => role.name = Some(parser.value()?.string()?),
             Long("number") => role.number = parser.value()?.parse()?,
--- a/crates/soak/src/checks/runners.rs
+++ b/crates/soak/src/checks/runners.rs
@@ -1,6 +1,7 @@
 //! What runners got: requests, orders and models.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::checks::{RECORD_SLACK, Violation, is_in_touch};
@@ -106,12 +107,12 @@
 }
 
 pub(super) fn retries_stay_within_the_budget(observations: &Observations) -> Vec<Violation> {
-    let mut first_runs: BTreeMap<bool, BTreeSet<&str>> = BTreeMap::new();
+    let mut first_arrivals: BTreeMap<bool, BTreeSet<u64>> = BTreeMap::new();
     let mut repeats: BTreeMap<bool, Vec<Duration>> = BTreeMap::new();
     for observation in &observations.runners {
-        if let RunnerEvent::Run(id) = &observation.event {
+        if let RunnerEvent::Arrival(id) = &observation.event {
             let service = is_engine(observation.runner);
-            if !first_runs.entry(service).or_default().insert(id) {
+            if !first_arrivals.entry(service).or_default().insert(*id) {
                 repeats.entry(service).or_default().push(observation.at);
             }
         }
@@ -121,15 +122,10 @@
         for start in &times {
             let end = *start + RETRY_WINDOW;
             let count = times.iter().filter(|at| (*start..end).contains(at)).count();
-            // The window with the most requests of three counts; the longest span covers them.
-            let earliest = start.saturating_sub(RETRY_WINDOW);
-            let requests = observations.attempts.iter().filter(|attempt| {
-                (attempt.kind == RequestKind::Stream) == service
-                    && (earliest..end).contains(&attempt.sent_at)
-            });
-            let allowed = RETRY_RATIO * requests.count() as f64 + RETRY_EXTRA;
+            let requests = most_requests(observations, service, *start);
+            let allowed = RETRY_RATIO * requests as f64 + RETRY_EXTRA;
             if count as f64 > allowed {
-                let seen = format!("{count} repeats after {start:?}, {allowed} allowed");
+                let seen = format!("{count} repeated arrivals after {start:?}, {allowed} allowed");
                 violations.push(Violation::new("retry_budget", seen));
                 break;
             }
@@ -138,6 +134,23 @@
     violations
 }
 
+/// Number of the requests to engines, or to plain runners, in whichever has the most of the window
+/// from `start` on, the one before it, and the one that begins half a window earlier.
+fn most_requests(observations: &Observations, is_engine: bool, start: Duration) -> usize {
+    let shifts = [Duration::ZERO, RETRY_WINDOW / 2, RETRY_WINDOW];
+    let windows = shifts.map(|shift| {
+        let end = (start + RETRY_WINDOW).saturating_sub(shift);
+        start.saturating_sub(shift)..end
+    });
+    let count = |window: &Range<Duration>| {
+        let is_counted = |attempt: &&Attempt| {
+            (attempt.kind == RequestKind::Stream) == is_engine && window.contains(&attempt.sent_at)
+        };
+        observations.attempts.iter().filter(is_counted).count()
+    };
+    windows.iter().map(count).max().unwrap_or_default()
+}
+
 /// Number of engines that requests with one part may end before they are held.
 const CRASHES_ALLOWED: usize = 5;
 /// Number of such requests that may reach engines later than [`CONTACT_TIME`] after that.
--- a/crates/soak/src/checks/tests.rs
+++ b/crates/soak/src/checks/tests.rs
@@ -386,10 +386,10 @@
     let mut observations = Observations::default();
     for number in 0..=RETRY_EXTRA as u32 {
         assert!(broken(&observations).is_empty());
-        let id = format!("r{number}");
+        let arrival = || RunnerEvent::Arrival(u64::from(number));
         observations
             .runners
-            .extend([run(2, 10, &id), run(4, 10, &id)]);
+            .extend([observed(2, 10, arrival()), observed(4, 10, arrival())]);
     }
     assert_eq!(broken(&observations), ["retry_budget"]);
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::SoakError;
@@ -20,7 +21,7 @@
 use crate::proxy::{Harm, LinkState, Proxy};
 use crate::roles::gateway::PartitionCommand;
 use crate::roles::store::{BECOME_SLOW, FORGET_HISTORY, SLOW_TIME};
-use crate::site::{GRACE_PERIOD, Neighbours, gateway_name};
+use crate::site::{GRACE_PERIOD, Neighbours, gateway_name, service_name};
 
 /// Longest pause of a lane between two faults, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 1500;
@@ -35,6 +36,11 @@
 /// Longest time for which a gateway loses all runners, in milliseconds: longer than the time
 /// from which on it must serve as the others do.
 const LONGEST_LOSS_OF_RUNNERS_MS: u64 = 9000;
+/// Longest time for which runners of a service stand still together, in milliseconds: longer than
+/// two retry windows.
+const LONGEST_STANDSTILL_MS: u64 = 25_000;
+/// Part of the standstills that strike only half of a service's runners.
+const HALF_STANDSTILL_SHARE: f64 = 0.3;
 /// Part of the faults at gateways that strike the leader.
 const LEADER_SHARE: f64 = 0.4;
 /// Largest number of bytes of bad input on one connection.
@@ -121,6 +127,39 @@
         }
     }
 
+    /// Lets runners of one service stand still together until `end`, again and again.
+    pub async fn run_standstills(mut self, end: Instant) -> Result<(), SoakError> {
+        loop {
+            sleep(self.draw_time(0, LONGEST_PAUSE_MS)).await;
+            if Instant::now() >= end {
+                return Ok(());
+            }
+            self.stand_still().await;
+        }
+    }
+
+    /// Pauses all or half of the runners of one service for the same time.
+    async fn stand_still(&mut self) {
+        let drawn = self.draw_runner();
+        let strikes_half = self.random.random_bool(HALF_STANDSTILL_SHARE);
+        let count = self.machines.runners.len() as u8;
+        let mut service: Vec<u8> = (1..=count)
+            .filter(|number| service_name(*number) == service_name(drawn))
+            .collect();
+        if strikes_half {
+            service.truncate(service.len().div_ceil(2));
+        }
+        let time = self.draw_time(LONGEST_FAULT_MS, LONGEST_STANDSTILL_MS);
+        let mut pauses = JoinSet::new();
+        for number in service {
+            let machines = self.machines.clone();
+            pauses.spawn(async move {
+                pause_for(&machines, "runner_pause", Target::Runner(number), time).await;
+            });
+        }
+        pauses.join_all().await;
+    }
+
     fn draw_time(&mut self, shortest_ms: u64, longest_ms: u64) -> Duration {
         Duration::from_millis(self.random.random_range(shortest_ms..=longest_ms))
     }
@@ -254,15 +293,8 @@
     }
 
     async fn pause(&mut self, kind: &'static str, target: Target) {
-        let machines = self.machines.clone();
-        let Some(slot) = machines.slot(target) else {
-            return;
-        };
-        let fault = machines.recorder.begin_fault(kind, false, target);
-        slot.signal(Signal::SIGSTOP);
-        sleep(self.draw_time(SHORTEST_FAULT_MS, LONGEST_FAULT_MS)).await;
-        slot.signal(Signal::SIGCONT);
-        machines.recorder.end_fault(fault);
+        let time = self.draw_time(SHORTEST_FAULT_MS, LONGEST_FAULT_MS);
+        pause_for(&self.machines, kind, target, time).await;
     }
 
     /// Stops a process as planned, and starts it again once it has ended.
@@ -368,6 +400,18 @@
     }
 }
 
+/// Pauses a process for `time`, unless another lane strikes it.
+async fn pause_for(machines: &Machines, kind: &'static str, target: Target, time: Duration) {
+    let Some(slot) = machines.slot(target) else {
+        return;
+    };
+    let fault = machines.recorder.begin_fault(kind, false, target);
+    slot.signal(Signal::SIGSTOP);
+    sleep(time).await;
+    slot.signal(Signal::SIGCONT);
+    machines.recorder.end_fault(fault);
+}
+
 /// Ways in which links from clients are harmed: those that tell the client, or pass.
 const CLIENT_HARMS: [Harm; 3] = [
     Harm::Delay(Duration::from_millis(80)),
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -86,6 +86,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunnerEvent {
+    /// It read a request, which it may have rejected or not have run; the hash of its id.
+    Arrival(u64),
     /// It began to run the request with this id.
     Run(String),
     /// It got an order.
--- a/crates/soak/src/roles/runner.rs
+++ b/crates/soak/src/roles/runner.rs
@@ -155,11 +155,17 @@
 
 /// Tells the soak what the runner does.
 async fn tell(runner: RunnerStandIn) {
-    let (mut runs, mut orders) = (0, 0);
+    let (mut arrivals, mut runs, mut orders) = (0, 0, 0);
     // Also told at the start: a new process holds less than the former one.
     let mut models = None;
     let mut was_overcommitted = false;
     loop {
+        for call in runner.calls_from(arrivals) {
+            if call.is_request {
+                print(&RunnerEvent::Arrival(call.id_hash));
+            }
+            arrivals += 1;
+        }
         for id in runner.run_ids_from(runs) {
             print(&RunnerEvent::Run(id.clone()));
             if id.starts_with(DEADLY_ID) {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -125,6 +125,15 @@
         let lane = Lane::new(machines.clone(), operator.clone(), options.seed, number);
         lanes.spawn(lane.run(end));
     }
+    if options.standstills {
+        let lane = Lane::new(
+            machines.clone(),
+            operator.clone(),
+            options.seed,
+            options.faults,
+        );
+        lanes.spawn(lane.run_standstills(end));
+    }
     while let Some(lane) = lanes.join_next().await {
         lane.expect("lanes do not panic")?;
     }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -6,6 +6,7 @@
 mod orders;
 mod signals;
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -115,6 +116,14 @@
     }
 }
 
+/// Returns the hash of the request's id.
+fn id_hash(headers: &HeaderMap) -> u64 {
+    let id = headers.get(names::REQUEST_ID).map(HeaderValue::as_bytes);
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn loaded_model(model: &&str) -> LoadedModel {
     LoadedModel {
         model: (*model).into(),
@@ -148,6 +157,8 @@
     pub node: IpAddr,
     /// Whether the call was a request, and not an order or a call for a report.
     pub is_request: bool,
+    /// Hash of the request's id, the same for all arrivals of one request.
+    pub id_hash: u64,
 }
 
 struct State {
@@ -511,7 +522,13 @@
 
     /// Calls received so far, of all kinds, in order.
     pub fn calls(&self) -> Vec<Call> {
-        self.lock().calls.clone()
+        self.calls_from(0)
+    }
+
+    /// Calls of all kinds from call `first` on, counted from 0.
+    pub fn calls_from(&self, first: usize) -> Vec<Call> {
+        let state = self.lock();
+        state.calls.iter().skip(first).copied().collect()
     }
 
     /// Orders received so far, including refused ones, in order.
@@ -563,16 +580,13 @@
             ));
         }
         let path = head.uri.path();
-        if path != names::ORDER_PATH {
-            self.wait_while_paused().await;
-        }
         let is_request = ![names::REPORT_PATH, names::ORDER_PATH].contains(&path);
-        let at = Instant::now();
-        self.lock().calls.push(Call {
-            at,
-            node,
-            is_request,
-        });
+        let call = (node, is_request, id_hash(&head.headers));
+        if path == names::ORDER_PATH {
+            self.record_call(call);
+        } else {
+            self.read_call(call).await?;
+        }
         let mut response = match path {
             names::REPORT_PATH => status_response(StatusCode::OK, encode(&self.report())),
             names::ORDER_PATH => self.clone().order(&body).await?,
@@ -588,6 +602,32 @@
         Ok(response)
     }
 
+    /// Records a call as soon as the process does not stand still. As from a kernel, the process
+    /// reads what came while it stood still even if the connection has been closed since.
+    async fn read_call(&self, call: (IpAddr, bool, u64)) -> Result<(), ConnectionBroken> {
+        if !*self.lock().paused.borrow() {
+            self.record_call(call);
+            return Ok(());
+        }
+        let runner = self.clone();
+        let reading = tokio::spawn(async move {
+            runner.wait_while_paused().await;
+            runner.record_call(call);
+        });
+        self.track_task(reading.abort_handle());
+        reading.await.map_err(|_| ConnectionBroken)
+    }
+
+    fn record_call(&self, (node, is_request, id_hash): (IpAddr, bool, u64)) {
+        let at = Instant::now();
+        self.lock().calls.push(Call {
+            at,
+            node,
+            is_request,
+            id_hash,
+        });
+    }
+
     async fn run(
         self,
         headers: &HeaderMap,
