--- /dev/null
+++ b/crates/dispatch/src/arrivals.rs
@@ -0,0 +1,250 @@
+//! Which attempts may yet arrive at their runners, and which of them are repeats.
+//!
+//! A runner that stands still, or is slow to read, gets a request long after it was sent, even
+//! if its connection has been closed meanwhile. Of the attempts of one request all but the first
+//! that arrives are repeated arrivals. So the first attempt may turn out to be the repeat: the
+//! request ran at another runner before.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::budget::BudgetUse;
+use crate::dispatcher::{Dispatcher, Permit};
+use crate::query::{AttemptKind, PermitId, Query};
+
+/// Time after which an attempt that was given up is assumed to arrive no more, whatever its runner
+/// shows. A process that stands still for longer is ended rather than continued.
+const LONGEST_WAIT: Duration = Duration::from_secs(120);
+
+/// Number of a client's request, unique within one dispatcher.
+pub type RequestNumber = u64;
+
+/// What is known of the arrival of an attempt at its runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// No byte of the request was sent: it never arrives.
+    Never,
+    /// The runner has answered, or has closed the connection: nothing arrives from now on.
+    Over,
+    /// The request was sent, and nothing shows that the runner has read it.
+    Pending,
+}
+
+impl Arrival {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Never => "never",
+            Self::Over => "over",
+            Self::Pending => "pending",
+        }
+    }
+}
+
+/// The attempts of one request of which some may yet arrive.
+#[derive(Debug)]
+struct RequestAttempts {
+    service: Arc<str>,
+    /// Number of granted attempts that may yet arrive.
+    pending: u32,
+    /// Number of the request's retries that count as pending in the budget.
+    retries: u32,
+    /// Whether the first arrival is over, which is no repeat.
+    has_arrived: bool,
+}
+
+/// An attempt that was given up before its runner showed that it had read the request.
+#[derive(Debug)]
+struct GivenUp {
+    request: RequestNumber,
+    at: Instant,
+}
+
+/// The attempts of one node that may yet arrive.
+#[derive(Debug, Default)]
+pub struct PendingArrivals {
+    requests: HashMap<RequestNumber, RequestAttempts>,
+    /// Attempts that were given up, by the ids of their runners.
+    given_up: HashMap<Arc<str>, Vec<GivenUp>>,
+}
+
+impl PendingArrivals {
+    /// Returns the record of a request. `has_arrived`: what it says if the request has none yet.
+    fn attempts(&mut self, query: &Query, has_arrived: bool) -> &mut RequestAttempts {
+        let entry = self.requests.entry(query.request);
+        entry.or_insert_with(|| RequestAttempts {
+            service: query.service.clone(),
+            pending: 0,
+            retries: 0,
+            has_arrived,
+        })
+    }
+
+    /// Records a retry that the budget has allowed. It follows an attempt that was sent; if none
+    /// is pending, that one has arrived.
+    fn add_retry(&mut self, query: &Query) {
+        self.attempts(query, true).retries += 1;
+    }
+
+    /// Records that an attempt is granted, which may arrive from now on.
+    fn add_attempt(&mut self, query: &Query) {
+        self.attempts(query, false).pending += 1;
+    }
+
+    /// Records that an attempt of `request` was not granted, or never arrives. Returns the service
+    /// whose budget gets a retry back; `None` if the attempt has cost none.
+    fn remove_retry(&mut self, request: RequestNumber) -> Option<Arc<str>> {
+        let attempts = self.requests.get_mut(&request)?;
+        let service = (attempts.retries > 0).then(|| attempts.service.clone());
+        attempts.retries = attempts.retries.saturating_sub(1);
+        self.forget_if_over(request);
+        service
+    }
+
+    /// Records that a granted attempt of `request` never arrives; otherwise as
+    /// [`Self::remove_retry`].
+    fn remove_attempt(&mut self, request: RequestNumber) -> Option<Arc<str>> {
+        let attempts = self.requests.get_mut(&request)?;
+        attempts.pending = attempts.pending.saturating_sub(1);
+        self.remove_retry(request)
+    }
+
+    /// Records that the arrival of an attempt of `request` is over. Returns the service that has
+    /// got a repeat by it; `None` if it was the first arrival of the request.
+    fn end_arrival(&mut self, request: RequestNumber) -> Option<Arc<str>> {
+        let attempts = self.requests.get_mut(&request)?;
+        attempts.pending = attempts.pending.saturating_sub(1);
+        let is_repeat = std::mem::replace(&mut attempts.has_arrived, true) && attempts.retries > 0;
+        let service = is_repeat.then(|| attempts.service.clone());
+        attempts.retries -= u32::from(is_repeat);
+        self.forget_if_over(request);
+        service
+    }
+
+    fn forget_if_over(&mut self, request: RequestNumber) {
+        let attempts = self.requests.get(&request);
+        if attempts.is_some_and(|attempts| attempts.pending == 0 && attempts.retries == 0) {
+            self.requests.remove(&request);
+        }
+    }
+
+    /// Keeps an attempt of `request` that was given up, until its runner shows that it reads.
+    fn give_up(&mut self, runner: &Arc<str>, request: RequestNumber, now: Instant) {
+        let given_up = self.given_up.entry(runner.clone()).or_default();
+        given_up.push(GivenUp { request, at: now });
+    }
+
+    /// Takes the requests out of the record whose attempts at `runner` were given up until
+    /// `until`.
+    fn take_given_up(&mut self, runner: &str, until: Instant) -> Vec<RequestNumber> {
+        let Some(given_up) = self.given_up.get_mut(runner) else {
+            return Vec::new();
+        };
+        let taken = given_up.extract_if(.., |attempt| attempt.at <= until);
+        let requests = taken.map(|attempt| attempt.request).collect();
+        if given_up.is_empty() {
+            self.given_up.remove(runner);
+        }
+        requests
+    }
+
+    /// Ids of the runners at which attempts were given up.
+    fn silent_runners(&self) -> Vec<Arc<str>> {
+        self.given_up.keys().cloned().collect()
+    }
+}
+
+impl Dispatcher {
+    /// Takes a retry from the budget for the request of `query`. Returns whether it allows one.
+    pub(crate) fn take_retry(&mut self, query: &Query, now: Instant) -> bool {
+        self.end_overdue_arrivals(now);
+        let share = self.budget_share(&query.service);
+        let is_allowed = self.budget(&query.service).try_take(now, share);
+        if is_allowed {
+            self.arrivals.add_retry(query);
+        }
+        is_allowed
+    }
+
+    /// Returns what a decision on the retry of `query` rests on; `None` for another kind of
+    /// attempt.
+    pub(crate) fn retry_budget_use(&mut self, query: &Query, now: Instant) -> Option<BudgetUse> {
+        if query.attempt != AttemptKind::Retry {
+            return None;
+        }
+        let share = self.budget_share(&query.service);
+        Some(self.budget(&query.service).budget_use(now, share))
+    }
+
+    /// Returns the retry of `query`, which was not granted, to the budget. Does nothing for
+    /// another kind of attempt.
+    pub(crate) fn return_retry(&mut self, query: &Query) {
+        if query.attempt == AttemptKind::Retry
+            && let Some(service) = self.arrivals.remove_retry(query.request)
+        {
+            self.budget(&service).return_pending();
+        }
+    }
+
+    /// Records a granted attempt of the request of `query`, which may arrive from now on.
+    pub(crate) fn begin_arrival(&mut self, query: &Query) {
+        self.arrivals.add_attempt(query);
+    }
+
+    /// Records that the runner has answered the attempt of a permit, which goes on.
+    pub fn record_answer(&mut self, id: PermitId, now: Instant) {
+        let Some(permit) = self.permits.get_mut(&id) else {
+            return;
+        };
+        if !std::mem::replace(&mut permit.has_arrived, true) {
+            let (runner, request) = (permit.runner.clone(), permit.request);
+            let granted_at = permit.granted_at;
+            self.end_arrival(request, now);
+            self.end_given_up(&runner, granted_at, now);
+        }
+    }
+
+    /// Records what is known of the arrival of an attempt that has ended.
+    pub(crate) fn record_arrival(&mut self, permit: &Permit, arrival: Arrival, now: Instant) {
+        if permit.has_arrived {
+            return;
+        }
+        match arrival {
+            Arrival::Never => {
+                if let Some(service) = self.arrivals.remove_attempt(permit.request) {
+                    self.budget(&service).return_pending();
+                }
+            }
+            Arrival::Pending => self.arrivals.give_up(&permit.runner, permit.request, now),
+            Arrival::Over => {
+                self.end_arrival(permit.request, now);
+                self.end_given_up(&permit.runner, permit.granted_at, now);
+            }
+        }
+    }
+
+    /// Ends the wait for what was given up at `runner` until `until`: the runner has answered
+    /// what was sent later, so it reads, or its process has ended.
+    pub(crate) fn end_given_up(&mut self, runner: &str, until: Instant, now: Instant) {
+        for request in self.arrivals.take_given_up(runner, until) {
+            self.end_arrival(request, now);
+        }
+    }
+
+    /// Ends the wait for what was given up too long ago.
+    fn end_overdue_arrivals(&mut self, now: Instant) {
+        let Some(until) = now.checked_sub(LONGEST_WAIT) else {
+            return;
+        };
+        for runner in self.arrivals.silent_runners() {
+            self.end_given_up(&runner, until, now);
+        }
+    }
+
+    fn end_arrival(&mut self, request: RequestNumber, now: Instant) {
+        if let Some(service) = self.arrivals.end_arrival(request) {
+            self.budget(&service).record_arrival(now);
+        }
+    }
+}
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -5,6 +5,10 @@
 //! node that has just started has no allowance yet, since its predecessor may have used
 //! it; the allowance grows to the node's full fraction over one window.
 //!
+//! The bound is on what runners receive, not on what is sent. A retry therefore holds its place
+//! from when it is granted until a window after its arrival is over: a runner that stands still
+//! reads at one moment what was sent over any time.
+//!
 //! Among hundreds of nodes that fraction is less than one retry, while a node needs only
 //! a few retries in an hour. [`BudgetShare::has_whole_retry`] therefore grants one retry
 //! per window to as many nodes as the allowance covers, whatever their fractions are.
@@ -52,13 +56,31 @@
     }
 }
 
+/// What a decision on a retry rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BudgetUse {
+    /// Number of nodes that share the budget, as far as this one knows.
+    pub nodes: usize,
+    /// Requests of this node within the last window.
+    pub requests: usize,
+    /// Retries of this node whose arrivals were over within the last window.
+    pub arrived: usize,
+    /// Retries of this node that may yet arrive.
+    pub pending: usize,
+    /// Retries that this node may have counted at once, rounded down.
+    pub allowed: usize,
+}
+
 /// Sliding-window counter of the requests and retries of one node to one service.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: BudgetLimits,
     started_at: Instant,
     requests: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
+    /// Number of retries that may yet arrive.
+    pending: usize,
+    /// When the arrivals of the other retries were over.
+    arrived: VecDeque<Instant>,
 }
 
 impl RetryBudget {
@@ -68,7 +90,8 @@
             limits,
             started_at,
             requests: VecDeque::new(),
-            retries: VecDeque::new(),
+            pending: 0,
+            arrived: VecDeque::new(),
         }
     }
 
@@ -83,32 +106,60 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry and returns true, if the budget of a node with `share` allows one.
+    /// Takes one retry and returns true, if the budget of a node with `share` allows one. It
+    /// counts as pending until [`Self::record_arrival`].
     pub fn try_take(&mut self, now: Instant, share: BudgetShare) -> bool {
         if self.remaining(now, share) < 1.0 {
             return false;
         }
-        self.retries.push_back(now);
+        self.pending += 1;
         true
     }
 
+    /// Records that the arrival of a pending retry is over: it is counted for one window more.
+    pub fn record_arrival(&mut self, now: Instant) {
+        self.pending = self.pending.saturating_sub(1);
+        self.arrived.push_back(now);
+    }
+
+    /// Takes a pending retry back that never arrives.
+    pub fn return_pending(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+    }
+
     /// Number of retries that a node with `share` may still make at `now`; below 1.0,
     /// none.
     pub fn remaining(&mut self, now: Instant, share: BudgetShare) -> f64 {
         self.expire(now);
+        self.allowed(now, share) - (self.pending + self.arrived.len()) as f64
+    }
+
+    /// Returns what a decision on a retry of a node with `share` rests on at `now`.
+    pub fn budget_use(&mut self, now: Instant, share: BudgetShare) -> BudgetUse {
+        self.expire(now);
+        BudgetUse {
+            nodes: share.nodes,
+            requests: self.requests.len(),
+            arrived: self.arrived.len(),
+            pending: self.pending,
+            allowed: self.allowed(now, share) as usize,
+        }
+    }
+
+    /// Number of retries that a node with `share` may have counted at `now`, after
+    /// [`Self::expire`].
+    fn allowed(&self, now: Instant, share: BudgetShare) -> f64 {
         let age = now.saturating_duration_since(self.started_at).as_secs_f64();
         let grown_fraction = (age / self.limits.window.as_secs_f64().max(0.001)).min(1.0);
         let extra = self.limits.extra * grown_fraction / share.nodes.max(1) as f64;
         let ratio_allowance = self.limits.ratio * self.requests.len() as f64;
         let whole_retry = grown_fraction >= 1.0 && share.has_whole_retry(self.limits.extra);
-        let allowed =
-            (USED_FRACTION * (extra + ratio_allowance)).max(f64::from(u8::from(whole_retry)));
-        allowed - self.retries.len() as f64
+        (USED_FRACTION * (extra + ratio_allowance)).max(f64::from(u8::from(whole_retry)))
     }
 
     fn expire(&mut self, now: Instant) {
         let window = self.limits.window;
-        for times in [&mut self.requests, &mut self.retries] {
+        for times in [&mut self.requests, &mut self.arrived] {
             while times
                 .front()
                 .is_some_and(|time| now.saturating_duration_since(*time) > window)
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use barleyspar_domain::rendezvous_weight;
 use barleyspar_prefill::RunnerEstimates;
 
+use crate::arrivals::{Arrival, PendingArrivals, RequestNumber};
 use crate::brittle::{BRITTLE_BUSY_TIME, BrittleServices};
 use crate::budget::{BudgetLimits, BudgetShare, RetryBudget};
 use crate::cold_start::ColdStarts;
@@ -28,15 +29,18 @@
 
 /// A granted attempt that has not ended.
 #[derive(Debug)]
-struct Permit {
+pub(crate) struct Permit {
     /// Id of the runner that the attempt was granted.
-    runner: Arc<str>,
+    pub(crate) runner: Arc<str>,
+    pub(crate) request: RequestNumber,
     service: Arc<str>,
     wanted: Option<ModelReference>,
     cache_tokens: u64,
-    granted_at: Instant,
+    pub(crate) granted_at: Instant,
     /// Whether the runner was seen to accept the request, so that it holds a slot.
     accepted: bool,
+    /// Whether the runner has answered, so that the request arrives no more.
+    pub(crate) has_arrived: bool,
 }
 
 /// Static settings of the site that a dispatcher belongs to.
@@ -59,13 +63,14 @@
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) runners: BTreeMap<Arc<str>, RunnerEntry>,
     pub(crate) queue: Queue,
-    permits: HashMap<PermitId, Permit>,
+    pub(crate) permits: HashMap<PermitId, Permit>,
     pub(crate) turnover: Turnover,
     /// Ids of the runners that this node has sent a request. Reports on this node's own
     /// load and on unreachable runners look only at these few of the thousands that it
     /// knows.
     pub(crate) used_runner_ids: BTreeSet<Arc<str>>,
     budgets: HashMap<Arc<str>, RetryBudget>,
+    pub(crate) arrivals: PendingArrivals,
     pub(crate) brittle: BrittleServices,
     pub(crate) draining: DrainingRunners,
     pub(crate) requested_pauses: RequestedPauses,
@@ -109,6 +114,7 @@
             turnover: Turnover::default(),
             used_runner_ids: BTreeSet::new(),
             budgets: HashMap::new(),
+            arrivals: PendingArrivals::default(),
             brittle: BrittleServices::default(),
             draining: DrainingRunners::default(),
             requested_pauses: RequestedPauses::default(),
@@ -197,7 +203,7 @@
         self.queue.len()
     }
 
-    fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
+    pub(crate) fn budget(&mut self, service: &Arc<str>) -> &mut RetryBudget {
         let (limits, started) = (self.budget_limits, self.started_at);
         self.budgets
             .entry(service.clone())
@@ -206,7 +212,7 @@
 
     /// Returns this node's share of the retry budget of `service`. Nodes are ordered by
     /// rendezvous weight, so that the order differs between services.
-    fn budget_share(&self, service: &Arc<str>) -> BudgetShare {
+    pub(crate) fn budget_share(&self, service: &Arc<str>) -> BudgetShare {
         let own_weight = rendezvous_weight(service, &self.name);
         let precedes_own = |member: &&Arc<str>| {
             **member != self.name && rendezvous_weight(service, *member) > own_weight
@@ -226,7 +232,11 @@
         if let Some(grant) = self.try_grant(&query, now) {
             return Acquired::Granted(grant);
         }
-        self.wait_or_refuse(query, now)
+        let acquired = self.wait_or_refuse(&query, now);
+        if matches!(acquired, Acquired::Refused(_)) {
+            self.return_retry(&query);
+        }
+        acquired
     }
 
     /// Lowers the tokens that a request for an engine names to what a runner's cache holds. A
@@ -245,11 +255,11 @@
         match query.attempt {
             AttemptKind::Unsent => return None,
             AttemptKind::Retry => {
-                let share = self.budget_share(&query.service);
-                let is_allowed = self.budget(&query.service).try_take(now, share);
+                let is_allowed = self.take_retry(query, now);
                 return (!is_allowed).then(|| Refusal {
                     reason: RefusalReason::RetryBudget,
                     retry_after: self.spread_retry_after(query, now),
+                    retry_budget: self.retry_budget_use(query, now),
                 });
             }
             AttemptKind::First => self.budget(&query.service).count_request(now),
@@ -288,6 +298,7 @@
         if query.attempt != AttemptKind::Unsent {
             self.queue.record_grant(query, now);
         }
+        self.begin_arrival(query);
         let entry = self
             .runners
             .get_mut(id)
@@ -305,6 +316,7 @@
         let usual_response = entry.health().response_seconds();
         let tokens_per_second = self.estimates.tokens_per_second(entry.key);
         let accepts_work = entry.accepts_work();
+        let retry_budget = self.retry_budget_use(query, now);
         self.turnover.begin(query.slot_group());
         if let Some(wanted) = &query.wanted {
             self.demand.add_in_flight(&query.service, wanted);
@@ -313,11 +325,13 @@
             permit,
             Permit {
                 runner: id.clone(),
+                request: query.request,
                 service: query.service.clone(),
                 wanted: query.wanted.clone(),
                 cache_tokens: query.cache_tokens,
                 granted_at: now,
                 accepted: false,
+                has_arrived: false,
             },
         );
         Grant {
@@ -325,6 +339,7 @@
             runner,
             candidates,
             in_flight,
+            retry_budget,
             is_rate_limited,
             usual_response: usual_response.map(Duration::from_secs_f64),
             tokens_per_second,
@@ -347,6 +362,7 @@
             let group = waiting.query.slot_group();
             if let Some(refusal) = self.refusal_due(&mut waiting, turns.count(&group), now) {
                 self.stop_waiting(&waiting.query);
+                self.return_retry(&waiting.query);
                 answers.push((waiting.ticket, Err(refusal)));
                 continue;
             }
@@ -363,12 +379,13 @@
         self.queue.next_refusal_at()
     }
 
-    /// Ends the attempt of a permit and records its outcome. An unknown permit is
-    /// ignored.
-    pub fn finish(&mut self, id: PermitId, outcome: Outcome, now: Instant) {
+    /// Ends the attempt of a permit and records its outcome, and whether the request may yet
+    /// arrive at the runner. An unknown permit is ignored.
+    pub fn finish(&mut self, id: PermitId, outcome: Outcome, arrival: Arrival, now: Instant) {
         let Some(permit) = self.permits.remove(&id) else {
             return;
         };
+        self.record_arrival(&permit, arrival, now);
         if outcome.shows_acceptance() {
             self.requested_pauses.on_accepted(&permit.runner, id);
         }
@@ -387,6 +404,11 @@
         entry.reserved_tokens = entry.reserved_tokens.saturating_sub(permit.cache_tokens);
         entry.unread.remove(id);
         apply_outcome(entry, outcome, permit.wanted, now);
+        if outcome == Outcome::Replaced {
+            // The process that had not read its requests has ended.
+            self.end_given_up(&permit.runner, now, now);
+            return;
+        }
         if outcome == Outcome::Busy && self.brittle.contains(&permit.service) {
             entry.health_mut().mark_busy(now, BRITTLE_BUSY_TIME);
         }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! time, and one task drives the [`Dispatcher`].
 
 mod accepts_work;
+mod arrivals;
 mod brittle;
 mod budget;
 mod callers_time;
@@ -41,9 +42,10 @@
 mod waiting;
 
 pub use accepts_work::AcceptsWork;
+pub use arrivals::{Arrival, RequestNumber};
 pub use barleyspar_catalog::{RunnerKey, runner_key};
 pub use brittle::BrittleUpdate;
-pub use budget::{BudgetLimits, BudgetShare, RetryBudget};
+pub use budget::{BudgetLimits, BudgetShare, BudgetUse, RetryBudget};
 pub use callers_time::{answer_due_at, retry_after, spread_retry_after, unread_patience};
 pub use demand::DemandItem;
 pub use dispatcher::{Dispatcher, Site};
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -7,6 +7,8 @@
 use barleyspar_prefill::TenantKey;
 
 use crate::accepts_work::AcceptsWork;
+use crate::arrivals::RequestNumber;
+use crate::budget::BudgetUse;
 use crate::turnover::SlotGroup;
 
 /// Number of a queued request, unique within one dispatcher. [`crate::Dispatcher::poll`]
@@ -19,6 +21,8 @@
 /// What one request needs of a runner.
 #[derive(Debug, Clone)]
 pub struct Query {
+    /// Number of the client's request, the same for all its attempts.
+    pub request: RequestNumber,
     /// Name of the service that serves the request.
     pub service: Arc<str>,
     /// The model or adapter that the request needs; `None` for plain services.
@@ -72,12 +76,23 @@
 pub enum AttemptKind {
     /// The first attempt of a request; it raises the retry budget.
     First,
-    /// Follows an attempt of which no byte was sent; costs no retry budget.
+    /// Follows attempts of which no byte was sent; costs no retry budget.
     Unsent,
-    /// Follows an attempt that may have reached a runner; costs retry budget.
+    /// Follows an attempt that may have reached a runner, or may yet reach it; costs retry
+    /// budget.
     Retry,
 }
 
+impl AttemptKind {
+    /// Returns the kind of the next attempt if no byte of one of this kind was sent.
+    pub fn after_unsent(self) -> Self {
+        match self {
+            Self::First | Self::Unsent => Self::Unsent,
+            Self::Retry => Self::Retry,
+        }
+    }
+}
+
 /// Permission to send one attempt to one runner.
 #[derive(Debug, Clone)]
 pub struct Grant {
@@ -89,6 +104,8 @@
     pub candidates: usize,
     /// Attempts of all nodes in flight at the runner before this one.
     pub in_flight: u32,
+    /// What the decision on a retry rested on; `None` for other attempts.
+    pub retry_budget: Option<BudgetUse>,
     /// Whether the runner has a rate limit in this node's view.
     pub is_rate_limited: bool,
     /// Usual time until the first byte of the runner's answer; `None` if it is not known.
@@ -150,6 +167,8 @@
     /// Time to wait before a retry, sent to the client as `Retry-After`: until a runner
     /// can take the request, as far as that can be estimated.
     pub retry_after: Duration,
+    /// What the refusal of a retry by its budget rests on; `None` for other reasons.
+    pub retry_budget: Option<BudgetUse>,
 }
 
 /// The dispatcher's answer to a query.
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -41,17 +41,17 @@
 
 impl Dispatcher {
     /// Queues `query`, or refuses it if the queue is full or waiting is of no use.
-    pub(crate) fn wait_or_refuse(&mut self, query: Query, now: Instant) -> Acquired {
-        let (reason, refuse_at) = self.waiting_limit(&query, 0, now);
+    pub(crate) fn wait_or_refuse(&mut self, query: &Query, now: Instant) -> Acquired {
+        let (reason, refuse_at) = self.waiting_limit(query, 0, now);
         if let (Some(wanted), RefusalReason::NotLoaded) = (&query.wanted, reason) {
             self.cold_starts.record_begin(&query.service, wanted, now);
         }
         if self.queue.len() >= MAX_QUEUE_LENGTH {
             let ahead = self.queue.len();
-            return Acquired::Refused(self.refuse(&query, RefusalReason::QueueFull, ahead, now));
+            return Acquired::Refused(self.refuse(query, RefusalReason::QueueFull, ahead, now));
         }
         if refuse_at <= now || !query.may_wait {
-            return Acquired::Refused(self.refuse(&query, reason, 0, now));
+            return Acquired::Refused(self.refuse(query, reason, 0, now));
         }
         self.last_id += 1;
         let ticket = self.last_id;
@@ -63,9 +63,9 @@
         });
         if reason == RefusalReason::Full {
             let ahead = self.queue.count_ahead(ticket);
-            if self.waiting_limit(&query, ahead, now).1 <= now {
+            if self.waiting_limit(query, ahead, now).1 <= now {
                 self.queue.remove(ticket);
-                return Acquired::Refused(self.refuse(&query, reason, ahead, now));
+                return Acquired::Refused(self.refuse(query, reason, ahead, now));
             }
         }
         if let Some(wanted) = &query.wanted {
@@ -78,6 +78,7 @@
     pub fn cancel(&mut self, ticket: Ticket) {
         if let Some(waiting) = self.queue.remove(ticket) {
             self.stop_waiting(&waiting.query);
+            self.return_retry(&waiting.query);
         }
     }
 
@@ -389,6 +390,7 @@
         Refusal {
             reason,
             retry_after,
+            retry_budget: None,
         }
     }
 }
--- a/crates/dispatch/tests/avoided_runners.rs
+++ b/crates/dispatch/tests/avoided_runners.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use barleyspar_catalog::{LoadedModel, Runner};
-use barleyspar_dispatch::{Acquired, Dispatcher, Outcome, Query};
+use barleyspar_dispatch::{Acquired, Arrival, Dispatcher, Outcome, Query};
 use common::{SECOND, dispatcher_with, query, runner};
 
 fn holder(id: &str) -> Runner {
@@ -24,13 +24,14 @@
 /// Returns the runner that a request gets which left `avoided`, and the number of candidates.
 fn chosen(dispatcher: &mut Dispatcher, avoided: &[&str], now: Instant) -> (Arc<str>, usize) {
     let query = Query {
+        request: 0,
         avoided_runners: avoided.iter().map(|id| Arc::from(*id)).collect(),
         ..query(now, 8 * SECOND)
     };
     let Acquired::Granted(grant) = dispatcher.acquire(query, now) else {
         panic!("the runners have free slots");
     };
-    dispatcher.finish(grant.permit, Outcome::Abandoned, now);
+    dispatcher.finish(grant.permit, Outcome::Abandoned, Arrival::Over, now);
     (grant.runner.id.clone(), grant.candidates)
 }
 
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_dispatch::{BudgetLimits, BudgetShare, RetryBudget};
-use quickcheck::{Gen, QuickCheck, TestResult};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 
 const LIMITS: BudgetLimits = BudgetLimits {
     ratio: 0.2,
@@ -15,9 +15,35 @@
     BudgetShare { nodes, position }
 }
 
-/// Checks the bound over all nodes after each step. A step is (milliseconds passed, node,
-/// whether it is a retry).
-fn bound_holds(steps: Vec<(u16, u8, bool)>) -> TestResult {
+/// One step of all nodes: time that has passed, and what a node does.
+type Step = (u16, u8, Action);
+
+/// What a node does.
+#[derive(Debug, Clone, Copy)]
+enum Action {
+    /// It sends the first attempt of a request.
+    Request,
+    /// It retries, if the budget allows it.
+    Retry,
+    /// The runners read all retries that have not arrived, of all nodes.
+    Arrivals,
+}
+
+impl Arbitrary for Action {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let actions = [
+            Self::Request,
+            Self::Request,
+            Self::Retry,
+            Self::Retry,
+            Self::Arrivals,
+        ];
+        *random.choose(&actions).expect("there are actions")
+    }
+}
+
+/// Checks the bound over all nodes on what runners receive, after each step.
+fn bound_holds(steps: Vec<Step>) -> TestResult {
     const NODES: usize = 4;
     let started = Instant::now();
     let mut now = started;
@@ -25,15 +51,25 @@
         .map(|_| RetryBudget::new(LIMITS, started))
         .collect();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
-    for (elapsed_ms, node, retry) in steps {
+    let mut pending = [0; NODES];
+    for (elapsed_ms, node, action) in steps {
         now += Duration::from_millis(u64::from(elapsed_ms % 200));
         let share = share(NODES, usize::from(node) % NODES);
         let node = &mut nodes[share.position];
-        if !retry {
-            node.count_request(now);
-            requests.push(now);
-        } else if node.try_take(now, share) {
-            retries.push(now);
+        match action {
+            Action::Request => {
+                node.count_request(now);
+                requests.push(now);
+            }
+            Action::Retry => pending[share.position] += usize::from(node.try_take(now, share)),
+            Action::Arrivals => {
+                for (node, pending) in nodes.iter_mut().zip(&mut pending) {
+                    for _ in 0..std::mem::take(pending) {
+                        node.record_arrival(now);
+                        retries.push(now);
+                    }
+                }
+            }
         }
         let recent = |times: &[Instant]| {
             times
@@ -54,7 +90,26 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(400, 7))
         .tests(300)
-        .quickcheck(bound_holds as fn(Vec<(u16, u8, bool)>) -> TestResult);
+        .quickcheck(bound_holds as fn(Vec<Step>) -> TestResult);
+}
+
+#[test]
+fn a_retry_that_has_not_arrived_counts_however_long_ago_it_was_sent() {
+    let started = Instant::now();
+    let limits = BudgetLimits {
+        extra: 2.0,
+        ..LIMITS
+    };
+    let mut budget = RetryBudget::new(limits, started);
+    let sent_at = started + limits.window;
+    assert!(budget.try_take(sent_at, share(1, 0)));
+    let arrived_at = sent_at + 5 * limits.window;
+    assert!(!budget.try_take(arrived_at, share(1, 0)));
+    budget.record_arrival(arrived_at);
+    let within_window = arrived_at + limits.window;
+    assert!(!budget.try_take(within_window, share(1, 0)));
+    let after_window = within_window + Duration::from_millis(1);
+    assert!(budget.try_take(after_window, share(1, 0)));
 }
 
 #[test]
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -100,6 +100,7 @@
 /// A request whose client leaves after `patience` without an event.
 pub fn query(now: Instant, patience: Duration) -> Query {
     Query {
+        request: 0,
         service: "engine".into(),
         wanted: Some(ModelReference {
             model: "cold".into(),
--- a/crates/dispatch/tests/expected_retries.rs
+++ b/crates/dispatch/tests/expected_retries.rs
@@ -14,6 +14,7 @@
 /// client was told to wait.
 fn refuse(dispatcher: &mut Dispatcher, query: Query, now: Instant) -> Duration {
     let query = Query {
+        request: 0,
         may_wait: false,
         ..query
     };
@@ -51,6 +52,7 @@
     let mut dispatcher = dispatcher(now);
     let ends = [3, 6, 9].map(|seconds| {
         let query = Query {
+            request: 0,
             deadline: now + seconds * SECOND,
             ..query(now, 5 * SECOND)
         };
--- a/crates/dispatch/tests/first_event_forecast/main.rs
+++ b/crates/dispatch/tests/first_event_forecast/main.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{LoadedModel, Runner, runner_key};
-use barleyspar_dispatch::{Acquired, BudgetLimits, Dispatcher, Outcome, Query};
+use barleyspar_dispatch::{Acquired, Arrival, BudgetLimits, Dispatcher, Outcome, Query};
 use barleyspar_prefill::PrefillUpdate;
 use common::{SECOND, configuration, query, runner, site};
 use load::{Load, Played};
@@ -124,6 +124,7 @@
 
 fn prompt(now: Instant, tokens: u64) -> Query {
     Query {
+        request: 0,
         prompt_tokens: tokens,
         may_wait: false,
         ..query(now, 8 * SECOND)
@@ -142,7 +143,7 @@
 fn chosen(dispatcher: &mut Dispatcher, query: Query, now: Instant) -> Option<Arc<str>> {
     match dispatcher.acquire(query, now) {
         Acquired::Granted(grant) => {
-            dispatcher.finish(grant.permit, Outcome::Abandoned, now);
+            dispatcher.finish(grant.permit, Outcome::Abandoned, Arrival::Over, now);
             Some(grant.runner.id.clone())
         }
         _ => None,
--- a/crates/dispatch/tests/first_event_forecast/simulated_site.rs
+++ b/crates/dispatch/tests/first_event_forecast/simulated_site.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{Configuration, LoadedModel, ModelReference, Runner, Service, runner_key};
-use barleyspar_dispatch::{Acquired, BudgetLimits, Dispatcher, Outcome, PermitId, Query};
+use barleyspar_dispatch::{Acquired, Arrival, BudgetLimits, Dispatcher, Outcome, PermitId, Query};
 use barleyspar_domain::rendezvous_weight;
 use barleyspar_prefill::{PrefillAnswer, PrefillOwner, PrefillReport, PrefillRequest};
 
@@ -200,6 +200,7 @@
         let span = (load.prompt_tokens.end - load.prompt_tokens.start) as f64;
         let extra_tokens = random(load.seed, "tokens", number) * span;
         Query {
+            request: 0,
             wanted: Some(ModelReference {
                 model: model_name(self.model(number)),
                 adapter: None,
@@ -300,7 +301,7 @@
         let speed = self.speed(self.played.sent[number].runner, now);
         let usual_gap = Duration::from_secs_f64(0.03 / speed);
         let outcome = Outcome::Streamed { usual_gap };
-        self.nodes[request.node].finish(request.permit, outcome, now);
+        self.nodes[request.node].finish(request.permit, outcome, Arrival::Over, now);
     }
 
     fn poll_owner(&mut self, now: Instant) {
--- a/crates/dispatch/tests/full_runners.rs
+++ b/crates/dispatch/tests/full_runners.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::LoadedModel;
-use barleyspar_dispatch::{Acquired, Dispatcher, Outcome, PermitId, Query, RefusalReason};
+use barleyspar_dispatch::{Acquired, Arrival, Dispatcher, Outcome, PermitId, Query, RefusalReason};
 use common::{SECOND, dispatcher_with, query, runner};
 
 const SLOTS: usize = 8;
@@ -58,7 +58,8 @@
 
     fn end_all(&mut self) {
         for permit in self.running.drain(..) {
-            self.dispatcher.finish(permit, OUTCOME, self.now);
+            self.dispatcher
+                .finish(permit, OUTCOME, Arrival::Over, self.now);
         }
     }
 
@@ -124,12 +125,14 @@
 fn a_crowd_of_one_tenant_makes_another_ones_request_be_refused() {
     let mut full = FullRunner::new(true);
     let crowd = Query {
+        request: 0,
         tenant: Some(CROWD),
         cache_tokens: 2_000,
         ..query(full.now, 4 * SECOND)
     };
     assert!(full.ask_often(100, &crowd) < 100);
     let other = Query {
+        request: 0,
         tenant: Some(CROWD + 1),
         ..query(full.now, 4 * SECOND)
     };
@@ -143,6 +146,7 @@
     let usual = query(full.now, 2 * SECOND);
     assert_eq!(full.ask_often(10, &usual), 10);
     let urgent = Query {
+        request: 0,
         priority: 0,
         ..usual
     };
--- a/crates/dispatch/tests/inventory.rs
+++ b/crates/dispatch/tests/inventory.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use barleyspar_catalog::LoadedModel;
-use barleyspar_dispatch::{Acquired, Dispatcher, Failure, Inventory, Outcome};
+use barleyspar_dispatch::{Acquired, Arrival, Dispatcher, Failure, Inventory, Outcome};
 use common::{SECOND, dispatcher, query, runner};
 
 fn held_model() -> LoadedModel {
@@ -59,7 +59,7 @@
     let Acquired::Granted(grant) = dispatcher.acquire(query(now, 8 * SECOND), now) else {
         panic!("the runner holds the model");
     };
-    dispatcher.finish(grant.permit, Outcome::Busy, now);
+    dispatcher.finish(grant.permit, Outcome::Busy, Arrival::Over, now);
     assert!(!is_granted(&mut dispatcher, now));
     assert!(is_granted(&mut dispatcher, now + SECOND));
 }
@@ -72,7 +72,7 @@
     let Acquired::Granted(grant) = dispatcher.acquire(query(now, 8 * SECOND), now) else {
         panic!("the runner holds the model");
     };
-    dispatcher.finish(grant.permit, Outcome::Replaced, now);
+    dispatcher.finish(grant.permit, Outcome::Replaced, Arrival::Over, now);
     assert_eq!(dispatcher.unreachable_runners(now).len(), 1);
     // The runner's block has ended by now. If the runner were not marked as replaced, it
     // would get the request as the only holder of the model.
@@ -105,7 +105,7 @@
         let Acquired::Granted(grant) = dispatcher.acquire(query(now, 8 * SECOND), now) else {
             panic!("the runner holds the model");
         };
-        dispatcher.finish(grant.permit, Outcome::Failed(failure), now);
+        dispatcher.finish(grant.permit, Outcome::Failed(failure), Arrival::Over, now);
     }
     assert!(dispatcher.unreachable_runners(now).is_empty());
 }
--- a/crates/dispatch/tests/requested_pauses.rs
+++ b/crates/dispatch/tests/requested_pauses.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{LoadedModel, Runner};
-use barleyspar_dispatch::{Acquired, Dispatcher, Outcome, RefusalReason};
+use barleyspar_dispatch::{Acquired, Arrival, Dispatcher, Outcome, RefusalReason};
 use common::{SECOND, dispatcher_with, query, runner};
 
 const TARGET: Duration = Duration::from_millis(600);
@@ -97,7 +97,7 @@
             panic!("the pause is over");
         };
         assert!(!is_granted(&mut dispatcher, pause_end));
-        dispatcher.finish(first.permit, outcome, pause_end);
+        dispatcher.finish(first.permit, outcome, Arrival::Over, pause_end);
     }
     let Acquired::Granted(first) = dispatcher.acquire(request(), pause_end) else {
         panic!("the runner has not accepted the probe");
--- a/crates/dispatch/tests/slot_shares.rs
+++ b/crates/dispatch/tests/slot_shares.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::LoadedModel;
-use barleyspar_dispatch::{Acquired, AttemptKind, Dispatcher, Outcome, PermitId, Query, Ticket};
+use barleyspar_dispatch::{
+    Acquired, Arrival, AttemptKind, Dispatcher, Outcome, PermitId, Query, Ticket,
+};
 use barleyspar_prefill::TenantKey;
 use common::{SECOND, dispatcher_with, query, runner};
 
@@ -52,6 +54,7 @@
 
     fn request(&self, tenant: Option<TenantKey>) -> Query {
         Query {
+            request: 0,
             tenant,
             cache_tokens: REQUEST_TOKENS,
             ..query(self.now, 14 * SECOND)
@@ -68,7 +71,8 @@
     /// Ends all running requests at once. Returns the labels of those that get their slots.
     fn serve_at_once(&mut self) -> Vec<&'static str> {
         for ended in self.running.drain(..) {
-            self.dispatcher.finish(ended, OUTCOME, self.now);
+            self.dispatcher
+                .finish(ended, OUTCOME, Arrival::Over, self.now);
         }
         let answers = self.dispatcher.poll(self.now).into_iter();
         answers.map(|(ticket, _)| self.waiting[&ticket]).collect()
@@ -81,7 +85,8 @@
         for _ in 0..count {
             self.now += Duration::from_millis(10);
             let ended = self.running.remove(0);
-            self.dispatcher.finish(ended, OUTCOME, self.now);
+            self.dispatcher
+                .finish(ended, OUTCOME, Arrival::Over, self.now);
             for (ticket, answer) in self.dispatcher.poll(self.now) {
                 self.running
                     .push(answer.expect("the request may wait").permit);
@@ -199,7 +204,8 @@
         let mut moved = full.request(Some(1));
         moved.attempt = AttemptKind::Unsent;
         let ended = full.running.remove(0);
-        full.dispatcher.finish(ended, OUTCOME, full.now);
+        full.dispatcher
+            .finish(ended, OUTCOME, Arrival::Over, full.now);
         match full.dispatcher.acquire(moved, full.now) {
             Acquired::Granted(grant) => full.running.push(grant.permit),
             other => panic!("a slot is free: {other:?}"),
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -7,7 +7,8 @@
 
 use barleyspar_catalog::{LoadedModel, Runner};
 use barleyspar_dispatch::{
-    Acquired, Dispatcher, Failure, Inventory, Loading, Outcome, Query, Refusal, RefusalReason,
+    Acquired, Arrival, Dispatcher, Failure, Inventory, Loading, Outcome, Query, Refusal,
+    RefusalReason,
 };
 use common::{LOAD, SECOND, dispatcher, dispatcher_with, query, runner};
 
@@ -162,8 +163,9 @@
     let now = Instant::now();
     let mut dispatcher = full_dispatcher(now);
     let sent = query(now, 10 * SECOND);
-    dispatcher.finish(1, Outcome::Busy, now);
+    dispatcher.finish(1, Outcome::Busy, Arrival::Over, now);
     let retry = Query {
+        request: 0,
         excluded_runners: vec![runner().id],
         ..sent
     };
@@ -179,7 +181,7 @@
 fn a_request_does_not_wait_for_its_model_to_be_loaded_elsewhere() {
     let now = Instant::now();
     let mut dispatcher = full_dispatcher(now);
-    dispatcher.finish(1, Outcome::Failed(Failure::Broken), now);
+    dispatcher.finish(1, Outcome::Failed(Failure::Broken), Arrival::Over, now);
     let other = Runner {
         id: "runner-2".into(),
         models: Vec::new(),
@@ -187,6 +189,7 @@
     };
     dispatcher.update_runner(Arc::new(other), now);
     let retry = Query {
+        request: 0,
         excluded_runners: vec![runner().id],
         ..query(now, 10 * SECOND)
     };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 
 use barleyspar_callers::Fingerprint;
 use barleyspar_catalog::{AnswerFacts, ForwardedHeaders, Runner};
-use barleyspar_dispatch::{Failure, Outcome};
+use barleyspar_dispatch::{Arrival, Failure, Outcome};
 use barleyspar_domain::Verdict;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -64,8 +64,9 @@
 pub struct AttemptError {
     /// Whether the request may have run at the runner.
     pub verdict: Verdict,
-    /// Whether any byte of the request was written to the socket.
-    pub sent: bool,
+    /// Whether the request may yet arrive at the runner; [`Arrival::Never`] if no byte of it was
+    /// written to the socket.
+    pub arrival: Arrival,
     /// Outcome that is reported to the dispatcher for the runner.
     pub outcome: Outcome,
     /// Description of the failure for the log.
@@ -90,11 +91,16 @@
 }
 
 impl AttemptError {
+    /// Whether any byte of the request was written to the socket.
+    pub fn was_sent(&self) -> bool {
+        self.arrival != Arrival::Never
+    }
+
     /// Creates the error of an attempt that wrote no byte of the request, so it did not run.
     fn unsent(outcome: Outcome, cause: String) -> Self {
         Self {
             verdict: Verdict::NotRun,
-            sent: false,
+            arrival: Arrival::Never,
             outcome,
             cause,
         }
@@ -102,10 +108,10 @@
 
     /// Creates the error of an attempt that sent at least a part of the request, which
     /// therefore may have run.
-    fn may_have_run(failure: Failure, cause: String) -> Self {
+    fn may_have_run(failure: Failure, arrival: Arrival, cause: String) -> Self {
         Self {
             verdict: Verdict::MayHaveRun,
-            sent: true,
+            arrival,
             outcome: Outcome::Failed(failure),
             cause,
         }
@@ -116,12 +122,12 @@
 /// `head_deadline`. On an error, the permit is finished with the error's outcome.
 pub async fn attempt(
     context: &Context,
-    permit: Permit,
+    mut permit: Permit,
     outgoing: &Outgoing,
     forward: ForwardedHeaders,
     head_deadline: Instant,
 ) -> Result<Answered, AttemptError> {
-    match send_and_read_head(context, &permit, outgoing, forward, head_deadline).await {
+    match send_and_read_head(context, &mut permit, outgoing, forward, head_deadline).await {
         Ok(parts) => {
             context.metrics.attempt_ended("head", "answered");
             let (connection, head, facts, body, waited) = parts;
@@ -139,6 +145,7 @@
             context
                 .metrics
                 .attempt_ended("head", error.verdict.as_str());
+            permit.set_arrival(error.arrival);
             permit.finish(error.outcome);
             Err(error)
         }
@@ -159,7 +166,7 @@
 /// applies the runner's signals in it.
 async fn send_and_read_head(
     context: &Context,
-    permit: &Permit,
+    permit: &mut Permit,
     outgoing: &Outgoing,
     forward: ForwardedHeaders,
     head_deadline: Instant,
@@ -183,9 +190,10 @@
             // The link may be silent, on which other requests would hang as well.
             context.pool.close_idle(&permit.runner().id);
             let cause = "timed out waiting for the head of the answer".to_owned();
-            return Err(AttemptError::may_have_run(Failure::Silent, cause));
+            let arrival = Arrival::Pending;
+            return Err(AttemptError::may_have_run(Failure::Silent, arrival, cause));
         }
-        Ok(Err(error)) if !error.sent => {
+        Ok(Err(error)) if !error.was_sent() => {
             return Err(AttemptError::unsent(
                 Outcome::Abandoned,
                 format!(
@@ -194,9 +202,13 @@
                 ),
             ));
         }
-        Ok(Err(error)) => return Err(AttemptError::may_have_run(Failure::Broken, error.cause)),
+        Ok(Err(error)) => {
+            let (arrival, cause) = (error.arrival, error.cause);
+            return Err(AttemptError::may_have_run(Failure::Broken, arrival, cause));
+        }
         Ok(Ok(response)) => response,
     };
+    permit.record_answer();
     let (head, body) = response.into_parts();
     let facts = context.dialect.read_answer(&head);
     check_head(&head, &facts, outgoing)?;
@@ -220,7 +232,8 @@
     // Answers to the gateway's own calls on this connection have no id.
     let is_for_other_request =
         outgoing.request_id.is_some() && facts.request_id != outgoing.request_id;
-    let broken = |cause: &str| AttemptError::may_have_run(Failure::Broken, cause.to_owned());
+    let broken =
+        |cause: &str| AttemptError::may_have_run(Failure::Broken, Arrival::Over, cause.to_owned());
     if is_for_other_request {
         return Err(broken("the answer has the id of another request"));
     }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -10,9 +10,9 @@
 
 use barleyspar_catalog::{Configuration, Route, Runner, RunnerLimit, SoftwareVersion};
 use barleyspar_dispatch::{
-    AdvertisedLimit, BrittleUpdate, BudgetLimits, DemandItem, DrainingUpdate, Grant, Inventory,
-    LimitUpdate, Outcome, PermitId, PromptDemandItem, Query, RatePermitAnswer, Refusal, RunnerKey,
-    StreamDemandItem, VersionsByService,
+    AdvertisedLimit, Arrival, BrittleUpdate, BudgetLimits, BudgetUse, DemandItem, DrainingUpdate,
+    Grant, Inventory, LimitUpdate, Outcome, PermitId, PromptDemandItem, Query, RatePermitAnswer,
+    Refusal, RequestNumber, RunnerKey, StreamDemandItem, VersionsByService,
 };
 use barleyspar_prefill::PrefillUpdate;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -33,6 +33,7 @@
     handle: DispatchHandle,
     /// Permit of the runner's prefill owner; `None` if the request needs or got none.
     prefill: Option<PrefillPermit>,
+    arrival: Arrival,
     finished: bool,
 }
 
@@ -66,6 +67,11 @@
         self.grant.tokens_per_second
     }
 
+    /// Returns what the decision on this retry rested on; `None` if the attempt is no retry.
+    pub fn retry_budget(&self) -> Option<BudgetUse> {
+        self.grant.retry_budget
+    }
+
     /// Returns whether the runner advertised a rate limit when the permit was granted.
     pub fn runner_is_limited(&self) -> bool {
         self.grant.is_rate_limited
@@ -88,8 +94,23 @@
         self.prefill.as_ref().map(PrefillPermit::waited)
     }
 
+    /// Sets what is known of the request's arrival at the runner.
+    pub fn set_arrival(&mut self, arrival: Arrival) {
+        self.arrival = arrival;
+    }
+
+    /// Records that the runner has begun its answer. What waits for that is told at once; else the
+    /// end of the attempt tells it.
+    pub fn record_answer(&mut self) {
+        self.arrival = Arrival::Over;
+        if self.grant.retry_budget.is_some() {
+            self.handle.send(Command::RecordAnswer(self.grant.permit));
+        }
+    }
+
     /// Records that the request is now sent to the runner.
-    pub fn record_sent(&self) {
+    pub fn record_sent(&mut self) {
+        self.arrival = Arrival::Pending;
         if let Some(prefill) = &self.prefill {
             prefill.record_sent();
         }
@@ -117,17 +138,20 @@
 
     /// Reports the outcome of the attempt, which ends it.
     pub fn finish(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
         self.finished = true;
-        self.handle
-            .send(Command::Finish(self.grant.permit, outcome));
+        let (permit, arrival) = (self.grant.permit, self.arrival);
+        self.handle.send(Command::Finish(permit, outcome, arrival));
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         if !self.finished {
-            self.handle
-                .send(Command::Finish(self.grant.permit, Outcome::Abandoned));
+            self.end(Outcome::Abandoned);
         }
     }
 }
@@ -140,7 +164,8 @@
         reply: oneshot::Sender<Result<Permit, Refusal>>,
     },
     Cancel(CallId),
-    Finish(PermitId, Outcome),
+    Finish(PermitId, Outcome, Arrival),
+    RecordAnswer(PermitId),
     RecordInterimOutcome(PermitId, Outcome),
     ChooseService(Arc<Route>, oneshot::Sender<Arc<str>>),
     SetConfiguration(Arc<Configuration>),
@@ -216,6 +241,7 @@
     member_count: AtomicU32,
     /// Id of the next call of [`DispatchHandle::acquire`].
     next_call: AtomicU64,
+    next_request: AtomicU64,
 }
 
 /// Handle to the dispatcher's task. Its methods send a command and, where they return
@@ -251,6 +277,11 @@
         let _ = self.commands.send(command);
     }
 
+    /// Returns a number for a client's request that no other request has.
+    pub fn next_request_number(&self) -> RequestNumber {
+        self.shared.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Requests a permit for a runner that can serve `query`. Waits in the queue until one is
     /// granted or the dispatcher refuses the request. Returns `None` if the dispatcher's
     /// task is gone.
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use barleyspar_dispatch::{
-    Acquired, Dispatcher, Grant, LimitChange, Query, Refusal, Splitter, Ticket,
+    Acquired, Arrival, Dispatcher, Grant, LimitChange, Query, Refusal, Splitter, Ticket,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -186,7 +186,10 @@
                     self.dispatcher.cancel(ticket);
                 }
             }
-            Command::Finish(permit, outcome) => self.dispatcher.finish(permit, outcome, now()),
+            Command::Finish(permit, outcome, arrival) => {
+                self.dispatcher.finish(permit, outcome, arrival, now());
+            }
+            Command::RecordAnswer(permit) => self.dispatcher.record_answer(permit, now()),
             Command::RecordInterimOutcome(permit, outcome) => self
                 .dispatcher
                 .record_interim_outcome(permit, outcome, now()),
@@ -339,6 +342,7 @@
             grant,
             handle: self.handle.clone(),
             prefill: None,
+            arrival: Arrival::Never,
             finished: false,
         });
         // If the caller is gone, the permit is dropped here, which ends the attempt.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,7 @@
     AllowedRegions, ForwardedHeaders, ModelReference, RequestFacts, RequestKind, Route, Runner,
     SoftwareVersion, Tenant,
 };
-use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal};
+use barleyspar_dispatch::{AttemptKind, Failure, Outcome, Query, Refusal, RequestNumber};
 use barleyspar_domain::Verdict;
 use barleyspar_prefill::TenantKey;
 use tokio::time::{Instant, timeout};
@@ -59,6 +59,8 @@
 pub struct Exchange {
     /// The shared state of the gateway.
     pub context: Context,
+    /// Number of the request at this gateway.
+    number: RequestNumber,
     /// The route that matches the request's host and path.
     pub route: Arc<Route>,
     /// The service that the route's traffic split chose.
@@ -130,6 +132,7 @@
         let quarantine_keys =
             QuarantineKeys::new(outgoing.fingerprint, &service, &facts.shared_prefix);
         Self {
+            number: context.dispatch.next_request_number(),
             context,
             route,
             service,
@@ -281,6 +284,7 @@
     /// dispatcher refuses instead of queueing.
     pub fn query(&self, attempt: AttemptKind, may_wait: bool) -> Query {
         Query {
+            request: self.number,
             service: self.service.clone(),
             wanted: self.wanted(),
             tenant: self.tenant_key(),
@@ -442,10 +446,11 @@
     ) -> Option<AttemptKind> {
         journal::attempt_failed(self.id(), &runner.id, error);
         self.excluded_runners.push(runner.id.clone());
-        if !error.sent {
+        if !error.was_sent() {
             self.at_runner = None;
             self.unsent_attempts += 1;
-            return (self.unsent_attempts <= MAX_UNSENT_ATTEMPTS).then_some(AttemptKind::Unsent);
+            let may_go_on = self.unsent_attempts <= MAX_UNSENT_ATTEMPTS;
+            return may_go_on.then_some(self.kind_after_unsent());
         }
         if error.outcome == Outcome::Failed(Failure::Broken) {
             self.report_broken_connection(runner, self.progress_without_head());
@@ -455,6 +460,15 @@
         self.may_retry().then_some(AttemptKind::Retry)
     }
 
+    /// Returns the kind of the next attempt after one of which no byte was sent.
+    fn kind_after_unsent(&self) -> AttemptKind {
+        if self.possible_runs > 0 || self.rejections > 0 {
+            AttemptKind::Retry
+        } else {
+            AttemptKind::Unsent
+        }
+    }
+
     /// Returns how far the request may have come at a runner that sent no head of an answer.
     /// Runners send a stream's head when they start to run it, and any other head together
     /// with the complete answer.
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -10,7 +10,7 @@
 use barleyspar_catalog::{
     ModelReference, RequestFacts, Route, Runner, RunnerLimit, SoftwareVersion, Tenant,
 };
-use barleyspar_dispatch::{LimitChange, Refusal, RunnerSpeedChange};
+use barleyspar_dispatch::{BudgetUse, LimitChange, Refusal, RunnerSpeedChange};
 use barleyspar_domain::Verdict;
 
 use crate::answers::OwnAnswer;
@@ -118,7 +118,8 @@
         candidates = permit.candidates(),
         in_flight = permit.in_flight(),
         waited_ms = milliseconds(waited),
-        prefill_wait_ms = permit.prefill_wait().map(milliseconds)
+        prefill_wait_ms = permit.prefill_wait().map(milliseconds),
+        retry_budget = permit.retry_budget().map(budget_text)
     );
 }
 
@@ -189,7 +190,8 @@
         request,
         runner,
         verdict = error.verdict.as_str(),
-        sent = error.sent,
+        sent = error.was_sent(),
+        arrival = error.arrival.name(),
         outcome = ?error.outcome,
         cause = %error.cause
     );
@@ -364,10 +366,25 @@
         request,
         reason = refusal.reason.name(),
         verdict = verdict.as_str(),
-        retry_after_ms = milliseconds(refusal.retry_after)
+        retry_after_ms = milliseconds(refusal.retry_after),
+        retry_budget = refusal.retry_budget.map(budget_text)
     );
 }
 
+/// Returns a log field's text for what a decision on a retry rests on.
+fn budget_text(budget: BudgetUse) -> String {
+    let BudgetUse {
+        nodes,
+        requests,
+        arrived,
+        pending,
+        allowed,
+    } = budget;
+    format!(
+        "nodes={nodes} requests={requests} arrived={arrived} pending={pending} allowed={allowed}"
+    )
+}
+
 /// Values of the log line about the end of an admitted request.
 pub struct Ended<'a> {
     /// Id of the client's attempt.
--- a/crates/gateway/src/placement/order.rs
+++ b/crates/gateway/src/placement/order.rs
@@ -185,7 +185,7 @@
         .await
         .map_err(|_| unanswered("timed out".to_owned()))?
         .map_err(|error| {
-            if error.sent {
+            if error.was_sent() {
                 unanswered(error.cause)
             } else {
                 CallError::NotSent(error.cause)
--- a/crates/gateway/src/prefill/pacing.rs
+++ b/crates/gateway/src/prefill/pacing.rs
@@ -200,5 +200,6 @@
     Refusal {
         reason: RefusalReason::PrefillFull,
         retry_after: retry_after(wait, exchange.remaining_time()),
+        retry_budget: None,
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -245,7 +245,7 @@
         match await_turn(exchange, &mut permit, &mut moves).await {
             Turn::Send => return Some(Ok(permit)),
             Turn::Refused(refusal) => return Some(Err(refusal)),
-            Turn::Elsewhere => kind = AttemptKind::Unsent,
+            Turn::Elsewhere => kind = kind.after_unsent(),
         }
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -197,7 +197,7 @@
         let mut request = self.dialect.store_call(call);
         request.headers_mut().insert(HOST, self.host.clone());
         let response = connection.send(request).await.map_err(|error| {
-            if error.sent {
+            if error.was_sent() {
                 StoreError::Unanswered(error.cause)
             } else {
                 StoreError::Unavailable
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,14 +1,16 @@
 //! An HTTP/1.1 client connection to a runner or the store, with one request at a time.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use barleyspar_dispatch::Arrival;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use thiserror::Error;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -30,7 +32,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
 /// Reason why no connection could be opened. Nothing was sent.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
     /// The peer or the network refused the connection.
     #[error("connection refused: {0}")]
@@ -44,15 +46,22 @@
 }
 
 /// Reason why a request got no head of an answer.
-#[derive(Debug, Error)]
+#[derive(Debug, thiserror::Error)]
 #[error("{cause}")]
 pub struct SendError {
-    /// Whether any byte of the request was written to the socket.
-    pub sent: bool,
+    /// Whether the request may yet arrive at the peer.
+    pub arrival: Arrival,
     /// Description of the failure for the log.
     pub cause: String,
 }
 
+impl SendError {
+    /// Whether any byte of the request was written to the socket.
+    pub fn was_sent(&self) -> bool {
+        self.arrival != Arrival::Never
+    }
+}
+
 /// Opens a stream to `address` within `timeout`.
 pub async fn open_stream(
     network: &dyn Network,
@@ -132,13 +141,10 @@
         request: Request<Bytes>,
     ) -> Result<Response<ReceivedBody>, SendError> {
         let written_before = self.socket.written();
-        let failed = |cause: String, returned: bool, written: u64| SendError {
-            sent: !returned || written != written_before,
-            cause,
-        };
         let request = request.map(Full::new);
         if let Err(error) = self.sender.ready().await {
-            return Err(failed(error.to_string(), true, self.socket.written()));
+            let is_unsent = self.socket.written() == written_before;
+            return Err(self.send_error(&error, is_unsent));
         }
         self.socket.expect_answer();
         match self.sender.try_send_request(request).await {
@@ -148,12 +154,28 @@
             }
             Err(mut error) => {
                 let returned = error.take_message().is_some();
-                let cause = self.cause_of(&error.into_error());
-                Err(failed(cause, returned, self.socket.written()))
+                let is_unsent = returned && self.socket.written() == written_before;
+                Err(self.send_error(&error.into_error(), is_unsent))
             }
         }
     }
 
+    fn send_error(&self, error: &hyper::Error, is_unsent: bool) -> SendError {
+        let arrival = if is_unsent {
+            Arrival::Never
+        } else if self.peer.is_none() && !is_timeout(error) {
+            Arrival::Over
+        } else {
+            // The link fell silent, or a peer between closed the tunnel: the runner may read what
+            // has reached it.
+            Arrival::Pending
+        };
+        SendError {
+            arrival,
+            cause: self.cause_of(error),
+        }
+    }
+
     /// Returns a description, for the log, of the failure `error` of a send or a body.
     pub fn cause_of(&self, error: &hyper::Error) -> String {
         if self.socket.is_excessive() {
@@ -199,6 +221,19 @@
     }
 }
 
+/// Whether the network's own time limits ended the connection, and not the other end.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(error) = source {
+        let io_error = error.downcast_ref::<io::Error>();
+        if io_error.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
