A node that leaves the members keeps its share of the retry budget for a minute

What runners saw (virtual time): five of six gateways are cut off from the store and from one another, not from clients and runners. Their leases run out, the sixth sees itself alone and takes the whole budget, while the five go on with a sixth each: 1.04 of the bound at 2 requests a second each.

Cause: shares followed the members that a node sees now. One that stands still or is cut off is no member after 12 s, and uses its share all the same. The class: a quantity is shared out by who is seen, not by who may act.

Change: shares are computed for the largest number of members within the last minute. Those that join count at once, as before.

Ruled out for now: a node without contact that gives its share up. What callers lose: after the loss of nodes, their part of the retries for a minute.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -159,7 +159,7 @@
     /// Takes a retry from the budget for the request of `query`. Returns whether it allows one.
     pub(crate) fn take_retry(&mut self, query: &Query, now: Instant) -> bool {
         self.end_overdue_arrivals(now);
-        let share = self.budget_share(&query.service);
+        let share = self.budget_share(&query.service, now);
         let is_allowed = self.budget(&query.service).try_take(now, share);
         if is_allowed {
             self.arrivals.add_retry(query);
@@ -173,7 +173,7 @@
         if query.attempt != AttemptKind::Retry {
             return None;
         }
-        let share = self.budget_share(&query.service);
+        let share = self.budget_share(&query.service, now);
         Some(self.budget(&query.service).budget_use(now, share))
     }
 
--- a/crates/dispatch/src/brittle_tests.rs
+++ b/crates/dispatch/src/brittle_tests.rs
@@ -44,7 +44,7 @@
         };
         let now = Instant::now();
         let mut dispatcher = Dispatcher::new(member.clone(), "zone".into(), limits, site, now);
-        dispatcher.set_members(members.clone());
+        dispatcher.set_members(members.clone(), now);
         for number in 0..runners {
             dispatcher.update_runner(runner(number, slots), now);
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::requested_pauses::RequestedPauses;
 use crate::runner::RunnerEntry;
 use crate::selection::{SelectionContext, cheapest_candidate};
+use crate::sharing_nodes::SharingNodes;
 use crate::software_history::SoftwareHistory;
 use crate::turnover::{SlotGroup, Turnover, WaitingTurns};
 
@@ -70,6 +71,8 @@
     /// knows.
     pub(crate) used_runner_ids: BTreeSet<Arc<str>>,
     budgets: HashMap<Arc<str>, RetryBudget>,
+    /// The nodes that share the retry budgets.
+    budget_nodes: SharingNodes,
     pub(crate) arrivals: PendingArrivals,
     pub(crate) brittle: BrittleServices,
     pub(crate) draining: DrainingRunners,
@@ -114,6 +117,7 @@
             turnover: Turnover::default(),
             used_runner_ids: BTreeSet::new(),
             budgets: HashMap::new(),
+            budget_nodes: SharingNodes::default(),
             arrivals: PendingArrivals::default(),
             brittle: BrittleServices::default(),
             draining: DrainingRunners::default(),
@@ -151,7 +155,8 @@
 
     /// Sets the names of the nodes that share retry budgets and limits, this node
     /// included.
-    pub fn set_members(&mut self, members: Vec<Arc<str>>) {
+    pub fn set_members(&mut self, members: Vec<Arc<str>>, now: Instant) {
+        self.budget_nodes.set(members.len(), now);
         self.members = members;
     }
 
@@ -212,13 +217,13 @@
 
     /// Returns this node's share of the retry budget of `service`. Nodes are ordered by
     /// rendezvous weight, so that the order differs between services.
-    pub(crate) fn budget_share(&self, service: &Arc<str>) -> BudgetShare {
+    pub(crate) fn budget_share(&self, service: &Arc<str>, now: Instant) -> BudgetShare {
         let own_weight = rendezvous_weight(service, &self.name);
         let precedes_own = |member: &&Arc<str>| {
             **member != self.name && rendezvous_weight(service, *member) > own_weight
         };
         BudgetShare {
-            nodes: self.node_count(),
+            nodes: self.budget_nodes.count(now),
             position: self.members.iter().filter(precedes_own).count(),
         }
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -33,6 +33,7 @@
 mod runner;
 mod runner_updates;
 mod selection;
+mod sharing_nodes;
 mod slot_shares;
 mod software_history;
 mod split;
--- a/crates/dispatch/tests/cold_runners.rs
+++ b/crates/dispatch/tests/cold_runners.rs
@@ -55,7 +55,7 @@
     };
     let mut dispatcher = Dispatcher::new(name.into(), "zone".into(), limits, site(), now);
     dispatcher.set_configuration(Arc::new(configuration));
-    dispatcher.set_members(members.to_vec());
+    dispatcher.set_members(members.to_vec(), now);
     dispatcher
 }
 
--- a/crates/dispatch/tests/first_event_forecast/main.rs
+++ b/crates/dispatch/tests/first_event_forecast/main.rs
@@ -260,7 +260,7 @@
     let mut counts = BTreeMap::new();
     for name in &names {
         let mut dispatcher = named_dispatcher(name, &["a", "b", "c"], told_at);
-        dispatcher.set_members(names.clone());
+        dispatcher.set_members(names.clone(), now);
         let waits = [("a", 400), ("b", 300), ("c", 400)];
         let updates = waits.map(|(id, wait_ms)| update(id, 20_000, wait_ms));
         dispatcher.apply_prefill_updates(&updates, told_at);
--- a/crates/dispatch/tests/first_event_forecast/simulated_site.rs
+++ b/crates/dispatch/tests/first_event_forecast/simulated_site.rs
@@ -119,7 +119,7 @@
     };
     let mut node = Dispatcher::new(name.clone(), "zone".into(), limits, site(), now);
     node.set_configuration(Arc::new(roomy_configuration()));
-    node.set_members(names.to_vec());
+    node.set_members(names.to_vec(), now);
     for number in 0..load.speeds.len() {
         node.update_runner(simulated_runner(load, number), now);
     }
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -268,7 +268,7 @@
                 let _ = reply.send(self.dispatcher.sole_software(&service, time, now()));
             }
             Command::SetBudgetLimits(limits) => self.dispatcher.set_budget_limits(limits),
-            Command::SetMembers(members) => self.dispatcher.set_members(members),
+            Command::SetMembers(members) => self.dispatcher.set_members(members, now()),
             Command::SetEvacuatedZones(zones) => {
                 let zones = zones
                     .into_iter()
--- a/crates/standin/tests/retry_budget.rs
+++ b/crates/standin/tests/retry_budget.rs
@@ -226,6 +226,26 @@
     });
 }
 
+#[tokio::test(start_paused = true)]
+async fn gateways_that_lost_all_others_repeat_within_the_budget_beside_the_one_that_is_left() {
+    assert_within_budget!(Course {
+        lasts: 40,
+        begin: |world| {
+            for one in 2..=GATEWAYS {
+                let host = World::gateway_host(one);
+                world
+                    .network
+                    .cut_in_way(host, World::store_host(), Cut::Silent);
+                for other in 1..one {
+                    let other = World::gateway_host(other);
+                    world.network.cut_in_way(host, other, Cut::Silent);
+                }
+            }
+        },
+        end: |world| world.network.heal(),
+    });
+}
+
 #[tokio::test(start_paused = true)]
 async fn gateways_that_stood_still_repeat_within_the_budget() {
     assert_within_budget!(Course {
