Requests that are read just after a standstill do not raise the retry budget

Cause: a node counted requests when it read them. The requests of 15 s were read in an instant, and the budget allowed retries as if all had been sent within one window.

Change: what is read while the process catches up, from the standstill's end, noticed or not, to a second after it was noticed, is served as ever but raises no budget. StallWatch, which so far only logged stalls, tells it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -267,6 +267,8 @@
                     retry_budget: self.retry_budget_use(query, now),
                 });
             }
+            // It belongs to a window of which only its caller knows.
+            AttemptKind::First if query.after_stall => {}
             AttemptKind::First => self.budget(&query.service).count_request(now),
         }
         if let Some(wanted) = &query.wanted {
--- a/crates/dispatch/src/first_event_forecast_tests.rs
+++ b/crates/dispatch/src/first_event_forecast_tests.rs
@@ -32,6 +32,7 @@
 fn query(prompt_tokens: u64, now: Instant) -> Query {
     Query {
         request: 0,
+        after_stall: false,
         service: "engine".into(),
         wanted: None,
         priority: 1,
--- a/crates/dispatch/src/query.rs
+++ b/crates/dispatch/src/query.rs
@@ -23,6 +23,9 @@
 pub struct Query {
     /// Number of the client's request, the same for all its attempts.
     pub request: RequestNumber,
+    /// Whether the process stood still until shortly before it read the request, so that the
+    /// request may have been sent long ago.
+    pub after_stall: bool,
     /// Name of the service that serves the request.
     pub service: Arc<str>,
     /// The model or adapter that the request needs; `None` for plain services.
--- a/crates/dispatch/tests/avoided_runners.rs
+++ b/crates/dispatch/tests/avoided_runners.rs
@@ -25,6 +25,7 @@
 fn chosen(dispatcher: &mut Dispatcher, avoided: &[&str], now: Instant) -> (Arc<str>, usize) {
     let query = Query {
         request: 0,
+        after_stall: false,
         avoided_runners: avoided.iter().map(|id| Arc::from(*id)).collect(),
         ..query(now, 8 * SECOND)
     };
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -101,6 +101,7 @@
 pub fn query(now: Instant, patience: Duration) -> Query {
     Query {
         request: 0,
+        after_stall: false,
         service: "engine".into(),
         wanted: Some(ModelReference {
             model: "cold".into(),
--- a/crates/dispatch/tests/expected_retries.rs
+++ b/crates/dispatch/tests/expected_retries.rs
@@ -15,6 +15,7 @@
 fn refuse(dispatcher: &mut Dispatcher, query: Query, now: Instant) -> Duration {
     let query = Query {
         request: 0,
+        after_stall: false,
         may_wait: false,
         ..query
     };
@@ -53,6 +54,7 @@
     let ends = [3, 6, 9].map(|seconds| {
         let query = Query {
             request: 0,
+            after_stall: false,
             deadline: now + seconds * SECOND,
             ..query(now, 5 * SECOND)
         };
--- a/crates/dispatch/tests/first_event_forecast/main.rs
+++ b/crates/dispatch/tests/first_event_forecast/main.rs
@@ -125,6 +125,7 @@
 fn prompt(now: Instant, tokens: u64) -> Query {
     Query {
         request: 0,
+        after_stall: false,
         prompt_tokens: tokens,
         may_wait: false,
         ..query(now, 8 * SECOND)
--- a/crates/dispatch/tests/first_event_forecast/simulated_site.rs
+++ b/crates/dispatch/tests/first_event_forecast/simulated_site.rs
@@ -201,6 +201,7 @@
         let extra_tokens = random(load.seed, "tokens", number) * span;
         Query {
             request: 0,
+            after_stall: false,
             wanted: Some(ModelReference {
                 model: model_name(self.model(number)),
                 adapter: None,
--- a/crates/dispatch/tests/full_runners.rs
+++ b/crates/dispatch/tests/full_runners.rs
@@ -126,6 +126,7 @@
     let mut full = FullRunner::new(true);
     let crowd = Query {
         request: 0,
+        after_stall: false,
         tenant: Some(CROWD),
         cache_tokens: 2_000,
         ..query(full.now, 4 * SECOND)
@@ -133,6 +134,7 @@
     assert!(full.ask_often(100, &crowd) < 100);
     let other = Query {
         request: 0,
+        after_stall: false,
         tenant: Some(CROWD + 1),
         ..query(full.now, 4 * SECOND)
     };
@@ -147,6 +149,7 @@
     assert_eq!(full.ask_often(10, &usual), 10);
     let urgent = Query {
         request: 0,
+        after_stall: false,
         priority: 0,
         ..usual
     };
--- a/crates/dispatch/tests/slot_shares.rs
+++ b/crates/dispatch/tests/slot_shares.rs
@@ -55,6 +55,7 @@
     fn request(&self, tenant: Option<TenantKey>) -> Query {
         Query {
             request: 0,
+            after_stall: false,
             tenant,
             cache_tokens: REQUEST_TOKENS,
             ..query(self.now, 14 * SECOND)
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -166,6 +166,7 @@
     dispatcher.finish(1, Outcome::Busy, Arrival::Over, now);
     let retry = Query {
         request: 0,
+        after_stall: false,
         excluded_runners: vec![runner().id],
         ..sent
     };
@@ -190,6 +191,7 @@
     dispatcher.update_runner(Arc::new(other), now);
     let retry = Query {
         request: 0,
+        after_stall: false,
         excluded_runners: vec![runner().id],
         ..query(now, 10 * SECOND)
     };
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -22,6 +22,7 @@
 use crate::prefill::PrefillHandle;
 use crate::quota::QuotaHandle;
 use crate::reachability::Reachability;
+use crate::stalls::StallWatch;
 use crate::tunnel::{self, TunnelPeers};
 use crate::upstream::{Checkout, ConnectError, Connection, ConnectionShare, Pool, open_stream};
 
@@ -86,6 +87,8 @@
     pub tunnel_peers: TunnelPeers,
     /// Stage of the process: running, draining or closing.
     pub lifecycle: Lifecycle,
+    /// Tells what is read just after the process stood still.
+    pub stalls: StallWatch,
     /// Memory for request bodies, in units of [`BODY_UNIT`] bytes.
     pub body_memory: Arc<Semaphore>,
     /// Memory for what this node keeps of runners' answers.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -79,6 +79,8 @@
     pub outgoing: Outgoing,
     /// When the request's head arrived.
     pub received: Instant,
+    /// Whether the process stood still until shortly before that.
+    after_stall: bool,
     /// When the gateway gives up on the request.
     pub deadline: Instant,
     /// When the client last got an event; the time of arrival before the first one.
@@ -133,6 +135,7 @@
             QuarantineKeys::new(outgoing.fingerprint, &service, &facts.shared_prefix);
         Self {
             number: context.dispatch.next_request_number(),
+            after_stall: context.stalls.is_catching_up(received),
             context,
             route,
             service,
@@ -285,6 +288,7 @@
     pub fn query(&self, attempt: AttemptKind, may_wait: bool) -> Query {
         Query {
             request: self.number,
+            after_stall: self.after_stall,
             service: self.service.clone(),
             wanted: self.wanted(),
             tenant: self.tenant_key(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -37,7 +37,7 @@
 use crate::quota::QuotaTask;
 use crate::restore_tracker::RestoreTracker;
 use crate::software_record::{RecordedVersions, SoftwareRecorder};
-use crate::stalls::report_stalls;
+use crate::stalls::StallWatch;
 use crate::store::Store;
 use crate::tunnel::{self, TunnelPeers};
 use crate::{
@@ -270,6 +270,7 @@
         reachability: Arc::default(),
         tunnel_peers: TunnelPeers::new(peer_handle.seen_peers(), settings.tunnel_address.port()),
         lifecycle,
+        stalls: StallWatch::default(),
         requests_in_flight: Arc::default(),
         caller_connections: Arc::default(),
         metrics: Arc::default(),
@@ -414,7 +415,7 @@
         "idle_connections",
         close_expired_connections(context.clone()),
     );
-    tasks.spawn("stalls", report_stalls());
+    tasks.spawn("stalls", context.stalls.clone().report_stalls());
     if let Some(address) = settings.metrics_address {
         let metrics_listener = network
             .listen(address)
