--- a/crates/catalog/src/configuration.rs
+++ b/crates/catalog/src/configuration.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::Tenant;
+use crate::slots::SlotCount;
 
 /// One complete version of the configuration.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -122,7 +123,7 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Number of requests that a runner processes concurrently.
-    pub slots: u32,
+    pub slots: SlotCount,
     /// Capacity of a runner's cache, in tokens.
     pub cache_tokens: u64,
     /// Memory of a runner for weights and adapters together, in megabytes.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -16,6 +16,7 @@
 mod runner;
 mod settings;
 mod signals;
+mod slots;
 mod store;
 mod tenants;
 
@@ -37,5 +38,6 @@
 };
 pub use settings::{Bounds, ColdBounds, MachineLimits, NodeSettings, QuotaBounds};
 pub use signals::RunnerSignals;
+pub use slots::{ImpossibleSlotCount, SlotCount};
 pub use store::{Event, Item, StoreAnswer, StoreCall, StoreError, Transaction, Write};
 pub use tenants::{Credential, Quota, QuotaUnit, Tenant};
--- a/crates/catalog/src/runner.rs
+++ b/crates/catalog/src/runner.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::slots::SlotCount;
+
 /// Short key of a runner's incarnation in messages between nodes.
 pub type RunnerKey = u32;
 
@@ -86,7 +88,7 @@
     #[serde(default)]
     pub software: SoftwareVersion,
     /// Number of requests that the runner processes concurrently.
-    pub slots: u32,
+    pub slots: SlotCount,
     /// Whether the runner accepts new work.
     pub state: RunnerState,
     /// Time until the runner exits, counted from the writing of the entry; `None` if the
--- a/crates/dispatch/src/brittle.rs
+++ b/crates/dispatch/src/brittle.rs
@@ -149,7 +149,7 @@
     /// a time, while half of the slots are free. That is so only where the nodes without a share
     /// are fewer than that half, so that even all of them at once find room.
     fn may_use_spare_slot(&self, entry: &RunnerEntry) -> bool {
-        let slots = entry.runner.slots;
+        let slots = entry.runner.slots.get();
         let without_share = (self.node_count() as u32).saturating_sub(dealt_slots(slots));
         let is_mostly_free = entry.total_in_flight() * 2 < slots;
         entry.in_flight == 0 && is_mostly_free && without_share * 2 < slots
@@ -160,12 +160,12 @@
         let runners_before = self.runners.range(..entry.runner.id.clone());
         let slots_before = runners_before
             .filter(|(_, before)| before.runner.service == entry.runner.service)
-            .map(|(_, before)| u64::from(dealt_slots(before.runner.slots)))
+            .map(|(_, before)| u64::from(dealt_slots(before.runner.slots.get())))
             .sum();
         let members_before = self.members.iter().filter(|member| **member < self.name);
         let position = members_before.count() as u64;
         let nodes = self.node_count() as u64;
-        let slots_end = slots_before + u64::from(dealt_slots(entry.runner.slots));
+        let slots_end = slots_before + u64::from(dealt_slots(entry.runner.slots.get()));
         let dealt_until = |slot: u64| (slot + nodes - 1 - position) / nodes;
         (dealt_until(slots_end) - dealt_until(slots_before)) as u32
     }
--- a/crates/dispatch/src/brittle_tests.rs
+++ b/crates/dispatch/src/brittle_tests.rs
@@ -4,7 +4,7 @@
 use crate::budget::BudgetLimits;
 use crate::dispatcher::Site;
 
-fn runner(number: usize, slots: u32) -> Arc<Runner> {
+fn runner(number: usize, slots: u16) -> Arc<Runner> {
     let name: Arc<str> = format!("runner-{number:03}").into();
     Arc::new(Runner {
         id: name.clone(),
@@ -14,7 +14,7 @@
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
         software: Default::default(),
-        slots,
+        slots: slots.into(),
         state: RunnerState::Available,
         remaining: None,
         warming: Duration::ZERO,
@@ -25,7 +25,7 @@
 }
 
 /// Number of slots of each of `runners` runners that is dealt to each of `nodes` nodes.
-fn shares(nodes: usize, runners: usize, slots: u32) -> Vec<Vec<u32>> {
+fn shares(nodes: usize, runners: usize, slots: u16) -> Vec<Vec<u32>> {
     let members: Vec<Arc<str>> = (0..nodes)
         .map(|node| format!("node-{node:03}").into())
         .collect();
@@ -62,7 +62,10 @@
         let shares = shares(nodes, 4, slots);
         for runner in 0..4 {
             let dealt: u32 = shares.iter().map(|node| node[runner]).sum();
-            assert!(dealt <= slots, "{nodes} nodes: {dealt} of {slots}");
+            assert!(
+                dealt <= u32::from(slots),
+                "{nodes} nodes: {dealt} of {slots}"
+            );
             assert!(
                 f64::from(dealt) >= f64::from(slots) * 0.8,
                 "{nodes} nodes: {dealt}"
--- a/crates/dispatch/src/eligibility.rs
+++ b/crates/dispatch/src/eligibility.rs
@@ -31,7 +31,7 @@
 /// Whether the runner has a free slot, and enough cache, for the request. A request of
 /// any size fits the cache of a runner without other requests of this node.
 pub fn has_room(entry: &RunnerEntry, query: &Query, engine: Option<&EngineSpec>) -> bool {
-    let slots = entry.runner.slots.max(1);
+    let slots = entry.runner.slots.get().max(1);
     match engine {
         Some(engine) => {
             let cache = engine.cache_tokens as f64 * USABLE_CACHE_FRACTION;
--- a/crates/dispatch/src/first_event_forecast_tests.rs
+++ b/crates/dispatch/src/first_event_forecast_tests.rs
@@ -18,7 +18,7 @@
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
         software: Default::default(),
-        slots: 8,
+        slots: 8.into(),
         state: RunnerState::Available,
         warming: Duration::ZERO,
         remaining: None,
--- a/crates/dispatch/src/peer_load.rs
+++ b/crates/dispatch/src/peer_load.rs
@@ -13,6 +13,10 @@
 /// which a report is valid (about a second).
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Largest number of attempts in flight at one runner that is told apart from more: above the
+/// slots of any runner.
+const MOST_IN_FLIGHT: u32 = 1 << 20;
+
 #[derive(Debug)]
 struct LoadReport {
     valid_until: Instant,
@@ -23,7 +27,7 @@
 #[derive(Debug, Default)]
 pub struct PeerLoads {
     reports: HashMap<Arc<str>, LoadReport>,
-    sums: HashMap<RunnerKey, u32>,
+    sums: HashMap<RunnerKey, u64>,
     swept_at: Option<Instant>,
 }
 
@@ -39,7 +43,7 @@
     ) -> Vec<RunnerKey> {
         let mut changed = self.drop_expired(now);
         for (key, count) in &in_flight {
-            *self.sums.entry(*key).or_default() += count;
+            *self.sums.entry(*key).or_default() += u64::from(*count);
             changed.push(*key);
         }
         let latest = LoadReport {
@@ -52,9 +56,11 @@
         changed
     }
 
-    /// Returns the attempts of all other nodes in flight at the runner with this key.
+    /// Returns the attempts of all other nodes in flight at the runner with this key, at most
+    /// [`MOST_IN_FLIGHT`].
     pub fn in_flight_at(&self, key: RunnerKey) -> u32 {
-        self.sums.get(&key).copied().unwrap_or(0)
+        let sum = self.sums.get(&key).copied().unwrap_or(0);
+        u32::try_from(sum).map_or(MOST_IN_FLIGHT, |sum| sum.min(MOST_IN_FLIGHT))
     }
 
     /// Drops the reports of nodes that were not heard from in time. Returns the runners
@@ -85,7 +91,7 @@
     fn subtract(&mut self, report: LoadReport, changed: &mut Vec<RunnerKey>) {
         for (key, count) in report.in_flight {
             if let Some(sum) = self.sums.get_mut(&key) {
-                *sum = sum.saturating_sub(count);
+                *sum = sum.saturating_sub(count.into());
                 if *sum == 0 {
                     self.sums.remove(&key);
                 }
--- a/crates/dispatch/src/runner.rs
+++ b/crates/dispatch/src/runner.rs
@@ -363,7 +363,7 @@
 
     /// Whether more than half of the runner's slots are free.
     pub fn has_mostly_free_slots(&self) -> bool {
-        self.total_in_flight() * 2 < self.runner.slots
+        self.total_in_flight() * 2 < self.runner.slots.get()
     }
 
     /// Takes the usual gap between events of a stream into the moving average of its
--- a/crates/dispatch/src/selection.rs
+++ b/crates/dispatch/src/selection.rs
@@ -104,7 +104,7 @@
     let cost = |index: usize| {
         let entry = candidates[index];
         let in_flight = f64::from(entry.total_in_flight()) + context.load_jitter(entry);
-        let mut cost = in_flight / f64::from(entry.runner.slots.max(1));
+        let mut cost = in_flight / f64::from(entry.runner.slots.get().max(1));
         cost += FAILURE_COST * (entry.health().failure_rate(now) - lowest_failure_rate);
         let gap_excess = event_gap(entry).map(|gap| (gap / shortest_gap - 1.0).min(1.0));
         if let Some(forecast) = &forecast {
--- a/crates/dispatch/tests/cold_runners.rs
+++ b/crates/dispatch/tests/cold_runners.rs
@@ -25,7 +25,7 @@
         id: id.into(),
         zone: zone.into(),
         software: Default::default(),
-        slots: 10_000,
+        slots: 10_000.into(),
         models: vec![LoadedModel {
             model: "cold".into(),
             version: 1,
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -26,7 +26,7 @@
         adapter_mb: 1.0,
     };
     let engine = EngineSpec {
-        slots: 8,
+        slots: 8.into(),
         cache_tokens: 100_000,
         memory_mb: 200.0,
         adapter_capacity: 8,
@@ -56,7 +56,7 @@
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
         software: Default::default(),
-        slots: 8,
+        slots: 8.into(),
         state: RunnerState::Available,
         warming: Duration::ZERO,
         remaining: None,
--- a/crates/dispatch/tests/first_event_forecast/main.rs
+++ b/crates/dispatch/tests/first_event_forecast/main.rs
@@ -84,7 +84,7 @@
 fn holder(id: &str) -> Runner {
     Runner {
         id: id.into(),
-        slots: 32,
+        slots: 32.into(),
         models: vec![LoadedModel {
             model: "cold".into(),
             version: 1,
--- a/crates/dispatch/tests/first_event_forecast/simulated_site.rs
+++ b/crates/dispatch/tests/first_event_forecast/simulated_site.rs
@@ -91,7 +91,7 @@
     });
     Runner {
         id: format!("runner-{number}").into(),
-        slots: 32,
+        slots: 32.into(),
         models: models.collect(),
         ..runner()
     }
@@ -104,7 +104,7 @@
         let mut roomy = Service::clone(service);
         if let Some(engine) = &mut roomy.engine {
             engine.cache_tokens = 10_000_000;
-            engine.slots = 32;
+            engine.slots = 32.into();
         }
         *service = Arc::new(roomy);
     }
--- a/crates/dispatch/tests/full_runners.rs
+++ b/crates/dispatch/tests/full_runners.rs
@@ -26,7 +26,7 @@
     fn new(is_measured: bool) -> Self {
         let now = Instant::now();
         let holder = barleyspar_catalog::Runner {
-            slots: SLOTS as u32,
+            slots: (SLOTS as u16).into(),
             models: vec![LoadedModel {
                 model: "cold".into(),
                 version: 1,
--- a/crates/dispatch/tests/slot_shares.rs
+++ b/crates/dispatch/tests/slot_shares.rs
@@ -31,7 +31,7 @@
     fn new(tenant: Option<TenantKey>) -> Self {
         let now = Instant::now();
         let mut holder = runner();
-        holder.slots = SLOTS as u32;
+        holder.slots = (SLOTS as u16).into();
         holder.models = vec![LoadedModel {
             model: "cold".into(),
             version: 1,
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -57,7 +57,7 @@
 /// A dispatcher whose only runner holds the model and has no free slot.
 fn full_dispatcher(now: Instant) -> Dispatcher {
     let mut holder = runner();
-    holder.slots = 1;
+    holder.slots = 1.into();
     holder.models = vec![LoadedModel {
         model: "cold".into(),
         version: 1,
--- a/crates/gateway/src/names_tests.rs
+++ b/crates/gateway/src/names_tests.rs
@@ -15,7 +15,7 @@
         address: "10.0.0.1:80".parse().expect("the address is valid"),
         zone: "zone".into(),
         software: Default::default(),
-        slots: 8,
+        slots: 8.into(),
         state: RunnerState::Available,
         remaining: None,
         warming: Duration::ZERO,
--- a/crates/gateway/src/placement/tracked_runner.rs
+++ b/crates/gateway/src/placement/tracked_runner.rs
@@ -118,7 +118,8 @@
 /// it.
 pub fn apply_accepted_order(entry: &mut TrackedRunner, order: &Order) {
     let view = &mut entry.view;
-    view.sequence = order.expected_sequence + 1;
+    // The next report corrects a number that cannot rise.
+    view.sequence = order.expected_sequence.saturating_add(1);
     match &order.action {
         OrderAction::LoadModel { .. } | OrderAction::UnloadModel { .. } => view.busy = true,
         OrderAction::LoadAdapter { model, adapter } => {
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -38,7 +38,7 @@
         adapter_mb: 66.0,
     };
     let engine = EngineSpec {
-        slots: 16,
+        slots: 16.into(),
         cache_tokens: 80_000,
         memory_mb: 230_000.0,
         adapter_capacity: 8,
--- a/crates/loading/src/decisions.rs
+++ b/crates/loading/src/decisions.rs
@@ -156,7 +156,7 @@
                     waiting: demand.waiting,
                     priority: demand.priority,
                     starved: unserved,
-                    slots: query.engine.slots,
+                    slots: query.engine.slots.get(),
                     reading,
                 };
                 if let Ok(decision) = policy.decide(&context) {
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -209,7 +209,7 @@
             weight,
             unserved,
             self.needed_replicas(model),
-            self.engine.slots,
+            self.engine.slots.get(),
         )
         .limited_by_reading(reading)
     }
--- a/crates/loading/tests/common/mod.rs
+++ b/crates/loading/tests/common/mod.rs
@@ -27,7 +27,7 @@
         adapter_mb: 1.0,
     };
     let engine = EngineSpec {
-        slots: 64,
+        slots: 64.into(),
         cache_tokens: 100_000,
         memory_mb: 100.0,
         adapter_capacity: 2,
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -465,7 +465,7 @@
         .engine
         .as_mut()
         .expect("the service has an engine");
-    engine.slots = 12;
+    engine.slots = 12.into();
     let mut runners: Vec<RunnerView> = (0..10)
         .map(|number| {
             let second = other(number);
--- a/crates/standin/src/runner/brittle.rs
+++ b/crates/standin/src/runner/brittle.rs
@@ -55,7 +55,7 @@
     pub(super) fn rejects_for_lack_of_room(&self) -> bool {
         let network = {
             let mut state = self.lock();
-            let (running, slots) = (state.running_requests, state.record.slots);
+            let (running, slots) = (state.running_requests, state.record.slots.get());
             let Some(brittle) = &mut state.brittle else {
                 return false;
             };
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -261,7 +261,10 @@
             address,
             zone: zone.into(),
             software: Default::default(),
-            slots: service.engine.as_ref().map_or(6, |engine| engine.slots),
+            slots: service
+                .engine
+                .as_ref()
+                .map_or(6.into(), |engine| engine.slots),
             state: RunnerState::Available,
             remaining: None,
             warming: Duration::ZERO,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -549,7 +549,7 @@
         name: name.into(),
         connection_limit: 300,
         engine: Some(EngineSpec {
-            slots: 64,
+            slots: 64.into(),
             cache_tokens: 100_000,
             memory_mb: 100.0,
             adapter_capacity: 8,
--- a/crates/standin/tests/callers_time.rs
+++ b/crates/standin/tests/callers_time.rs
@@ -78,7 +78,7 @@
     let service = if is_stream {
         let mut service = engine_service("engine", &["model", "other"]);
         let engine = service.engine.as_mut().expect("an engine");
-        engine.slots = 4;
+        engine.slots = 4.into();
         for spec in engine.models.values_mut() {
             spec.remote_load = LOAD;
             spec.disk_load = LOAD;
