A runner whose entry was replaced by one with a far start or heartbeat is used again

The runner writes its own again at its next heartbeat, and is never used again: the former is taken for an earlier life for ever, the latter for a late write.

Cause: an order that entries state about themselves went before the store's, without an end. It guards against a late write of what has passed, but that is written over by the living runner within a heartbeat.

Change: an entry that contradicts what is known is kept aside. Until then all is as before; while the store does not answer, nothing is confirmed.

Ruled out: refusing a start in the future by the time of day, which may jump and differ.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -9,6 +9,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::context::Context;
+use crate::contradicting_entries::ContradictingEntries;
 use crate::feed::Change;
 use crate::journal::milliseconds;
 use crate::kept_configuration::{self, ConfigurationKeeper, KEPT_CONFIGURATION_KEY};
@@ -65,6 +66,8 @@
     pub names: Names,
     /// The runners in the store, by the names under which they are stored.
     pub runners: HashMap<Arc<str>, Arc<Runner>>,
+    /// Entries that contradict what is known of their runners.
+    pub contradicting_entries: ContradictingEntries,
     /// Decides what to use of a store that was restored from a backup.
     pub restore_tracker: RestoreTracker,
     /// The software versions that the store has on record.
@@ -94,7 +97,10 @@
             Change::Everything(items, era) => self.apply_full_read(items, era),
             Change::Event(Event::Written(item)) => self.apply_written(&item, false),
             Change::Event(Event::Removed { key, .. }) => self.apply_removed(&key),
-            Change::CompleteAt(at) => self.confirm_routes(at),
+            Change::CompleteAt(at) => {
+                self.confirm_routes(at);
+                self.use_confirmed_entries(at);
+            }
             Change::ReadAt(at) => {
                 self.read_at.send_replace(Some(at));
             }
@@ -303,6 +309,7 @@
     /// Drops the runner `name` here, in the dispatcher and in the placement task; does
     /// nothing if it is unknown.
     fn drop_runner(&mut self, name: &str) {
+        self.contradicting_entries.refute(name);
         let Some(known) = self.runners.remove(name) else {
             return;
         };
@@ -404,35 +411,65 @@
             tracing::info!(event = "runner_doubted", runner, era = revision.era);
             return;
         }
-        if !self.drop_earlier_incarnation(&runner) {
-            return;
+        if let Some(known) = self.later_known(&runner) {
+            let (entry, now) = (runner.clone(), Instant::now());
+            self.contradicting_entries
+                .record(entry, revision, &known, now);
+            if known.id != runner.id {
+                return;
+            }
+        } else {
+            self.contradicting_entries.refute(&runner.name);
         }
         self.names.intern_names(&mut runner);
+        self.use_runner(runner, revision, in_full_read);
+    }
+
+    /// Uses the entry from now on, in place of any earlier incarnation.
+    fn use_runner(&mut self, runner: Runner, revision: Revision, in_full_read: bool) {
+        let known = self.runners.get(&runner.name);
+        if known.is_some_and(|known| known.id != runner.id) {
+            self.drop_runner(&runner.name);
+        }
         let runner = Arc::new(runner);
         self.record_runner(&runner, revision, in_full_read);
         self.placement.update_runner(runner.clone());
         self.context.dispatch.update_runner(runner);
     }
 
-    /// Returns false if a later incarnation of `runner` is known. Otherwise drops any
-    /// earlier one and returns true.
-    fn drop_earlier_incarnation(&mut self, runner: &Runner) -> bool {
-        let Some(known) = self.runners.get(&runner.name) else {
-            return true;
-        };
+    /// Returns what is known of the runner if that is of a later incarnation, which is logged, or
+    /// of a later heartbeat of the same one.
+    fn later_known(&self, runner: &Runner) -> Option<Arc<Runner>> {
+        let known = self.runners.get(&runner.name)?;
         if known.id == runner.id {
-            return true;
+            let latest = self.contradicting_entries.latest_heartbeat(known);
+            return (runner.heartbeat < latest).then(|| known.clone());
+        }
+        if runner.born >= known.born {
+            return None;
         }
-        if runner.born < known.born {
-            tracing::info!(
-                event = "former_life",
+        tracing::info!(
+            event = "former_life",
+            runner = &*runner.id,
+            latest = &*known.id
+        );
+        Some(known.clone())
+    }
+
+    /// Uses the entries that contradict what was known and that the store has shown for so long
+    /// that they are the present ones.
+    fn use_confirmed_entries(&mut self, complete_at: Instant) {
+        for (runner, revision) in self.contradicting_entries.take_confirmed(complete_at) {
+            tracing::warn!(
+                event = "runner_entry_corrected",
                 runner = &*runner.id,
-                latest = &*known.id
+                heartbeat = runner.heartbeat,
+                era = revision.era,
+                revision = revision.number
             );
-            return false;
+            self.drop_runner(&runner.name);
+            self.use_runner(runner, revision, false);
         }
-        self.drop_runner(&runner.name);
-        true
     }
 
     /// Stores the runner's entry, and logs that the runner was added or that its state
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod body;
 mod context;
+mod contradicting_entries;
 mod crashes;
 mod discovery;
 mod dispatch;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::arrivals::Arrivals;
 use crate::body::AnswerBody;
 use crate::context::{Context, body_memory};
+use crate::contradicting_entries::ContradictingEntries;
 use crate::crashes::CrashTask;
 use crate::discovery::Discovery;
 use crate::dispatch::DispatchHandle;
@@ -332,6 +333,7 @@
         names: Names::default(),
         arrivals: Arrivals::default(),
         runners: HashMap::new(),
+        contradicting_entries: ContradictingEntries::default(),
         restore_tracker: RestoreTracker::default(),
         recorded_software: recorded_sender,
         evacuated_zones: BTreeMap::new(),
--- a/crates/standin/tests/odd_entries.rs
+++ b/crates/standin/tests/odd_entries.rs
@@ -163,6 +163,29 @@
     answers == [200, 200]
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_runner_is_used_again_after_an_entry_of_its_name_that_states_a_far_start() {
+    let odd = |runner: &Runner| {
+        let mut runner = runner.clone();
+        runner.born = Some(u64::MAX);
+        runner.id = incarnation_id(&runner.name, runner.born);
+        runner.address.set_port(1);
+        encode(&runner)
+    };
+    assert!(is_used_after(odd).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_is_used_again_after_an_entry_of_its_name_with_a_far_heartbeat() {
+    let odd = |runner: &Runner| {
+        let mut runner = runner.clone();
+        runner.heartbeat = u64::MAX;
+        runner.address.set_port(1);
+        encode(&runner)
+    };
+    assert!(is_used_after(odd).await);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_runner_is_used_again_after_an_unreadable_entry_of_its_name() {
     let odd = |runner: &Runner| with_largest_number(&encode(runner), "slots");
