What was given up at runners that never come back is forgotten without a retry, too

Read once more: an attempt that was given up at a runner whose id never shows again was dropped only when this node took a retry. A node that takes none would keep one record for each. They are looked for once a second now, also when another attempt is given up. No behaviour within the two minutes changes; pending_arrivals.rs passes.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -17,6 +17,9 @@
 /// shows. A process that stands still for longer is ended rather than continued.
 const LONGEST_WAIT: Duration = Duration::from_secs(120);
 
+/// Time between two searches for such attempts.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of a client's request, unique within one dispatcher.
 pub type RequestNumber = u64;
 
@@ -67,6 +70,8 @@
     requests: HashMap<RequestNumber, RequestAttempts>,
     /// Attempts that were given up, by the ids of their runners.
     given_up: HashMap<Arc<str>, Vec<GivenUp>>,
+    /// When overdue attempts were looked for last.
+    swept_at: Option<Instant>,
 }
 
 impl PendingArrivals {
@@ -149,8 +154,17 @@
         requests
     }
 
-    /// Ids of the runners at which attempts were given up.
-    fn silent_runners(&self) -> Vec<Arc<str>> {
+    /// Returns the runners at which attempts were given up, once in [`SWEEP_INTERVAL`]; in between
+    /// none.
+    fn due_runners(&mut self, now: Instant) -> Vec<Arc<str>> {
+        let since_sweep = |at| now.saturating_duration_since(at);
+        if self
+            .swept_at
+            .is_some_and(|at| since_sweep(at) < SWEEP_INTERVAL)
+        {
+            return Vec::new();
+        }
+        self.swept_at = Some(now);
         self.given_up.keys().cloned().collect()
     }
 }
@@ -216,7 +230,10 @@
                     self.budget(&service).return_pending();
                 }
             }
-            Arrival::Pending => self.arrivals.give_up(&permit.runner, permit.request, now),
+            Arrival::Pending => {
+                self.end_overdue_arrivals(now);
+                self.arrivals.give_up(&permit.runner, permit.request, now);
+            }
             Arrival::Over => {
                 self.end_arrival(permit.request, now);
                 self.end_given_up(&permit.runner, permit.granted_at, now);
@@ -237,7 +254,7 @@
         let Some(until) = now.checked_sub(LONGEST_WAIT) else {
             return;
         };
-        for runner in self.arrivals.silent_runners() {
+        for runner in self.arrivals.due_runners(now) {
             self.end_given_up(&runner, until, now);
         }
     }
