--- a/crates/soak/src/roles/runner.rs
+++ b/crates/soak/src/roles/runner.rs
@@ -162,7 +162,7 @@
     loop {
         for call in runner.calls_from(arrivals) {
             if call.is_request {
-                print(&RunnerEvent::Arrival(call.id_hash));
+                print(&RunnerEvent::Arrival(call.id));
             }
             arrivals += 1;
         }
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -117,7 +117,7 @@
 }
 
 /// Returns the hash of the request's id.
-fn id_hash(headers: &HeaderMap) -> u64 {
+fn hash_of_id(headers: &HeaderMap) -> u64 {
     let id = headers.get(names::REQUEST_ID).map(HeaderValue::as_bytes);
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
@@ -158,7 +158,7 @@
     /// Whether the call was a request, and not an order or a call for a report.
     pub is_request: bool,
     /// Hash of the request's id, the same for all arrivals of one request.
-    pub id_hash: u64,
+    pub id: u64,
 }
 
 struct State {
@@ -584,7 +584,12 @@
         }
         let path = head.uri.path();
         let is_request = ![names::REPORT_PATH, names::ORDER_PATH].contains(&path);
-        let call = (node, is_request, id_hash(&head.headers));
+        let call = Call {
+            at: Instant::now(),
+            node,
+            is_request,
+            id: hash_of_id(&head.headers),
+        };
         if path == names::ORDER_PATH {
             self.record_call(call);
         } else {
@@ -607,7 +612,7 @@
 
     /// Records a call as soon as the process does not stand still. As from a kernel, the process
     /// reads what came while it stood still even if the connection has been closed since.
-    async fn read_call(&self, call: (IpAddr, bool, u64)) -> Result<(), ConnectionBroken> {
+    async fn read_call(&self, call: Call) -> Result<(), ConnectionBroken> {
         if !*self.lock().paused.borrow() {
             self.record_call(call);
             return Ok(());
@@ -615,20 +620,15 @@
         let runner = self.clone();
         let reading = tokio::spawn(async move {
             runner.wait_while_paused().await;
-            runner.record_call(call);
+            let at = Instant::now();
+            runner.record_call(Call { at, ..call });
         });
         self.track_task(reading.abort_handle());
         reading.await.map_err(|_| ConnectionBroken)
     }
 
-    fn record_call(&self, (node, is_request, id_hash): (IpAddr, bool, u64)) {
-        let at = Instant::now();
-        self.lock().calls.push(Call {
-            at,
-            node,
-            is_request,
-            id_hash,
-        });
+    fn record_call(&self, call: Call) {
+        self.lock().calls.push(call);
     }
 
     async fn run(
--- a/crates/standin/tests/retry_budget.rs
+++ b/crates/standin/tests/retry_budget.rs
@@ -102,7 +102,7 @@
     let calls = world.runners.values().flat_map(|runner| runner.calls());
     let mut arrivals: Vec<(Instant, u64)> = calls
         .filter(|call| call.is_request)
-        .map(|call| (call.at, call.id_hash))
+        .map(|call| (call.at, call.id))
         .collect();
     arrivals.sort();
     let mut seen = BTreeSet::new();
