Soak: a pause draws its time only once it has its process, as before the standstills

Read once more: drew the time of a pause before it knew whether another lane holds the process. The process is taken first again; standstills share the pause.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::SoakError;
-use crate::machines::Machines;
+use crate::machines::{Machines, Slot};
 use crate::observations::Target;
 use crate::operator::Operator;
 use crate::proxy::{Harm, LinkState, Proxy};
@@ -154,7 +154,10 @@
         for number in service {
             let machines = self.machines.clone();
             pauses.spawn(async move {
-                pause_for(&machines, "runner_pause", Target::Runner(number), time).await;
+                let target = Target::Runner(number);
+                if let Some(slot) = machines.slot(target) {
+                    pause_for(&machines, &slot, ("runner_pause", target), time).await;
+                }
             });
         }
         pauses.join_all().await;
@@ -293,8 +296,12 @@
     }
 
     async fn pause(&mut self, kind: &'static str, target: Target) {
+        let machines = self.machines.clone();
+        let Some(slot) = machines.slot(target) else {
+            return;
+        };
         let time = self.draw_time(SHORTEST_FAULT_MS, LONGEST_FAULT_MS);
-        pause_for(&self.machines, kind, target, time).await;
+        pause_for(&machines, &slot, (kind, target), time).await;
     }
 
     /// Stops a process as planned, and starts it again once it has ended.
@@ -400,11 +407,13 @@
     }
 }
 
-/// Pauses a process for `time`, unless another lane strikes it.
-async fn pause_for(machines: &Machines, kind: &'static str, target: Target, time: Duration) {
-    let Some(slot) = machines.slot(target) else {
-        return;
-    };
+/// Pauses the process of `slot` for `time`, and records it as a fault of this kind and target.
+async fn pause_for(
+    machines: &Machines,
+    slot: &Slot,
+    (kind, target): (&'static str, Target),
+    time: Duration,
+) {
     let fault = machines.recorder.begin_fault(kind, false, target);
     slot.signal(Signal::SIGSTOP);
     sleep(time).await;
