--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -61,6 +61,8 @@
 pub struct BudgetUse {
     /// Number of nodes that share the budget, as far as this one knows.
     pub nodes: usize,
+    /// Time since this node's process started.
+    pub life: Duration,
     /// Requests of this node within the last window.
     pub requests: usize,
     /// Retries of this node whose arrivals were over within the last window.
@@ -139,6 +141,7 @@
         self.expire(now);
         BudgetUse {
             nodes: share.nodes,
+            life: now.saturating_duration_since(self.started_at),
             requests: self.requests.len(),
             arrived: self.arrived.len(),
             pending: self.pending,
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -375,13 +375,15 @@
 fn budget_text(budget: BudgetUse) -> String {
     let BudgetUse {
         nodes,
+        life,
         requests,
         arrived,
         pending,
         allowed,
     } = budget;
     format!(
-        "nodes={nodes} requests={requests} arrived={arrived} pending={pending} allowed={allowed}"
+        "nodes={nodes} life_ms={} requests={requests} arrived={arrived} pending={pending} allowed={allowed}",
+        milliseconds(life)
     )
 }
 
