A closed connection or two silent minutes no longer count as the arrival of a request

One cause of several: evidence of arrival that is none. A reset or close was taken for the runner's own, so what was sent counted as arrived; where something between resets while a runner stands still, the runner reads it later. And after two minutes of silence nothing was expected any more; a runner that stands still for 145 s reads it all.

Change: only an answer shows an arrival. A request without one keeps its place while the runner's entry stands, and for two minutes after the entry has gone; another runner at the address, or one that answers in its stead, shows that the process has ended. So that a runner that fails each request does not hold the places of others, a node asks it once a second for a cheap answer (an engine's report, a plain runner's health) for as long as it holds any. Calls to runners that are no callers' requests moved out of the leader's orders (runner_call.rs), which the probes share.

Ruled out: longer assumed times (any can be outlasted); a refused connection as proof (what resets connections refuses them as well).

--- a/crates/catalog/src/configuration.rs
+++ b/crates/catalog/src/configuration.rs
@@ -108,6 +108,9 @@
     /// runners need no such limit.
     #[serde(default)]
     pub cold: Option<ColdSpec>,
+    /// Path at which its runners tell whether they are healthy; `None` if they do not.
+    #[serde(default)]
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits for a service's runners shortly after their start, while they are cold.
--- a/crates/catalog/src/dialect.rs
+++ b/crates/catalog/src/dialect.rs
@@ -65,6 +65,9 @@
     fn own_answer_headers(&self, request_id: Option<&str>) -> HeaderMap;
     /// Builds the HTTP request that asks the runner with the name `runner` for its report.
     fn report_call(&self, runner: &str) -> Request<Bytes>;
+    /// Builds the HTTP request that asks the runner with the name `runner` for its health, at the
+    /// `path` of its service.
+    fn health_call(&self, runner: &str, path: &str) -> Request<Bytes>;
     /// Parses a runner's report from its HTTP answer.
     fn read_report(&self, status: StatusCode, body: &[u8]) -> Result<Report, DialectError>;
     /// Builds the HTTP request that gives `order` to its runner.
--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -6,16 +6,22 @@
 //! request ran at another runner before.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use barleyspar_catalog::Runner;
+
 use crate::budget::BudgetUse;
 use crate::dispatcher::{Dispatcher, Permit};
 use crate::query::{AttemptKind, PermitId, Query};
 
-/// Time after which an attempt that was given up is assumed to arrive no more, whatever its runner
-/// shows. A process that stands still for longer is ended rather than continued.
-const LONGEST_WAIT: Duration = Duration::from_secs(120);
+/// Time after which an attempt that was given up is assumed to arrive no more at a runner that has
+/// left discovery. While its entry stands, the runner may stand still and go on at any time.
+const LONGEST_ABSENCE: Duration = Duration::from_secs(120);
+
+/// Time after which an attempt that was given up is forgotten if its request was not retried.
+const LONGEST_RECORD: Duration = Duration::from_secs(120);
 
 /// Time between two searches for such attempts.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -28,9 +34,10 @@
 pub enum Arrival {
     /// No byte of the request was sent: it never arrives.
     Never,
-    /// The runner has answered, or has closed the connection: nothing arrives from now on.
+    /// The runner has answered: it has read the request.
     Over,
-    /// The request was sent, and nothing shows that the runner has read it.
+    /// The request was sent, and nothing shows that the runner has read it. A closed connection
+    /// does not: something between may have reset it while the runner stood still.
     Pending,
 }
 
@@ -64,12 +71,22 @@
     at: Instant,
 }
 
+/// What was given up at one runner.
+#[derive(Debug, Default)]
+struct GivenUpAtRunner {
+    attempts: Vec<GivenUp>,
+    /// Address of the runner, if it was known.
+    address: Option<SocketAddr>,
+    /// When the runner left discovery; `None` while its entry stands.
+    absent_since: Option<Instant>,
+}
+
 /// The attempts of one node that may yet arrive.
 #[derive(Debug, Default)]
 pub struct PendingArrivals {
     requests: HashMap<RequestNumber, RequestAttempts>,
     /// Attempts that were given up, by the ids of their runners.
-    given_up: HashMap<Arc<str>, Vec<GivenUp>>,
+    given_up: HashMap<Arc<str>, GivenUpAtRunner>,
     /// When overdue attempts were looked for last.
     swept_at: Option<Instant>,
 }
@@ -135,25 +152,83 @@
     }
 
     /// Keeps an attempt of `request` that was given up, until its runner shows that it reads.
-    fn give_up(&mut self, runner: &Arc<str>, request: RequestNumber, now: Instant) {
-        let given_up = self.given_up.entry(runner.clone()).or_default();
-        given_up.push(GivenUp { request, at: now });
+    /// `known`: the runner, if discovery has it.
+    fn give_up(
+        &mut self,
+        id: &Arc<str>,
+        known: Option<&Runner>,
+        request: RequestNumber,
+        now: Instant,
+    ) {
+        let given_up = self.given_up.entry(id.clone()).or_default();
+        match known {
+            Some(runner) => given_up.address = Some(runner.address),
+            None => _ = given_up.absent_since.get_or_insert(now),
+        }
+        given_up.attempts.push(GivenUp { request, at: now });
+    }
+
+    /// Records that the runner `id` has left discovery.
+    pub(crate) fn record_absence(&mut self, id: &str, now: Instant) {
+        if let Some(given_up) = self.given_up.get_mut(id) {
+            given_up.absent_since = Some(now);
+        }
+    }
+
+    /// Records that the runner `id` has an entry in discovery (again).
+    pub(crate) fn record_presence(&mut self, id: &str) {
+        if let Some(given_up) = self.given_up.get_mut(id) {
+            given_up.absent_since = None;
+        }
     }
 
-    /// Takes the requests out of the record whose attempts at `runner` were given up until
-    /// `until`.
-    fn take_given_up(&mut self, runner: &str, until: Instant) -> Vec<RequestNumber> {
+    /// Takes the requests out of the record whose attempts at `runner` were given up and which
+    /// `is_over` names by the time at which they were.
+    fn take_given_up(
+        &mut self,
+        runner: &str,
+        is_over: impl Fn(RequestNumber, Instant) -> bool,
+    ) -> Vec<RequestNumber> {
         let Some(given_up) = self.given_up.get_mut(runner) else {
             return Vec::new();
         };
-        let taken = given_up.extract_if(.., |attempt| attempt.at <= until);
+        let attempts = &mut given_up.attempts;
+        let taken = attempts.extract_if(.., |attempt| is_over(attempt.request, attempt.at));
         let requests = taken.map(|attempt| attempt.request).collect();
-        if given_up.is_empty() {
+        if attempts.is_empty() {
             self.given_up.remove(runner);
         }
         requests
     }
 
+    /// Returns the requests of which an attempt at the runner `id` was given up, and which were
+    /// retried.
+    fn retried_requests(&self, id: &str) -> Vec<RequestNumber> {
+        let is_retried = |request: &RequestNumber| {
+            let attempts = self.requests.get(request);
+            attempts.is_some_and(|attempts| attempts.retries > 0)
+        };
+        let given_up = self.given_up.get(id).into_iter();
+        let requests = given_up.flat_map(|given_up| &given_up.attempts);
+        let requests = requests.map(|attempt| attempt.request);
+        requests.filter(is_retried).collect()
+    }
+
+    /// Returns the runners at which attempts were given up whose requests were retried.
+    fn runners_of_retried_requests(&self) -> impl Iterator<Item = &Arc<str>> {
+        let ids = self.given_up.keys();
+        ids.filter(|id| !self.retried_requests(id).is_empty())
+    }
+
+    /// Returns the runners at `address` other than `id` at which attempts were given up.
+    fn former_runners(&self, address: SocketAddr, id: &str) -> Vec<Arc<str>> {
+        let at_address = self
+            .given_up
+            .iter()
+            .filter(|(former, given_up)| given_up.address == Some(address) && &***former != id);
+        at_address.map(|(former, _)| former.clone()).collect()
+    }
+
     /// Returns the runners at which attempts were given up, once in [`SWEEP_INTERVAL`]; in between
     /// none.
     fn due_runners(&mut self, now: Instant) -> Vec<Arc<str>> {
@@ -215,7 +290,7 @@
             let (runner, request) = (permit.runner.clone(), permit.request);
             let granted_at = permit.granted_at;
             self.end_arrival(request, now);
-            self.end_given_up(&runner, granted_at, now);
+            self.record_reading(&runner, granted_at, now);
         }
     }
 
@@ -232,30 +307,65 @@
             }
             Arrival::Pending => {
                 self.end_overdue_arrivals(now);
-                self.arrivals.give_up(&permit.runner, permit.request, now);
+                let known = self.runners.get(&permit.runner);
+                let known = known.map(|entry| &*entry.runner);
+                self.arrivals
+                    .give_up(&permit.runner, known, permit.request, now);
             }
             Arrival::Over => {
                 self.end_arrival(permit.request, now);
-                self.end_given_up(&permit.runner, permit.granted_at, now);
+                self.record_reading(&permit.runner, permit.granted_at, now);
             }
         }
     }
 
+    /// Records that `runner` has answered what was sent at `sent_at`, so it has read all that was
+    /// given up until then.
+    pub fn record_reading(&mut self, runner: &str, sent_at: Instant, now: Instant) {
+        self.end_given_up(runner, sent_at, now);
+    }
+
     /// Ends the wait for what was given up at `runner` until `until`: the runner has answered
     /// what was sent later, so it reads, or its process has ended.
     pub(crate) fn end_given_up(&mut self, runner: &str, until: Instant, now: Instant) {
-        for request in self.arrivals.take_given_up(runner, until) {
-            self.end_arrival(request, now);
+        let requests = self.arrivals.take_given_up(runner, |_, at| at <= until);
+        self.end_arrivals(&requests, now);
+    }
+
+    /// Ends the wait for what was given up at the former runners at the address of `runner`: their
+    /// processes have ended.
+    pub(crate) fn end_former_runners(&mut self, runner: &Runner, now: Instant) {
+        for former in self.arrivals.former_runners(runner.address, &runner.id) {
+            self.end_given_up(&former, now, now);
         }
     }
 
+    /// Returns the runners whose answer would show that something has arrived: attempts at them
+    /// were given up whose requests were retried. Some may be named twice.
+    pub fn runners_to_probe(&self) -> Vec<Arc<Runner>> {
+        let retried = self.arrivals.runners_of_retried_requests();
+        let retried = retried.filter_map(|id| self.runners.get(id));
+        let retried = retried.map(|entry| entry.runner.clone());
+        retried.collect()
+    }
+
     /// Ends the wait for what was given up too long ago.
     fn end_overdue_arrivals(&mut self, now: Instant) {
-        let Some(until) = now.checked_sub(LONGEST_WAIT) else {
-            return;
-        };
-        for runner in self.arrivals.due_runners(now) {
-            self.end_given_up(&runner, until, now);
+        let is_past = |at, limit| now.saturating_duration_since(at) > limit;
+        for id in self.arrivals.due_runners(now) {
+            let absent_since = self.arrivals.given_up[&id].absent_since;
+            let is_gone = absent_since.is_some_and(|at| is_past(at, LONGEST_ABSENCE));
+            let retried = self.arrivals.retried_requests(&id);
+            let requests = self.arrivals.take_given_up(&id, |request, at| {
+                is_gone || (is_past(at, LONGEST_RECORD) && !retried.contains(&request))
+            });
+            self.end_arrivals(&requests, now);
+        }
+    }
+
+    fn end_arrivals(&mut self, requests: &[RequestNumber], now: Instant) {
+        for request in requests {
+            self.end_arrival(*request, now);
         }
     }
 
--- a/crates/dispatch/src/runner_updates.rs
+++ b/crates/dispatch/src/runner_updates.rs
@@ -47,6 +47,8 @@
 
     fn insert_runner(&mut self, runner: Arc<Runner>, now: Instant) {
         let id = runner.id.clone();
+        self.end_former_runners(&runner, now);
+        self.arrivals.record_presence(&id);
         self.software_history
             .record(&runner.service, &runner.software, now);
         let mut entry = RunnerEntry::new(runner, now);
@@ -99,6 +101,7 @@
     pub fn remove_runner(&mut self, id: &str, now: Instant) {
         self.used_runner_ids.remove(id);
         self.limited_runner_ids.remove(id);
+        self.arrivals.record_absence(id, now);
         if let Some(mut entry) = self.runners.remove(id) {
             let runner = &entry.runner;
             self.software_history
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -38,6 +38,7 @@
         connection_limit: 100,
         engine: Some(engine),
         cold: None,
+        health_path: None,
     };
     Configuration {
         version: 1,
--- a/crates/dispatch/tests/pending_arrivals.rs
+++ b/crates/dispatch/tests/pending_arrivals.rs
@@ -169,3 +169,41 @@
     site.now += 11 * SECOND;
     assert!(site.allows_retry());
 }
+
+#[test]
+fn a_runner_that_is_silent_while_its_entry_stands_is_waited_for_without_end() {
+    let mut site = Site::new();
+    site.retry_after_silence(1);
+    for _ in 0..100 {
+        site.now += 60 * SECOND;
+        assert!(!site.allows_retry());
+    }
+}
+
+#[test]
+fn a_runner_at_the_address_of_a_former_one_shows_that_nothing_arrives_there() {
+    let mut site = Site::new();
+    let first = site.retry_after_silence(1);
+    let successor = Runner {
+        address: first.runner.address,
+        ..loaded("runner-3")
+    };
+    site.dispatcher.update_runner(successor, site.now);
+    site.now += 11 * SECOND;
+    assert!(site.allows_retry());
+}
+
+#[test]
+fn runners_are_probed_while_a_retried_request_may_yet_arrive_there() {
+    let mut site = Site::new();
+    assert!(site.dispatcher.runners_to_probe().is_empty());
+    let first = site.retry_after_silence(1);
+    let probed = site.dispatcher.runners_to_probe();
+    assert_eq!(probed.len(), 1);
+    assert_eq!(probed[0].id, first.runner.id);
+    site.dispatcher
+        .record_reading(&first.runner.id, site.now, site.now);
+    assert!(site.dispatcher.runners_to_probe().is_empty());
+    site.now += 11 * SECOND;
+    assert!(site.allows_retry());
+}
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -166,6 +166,11 @@
     Cancel(CallId),
     Finish(PermitId, Outcome, Arrival),
     RecordAnswer(PermitId),
+    RecordReading {
+        runner: Arc<str>,
+        sent_at: Instant,
+    },
+    RunnersToProbe(oneshot::Sender<Vec<Arc<Runner>>>),
     RecordInterimOutcome(PermitId, Outcome),
     ChooseService(Arc<Route>, oneshot::Sender<Arc<str>>),
     SetConfiguration(Arc<Configuration>),
@@ -277,6 +282,18 @@
         let _ = self.commands.send(command);
     }
 
+    /// Records that `runner` has answered a call that was sent at `sent_at`.
+    pub fn record_reading(&self, runner: Arc<str>, sent_at: Instant) {
+        self.send(Command::RecordReading { runner, sent_at });
+    }
+
+    /// Returns the runners whose answer the retry budget waits for.
+    pub async fn runners_to_probe(&self) -> Vec<Arc<Runner>> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::RunnersToProbe(reply));
+        answer.await.unwrap_or_default()
+    }
+
     /// Returns a number for a client's request that no other request has.
     pub fn next_request_number(&self) -> RequestNumber {
         self.shared.next_request.fetch_add(1, Ordering::Relaxed)
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -190,6 +190,13 @@
                 self.dispatcher.finish(permit, outcome, arrival, now());
             }
             Command::RecordAnswer(permit) => self.dispatcher.record_answer(permit, now()),
+            Command::RecordReading { runner, sent_at } => {
+                let sent_at = sent_at.into_std();
+                self.dispatcher.record_reading(&runner, sent_at, now());
+            }
+            Command::RunnersToProbe(reply) => {
+                let _ = reply.send(self.dispatcher.runners_to_probe());
+            }
             Command::RecordInterimOutcome(permit, outcome) => self
                 .dispatcher
                 .record_interim_outcome(permit, outcome, now()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod answer_memory;
 mod answers;
+mod arrival_probes;
 mod arrivals;
 mod attempt;
 mod body;
@@ -45,6 +46,7 @@
 mod request;
 mod restore_tracker;
 mod resumption;
+mod runner_call;
 mod signals;
 mod silence;
 mod software_record;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer_memory::AnswerMemory;
+use crate::arrival_probes::probe_runners;
 use crate::arrivals::Arrivals;
 use crate::body::AnswerBody;
 use crate::context::{Context, body_memory};
@@ -417,6 +418,7 @@
         "idle_connections",
         close_expired_connections(context.clone()),
     );
+    tasks.spawn("arrival_probes", probe_runners(context.clone()));
     tasks.spawn("stalls", context.stalls.clone().report_stalls());
     if let Some(address) = settings.metrics_address {
         let metrics_listener = network
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -13,9 +13,7 @@
 use crate::peers::{PeerHandle, demand_valid_for};
 use crate::placement::inventories::{inventory, split_into_messages};
 use crate::placement::lease::order_holder;
-use crate::placement::order::{
-    CallError, OrderResult, ReportError, ReportResult, read_report, send_order,
-};
+use crate::placement::order::{OrderResult, ReportError, ReportResult, read_report, send_order};
 use crate::placement::reading_speeds::ReadingSpeedsReader;
 use crate::placement::runners::Runners;
 use crate::placement::summary::log_step;
@@ -23,6 +21,7 @@
     apply_accepted_order, apply_report, load_time, note_possible_load,
 };
 use crate::placement::{Command, PlacementHandle, PlacementInbox};
+use crate::runner_call::CallError;
 
 /// Time after which the leader's task takes a step even if nothing has changed.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,7 +1,5 @@
 //! An HTTP/1.1 client connection to a runner or the store, with one request at a time.
 
-use std::error::Error;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -163,11 +161,7 @@
     fn send_error(&self, error: &hyper::Error, is_unsent: bool) -> SendError {
         let arrival = if is_unsent {
             Arrival::Never
-        } else if self.peer.is_none() && !is_timeout(error) {
-            Arrival::Over
         } else {
-            // The link fell silent, or a peer between closed the tunnel: the runner may read what
-            // has reached it.
             Arrival::Pending
         };
         SendError {
@@ -221,19 +215,6 @@
     }
 }
 
-/// Whether the network's own time limits ended the connection, and not the other end.
-fn is_timeout(error: &hyper::Error) -> bool {
-    let mut source = error.source();
-    while let Some(error) = source {
-        let io_error = error.downcast_ref::<io::Error>();
-        if io_error.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut) {
-            return true;
-        }
-        source = error.source();
-    }
-    false
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -52,6 +52,7 @@
         connection_limit: 500,
         engine: Some(engine),
         cold: None,
+        health_path: None,
     };
     Configuration {
         version: 1,
--- a/crates/loading/tests/common/mod.rs
+++ b/crates/loading/tests/common/mod.rs
@@ -42,6 +42,7 @@
         connection_limit: 100,
         engine: Some(engine),
         cold: None,
+        health_path: None,
     };
     Configuration {
         version: 1,
--- a/crates/standin/src/dialect.rs
+++ b/crates/standin/src/dialect.rs
@@ -217,6 +217,10 @@
         request
     }
 
+    fn health_call(&self, runner: &str, _: &str) -> Request<Bytes> {
+        self.report_call(runner)
+    }
+
     fn read_report(&self, status: StatusCode, body: &[u8]) -> Result<Report, DialectError> {
         let error = |cause: String| DialectError {
             what: "report".to_owned(),
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -540,6 +540,7 @@
         connection_limit: 100,
         engine: None,
         cold: None,
+        health_path: None,
     }
 }
 
@@ -560,6 +561,7 @@
                 .collect(),
         }),
         cold: None,
+        health_path: None,
     }
 }
 
