--- a/crates/standin/tests/retry_budget_lives.rs
+++ b/crates/standin/tests/retry_budget_lives.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeSet;
 
 use barleyspar_standin::{Cut, World};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::time::Instant;
 
 use repeats::{
@@ -21,7 +23,9 @@
     Failing(bool),
     /// The first so many runners stand still.
     StandStill(usize),
-    /// All runners go on.
+    /// The entries of the first so many runners lapse.
+    Lapse(usize),
+    /// All runners go on, and write their entries.
     GoOn,
     /// Gateways, from the first to the last named, are killed.
     Kill(u8, u8),
@@ -32,17 +36,17 @@
     Heal,
 }
 
-use Step::{Failing as Fails, GoOn, Heal, Kill, Load, ResetConnections, StandStill, Start};
+use Step::{Failing as Fails, GoOn, Heal, Kill, Lapse, Load, ResetConnections, StandStill, Start};
 
 /// What happens to a site, with the tenths of a second at which it does.
 struct Course {
-    name: &'static str,
+    name: String,
     steps: Vec<(u64, Step)>,
     lasts: u64,
 }
 
-fn course(name: &'static str, lasts: u64, steps: impl Into<Vec<(u64, Step)>>) -> Course {
-    let steps = steps.into();
+fn course(name: &str, lasts: u64, steps: impl Into<Vec<(u64, Step)>>) -> Course {
+    let (name, steps) = (name.to_owned(), steps.into());
     Course { name, steps, lasts }
 }
 
@@ -77,9 +81,16 @@
                 let runners = self.world.runners.values().take(count);
                 runners.for_each(|runner| runner.set_paused(true));
             }
+            Lapse(count) => {
+                for name in self.world.runners.keys().take(count) {
+                    self.world.store.remove(&format!("runner/{name}"));
+                }
+            }
             GoOn => {
-                let runners = self.world.runners.values();
-                runners.for_each(|runner| runner.set_paused(false));
+                for runner in self.world.runners.values() {
+                    runner.set_paused(false);
+                    runner.publish_entry();
+                }
             }
             Kill(first, last) => {
                 for number in first..=last {
@@ -134,13 +145,13 @@
 }
 
 /// Plays the courses with all ways of failing. Returns those beyond the budget, with their shares.
-async fn beyond_budget(courses: &[Course]) -> Vec<(&'static str, Failing, f64)> {
+async fn beyond_budget(courses: &[Course]) -> Vec<(&str, Failing, f64)> {
     let mut beyond = Vec::new();
     for course in courses {
         for failing in WAYS_OF_FAILING {
             let share = largest_share(failing, course).await;
             if share > 1.0 {
-                beyond.push((course.name, failing, share));
+                beyond.push((course.name.as_str(), failing, share));
             }
         }
     }
@@ -149,7 +160,8 @@
 
 macro_rules! assert_within_budget {
     ($($course:expr),+ $(,)?) => {
-        let beyond = beyond_budget(&[$($course),+]).await;
+        let courses = [$($course),+];
+        let beyond = beyond_budget(&courses).await;
         assert!(beyond.is_empty(), "{beyond:#?}");
     };
 }
@@ -260,3 +272,84 @@
     ];
     assert_within_budget!(course("145 s", 1780, steps));
 }
+
+/// Half of the runners stand still, and their entries lapse; the others fail.
+fn lapsed_standstill(load: u64, go_on: u64) -> Vec<(u64, Step)> {
+    vec![
+        (0, Load(1, GATEWAYS, load)),
+        (150, Fails(true)),
+        (200, StandStill(RUNNERS / 2)),
+        (240, Lapse(RUNNERS / 2)),
+        (go_on, GoOn),
+    ]
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeats_of_gateways_killed_after_the_entries_of_runners_lapsed_arrive_within_the_budget() {
+    let killed = kills_of_all([260, 390].into_iter());
+    assert_within_budget!(
+        course(
+            "a low load",
+            620,
+            [lapsed_standstill(1, 520), killed.clone()].concat()
+        ),
+        course(
+            "a high load",
+            620,
+            [lapsed_standstill(10, 520), killed].concat()
+        ),
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeats_at_runners_that_come_back_minutes_after_their_entries_lapsed_arrive_within_the_budget()
+ {
+    assert_within_budget!(course("145 s", 1780, lapsed_standstill(2, 1650)));
+}
+
+/// Number of random courses.
+const SEEDS: u64 = 1;
+/// Length of a random course in tenths of a second; all works again at its end.
+const RANDOM_COURSE: u64 = 700;
+
+/// One change at random.
+fn random_step(random: &mut StdRng) -> Step {
+    let first = random.random_range(1..=GATEWAYS);
+    let last = random.random_range(first..=GATEWAYS);
+    match random.random_range(0..12) {
+        0..3 => Load(first, last, [0, 1, 5, 20, 40][random.random_range(0..5)]),
+        3..5 => Fails(random.random_bool(0.7)),
+        5 => StandStill(random.random_range(1..=RUNNERS)),
+        6 => GoOn,
+        7..11 => Kill(first, last),
+        _ => ResetConnections,
+    }
+}
+
+/// Changes at random times, each kill and each reset followed by its end.
+fn random_course(seed: u64) -> Course {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut steps = vec![(0, Load(1, GATEWAYS, 10)), (0, Fails(true))];
+    let mut at = 20;
+    while at < RANDOM_COURSE {
+        let step = random_step(&mut random);
+        steps.push((at, step));
+        match step {
+            Kill(first, last) => steps.push((at + 5, Start(first, last))),
+            ResetConnections => steps.push((at + 2, Heal)),
+            _ => {}
+        }
+        at += random.random_range(5..40);
+    }
+    steps.push((RANDOM_COURSE + 50, GoOn));
+    course(&format!("seed {seed}"), RANDOM_COURSE + 200, steps)
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeats_on_random_courses_of_lives_loads_and_standstills_arrive_within_the_budget() {
+    for seed in 1..=SEEDS {
+        let courses = [random_course(seed)];
+        let beyond = beyond_budget(&courses).await;
+        assert!(beyond.is_empty(), "{beyond:#?}");
+    }
+}
