Dispatch: one rule names the runners whose answer a new life waits for; given-up attempts judge themselves

Read once more; behaviour stays. Which runners must answer stood twice (to settle the budget, to ask them) and is one function now. What is overdue was decided in the dispatcher by a list of retried requests that was searched for each attempt; the record of arrivals decides it by itself.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -71,6 +71,14 @@
     at: Instant,
 }
 
+impl GivenUp {
+    /// Whether the request was retried, by the record of all `requests`.
+    fn is_retried(&self, requests: &HashMap<RequestNumber, RequestAttempts>) -> bool {
+        let attempts = requests.get(&self.request);
+        attempts.is_some_and(|attempts| attempts.retries > 0)
+    }
+}
+
 /// What was given up at one runner.
 #[derive(Debug, Default)]
 struct GivenUpAtRunner {
@@ -182,42 +190,31 @@
         }
     }
 
-    /// Takes the requests out of the record whose attempts at `runner` were given up and which
-    /// `is_over` names by the time at which they were.
-    fn take_given_up(
-        &mut self,
-        runner: &str,
-        is_over: impl Fn(RequestNumber, Instant) -> bool,
-    ) -> Vec<RequestNumber> {
-        let Some(given_up) = self.given_up.get_mut(runner) else {
-            return Vec::new();
-        };
-        let attempts = &mut given_up.attempts;
-        let taken = attempts.extract_if(.., |attempt| is_over(attempt.request, attempt.at));
-        let requests = taken.map(|attempt| attempt.request).collect();
-        if attempts.is_empty() {
-            self.given_up.remove(runner);
-        }
-        requests
+    /// Takes the requests out of the record whose attempts at `runner` were given up until
+    /// `until`.
+    fn take_given_up(&mut self, runner: &str, until: Instant) -> Vec<RequestNumber> {
+        take_attempts(&mut self.given_up, runner, |attempt| attempt.at <= until)
     }
 
-    /// Returns the requests of which an attempt at the runner `id` was given up, and which were
-    /// retried.
-    fn retried_requests(&self, id: &str) -> Vec<RequestNumber> {
-        let is_retried = |request: &RequestNumber| {
-            let attempts = self.requests.get(request);
-            attempts.is_some_and(|attempts| attempts.retries > 0)
-        };
-        let given_up = self.given_up.get(id).into_iter();
-        let requests = given_up.flat_map(|given_up| &given_up.attempts);
-        let requests = requests.map(|attempt| attempt.request);
-        requests.filter(is_retried).collect()
+    /// Takes the requests out of the record whose attempts at `runner` were given up too long ago.
+    fn take_overdue(&mut self, runner: &str, now: Instant) -> Vec<RequestNumber> {
+        let is_past = |at, limit| now.saturating_duration_since(at) > limit;
+        let given_up = self.given_up.get(runner);
+        let absent_since = given_up.and_then(|given_up| given_up.absent_since);
+        let is_gone = absent_since.is_some_and(|at| is_past(at, LONGEST_ABSENCE));
+        let requests = &self.requests;
+        take_attempts(&mut self.given_up, runner, |attempt| {
+            is_gone || (is_past(attempt.at, LONGEST_RECORD) && !attempt.is_retried(requests))
+        })
     }
 
     /// Returns the runners at which attempts were given up whose requests were retried.
     fn runners_of_retried_requests(&self) -> impl Iterator<Item = &Arc<str>> {
-        let ids = self.given_up.keys();
-        ids.filter(|id| !self.retried_requests(id).is_empty())
+        let is_retried = |attempt: &GivenUp| attempt.is_retried(&self.requests);
+        let given_up = self.given_up.iter();
+        let retried =
+            given_up.filter(move |(_, given_up)| given_up.attempts.iter().any(is_retried));
+        retried.map(|(runner, _)| runner)
     }
 
     /// Returns the runners at `address` other than `id` at which attempts were given up.
@@ -244,6 +241,25 @@
     }
 }
 
+/// Takes the attempts at `runner` for which `is_over` holds out of the record, and returns their
+/// requests.
+fn take_attempts(
+    given_up: &mut HashMap<Arc<str>, GivenUpAtRunner>,
+    runner: &str,
+    is_over: impl Fn(&GivenUp) -> bool,
+) -> Vec<RequestNumber> {
+    let Some(at_runner) = given_up.get_mut(runner) else {
+        return Vec::new();
+    };
+    let attempts = &mut at_runner.attempts;
+    let taken = attempts.extract_if(.., |attempt| is_over(attempt));
+    let requests = taken.map(|attempt| attempt.request).collect();
+    if attempts.is_empty() {
+        given_up.remove(runner);
+    }
+    requests
+}
+
 impl Dispatcher {
     /// Takes a retry from the budget for the request of `query`. Returns whether it allows one.
     pub(crate) fn take_retry(&mut self, query: &Query, now: Instant) -> bool {
@@ -334,7 +350,7 @@
     /// Ends the wait for what was given up at `runner` until `until`: the runner has answered
     /// what was sent later, so it reads, or its process has ended.
     pub(crate) fn end_given_up(&mut self, runner: &str, until: Instant, now: Instant) {
-        let requests = self.arrivals.take_given_up(runner, |_, at| at <= until);
+        let requests = self.arrivals.take_given_up(runner, until);
         self.end_arrivals(&requests, now);
     }
 
@@ -358,14 +374,8 @@
 
     /// Ends the wait for what was given up too long ago.
     fn end_overdue_arrivals(&mut self, now: Instant) {
-        let is_past = |at, limit| now.saturating_duration_since(at) > limit;
-        for id in self.arrivals.due_runners(now) {
-            let absent_since = self.arrivals.given_up[&id].absent_since;
-            let is_gone = absent_since.is_some_and(|at| is_past(at, LONGEST_ABSENCE));
-            let retried = self.arrivals.retried_requests(&id);
-            let requests = self.arrivals.take_given_up(&id, |request, at| {
-                is_gone || (is_past(at, LONGEST_RECORD) && !retried.contains(&request))
-            });
+        for runner in self.arrivals.due_runners(now) {
+            let requests = self.arrivals.take_overdue(&runner, now);
             self.end_arrivals(&requests, now);
         }
     }
--- a/crates/dispatch/src/former_life.rs
+++ b/crates/dispatch/src/former_life.rs
@@ -24,18 +24,16 @@
         }
     }
 
-    /// Whether all runners of `service` have answered this process. Of more than
-    /// [`MOST_ASKED_RUNNERS`], those that it has used within its first window are enough: its
-    /// predecessor hardly used others.
+    /// Whether all runners of `service` have answered this process. After its first window, those
+    /// that [`Self::asked_runners`] names are enough.
     fn has_former_life_arrived(&self, service: &Arc<str>, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.started_at);
-        let runners = self.runners_of(service);
-        let count = runners.clone().count();
-        if count > MOST_ASKED_RUNNERS && age >= self.budget_limits.window {
-            let mut used = self.used_runners().filter(is_of_service(service));
-            return used.all(|entry| entry.has_answered);
+        let is_known = self.runners_of(service).next().is_some();
+        let is_silent = |entry: &RunnerEntry| !entry.has_answered;
+        if age < self.budget_limits.window {
+            return is_known && !self.runners_of(service).any(is_silent);
         }
-        count > 0 && runners.clone().all(|entry| entry.has_answered)
+        is_known && !self.asked_runners(service).into_iter().any(is_silent)
     }
 
     /// Returns the runners whose first answer a retry budget waits for.
@@ -45,24 +43,23 @@
             budget.is_none_or(|budget| !budget.is_settled())
         };
         let services = self.configuration.services.keys().filter(is_unsettled);
-        let runners = services.flat_map(|service| self.runners_to_ask(service));
-        runners.map(|entry| entry.runner.clone()).collect()
+        let asked = services.flat_map(|service| self.asked_runners(service));
+        let silent = asked.filter(|entry| !entry.has_answered);
+        silent.map(|entry| entry.runner.clone()).collect()
     }
 
-    fn runners_to_ask(&self, service: &Arc<str>) -> Vec<&RunnerEntry> {
-        let is_silent = |entry: &&RunnerEntry| !entry.has_answered;
+    /// Returns the runners of `service` that this process asks for an answer: all, or of more than
+    /// [`MOST_ASKED_RUNNERS`] those that it has used, since its predecessor hardly used others.
+    fn asked_runners(&self, service: &Arc<str>) -> Vec<&RunnerEntry> {
         if self.runners_of(service).count() <= MOST_ASKED_RUNNERS {
-            return self.runners_of(service).filter(is_silent).collect();
+            return self.runners_of(service).collect();
         }
-        let used = self.used_runners().filter(is_of_service(service));
-        used.filter(is_silent).collect()
+        let is_of_service = |entry: &&RunnerEntry| entry.runner.service == *service;
+        self.used_runners().filter(is_of_service).collect()
     }
 
-    fn runners_of(&self, service: &Arc<str>) -> impl Iterator<Item = &RunnerEntry> + Clone {
-        self.runners.values().filter(is_of_service(service))
+    fn runners_of(&self, service: &Arc<str>) -> impl Iterator<Item = &RunnerEntry> {
+        let is_of_service = |entry: &&RunnerEntry| entry.runner.service == *service;
+        self.runners.values().filter(is_of_service)
     }
 }
-
-fn is_of_service(service: &Arc<str>) -> impl Fn(&&RunnerEntry) -> bool + Clone {
-    |entry| entry.runner.service == *service
-}
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -181,16 +181,19 @@
     budget
 }
 
+/// Takes retries for a node without others until none is allowed, and returns their number.
+fn take_all(budget: &mut RetryBudget, now: Instant) -> usize {
+    (0..100)
+        .filter(|_| budget.try_take(now, share(1, 0)))
+        .count()
+}
+
 #[test]
 fn a_node_that_has_just_started_has_what_its_predecessor_may_not_use() {
     let started = Instant::now();
     let mut budget = settled(LIMITS, started);
     assert!(!budget.try_take(started, share(1, 0)));
-    let mut taken_at = |at| {
-        (0..100)
-            .filter(|_| budget.try_take(at, share(1, 0)))
-            .count()
-    };
+    let mut taken_at = |at| take_all(&mut budget, at);
     assert_eq!(taken_at(started + LIMITS.window / 2), 7, "half of 0.3 x 52");
     assert_eq!(taken_at(started + LIMITS.window), 8, "0.3 x 52 in all");
     let after_window = started + LIMITS.window + Duration::from_millis(1);
@@ -212,7 +215,7 @@
     let mut budget = settled(LIMITS, started);
     (0..30).for_each(|_| budget.count_request(started));
     let at = started + Duration::from_millis(10);
-    let taken = (0..10).filter(|_| budget.try_take(at, share(1, 0))).count();
+    let taken = take_all(&mut budget, at);
     assert_eq!(taken, 4, "0.7 x 0.2 x 30 requests");
 }
 
@@ -223,10 +226,7 @@
     let at = started + 2 * LIMITS.window;
     (0..10_000).for_each(|_| budget.count_request(at));
     let later = at + Duration::from_millis(10);
-    let taken = (0..100)
-        .filter(|_| budget.try_take(later, share(1, 0)))
-        .count();
-    assert_eq!(taken, 36, "0.7 x 52");
+    assert_eq!(take_all(&mut budget, later), 36, "0.7 x 52");
 }
 
 #[test]
