Probes run in their own task, not beside the gateway's group of tasks

Probes were spawned past the project's own spawn, so that a paused gateway of a run in virtual time went on asking, and a probe that panicked kept its runner from being asked again. They are futures of the one probing task now.

--- a/crates/gateway/src/arrival_probes.rs
+++ b/crates/gateway/src/arrival_probes.rs
@@ -10,9 +10,10 @@
 
 use barleyspar_catalog::Runner;
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::Request;
-use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep};
 
 use crate::context::Context;
 use crate::runner_call::call;
@@ -24,18 +25,19 @@
 
 /// Asks the runners that owe a sign, for as long as the process runs.
 pub async fn probe_runners(context: Context) {
-    let mut probes = JoinSet::new();
+    let mut probes = FuturesUnordered::new();
     let mut asked = HashSet::new();
+    let mut looks = interval_at(Instant::now() + LOOK_INTERVAL, LOOK_INTERVAL);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        sleep(LOOK_INTERVAL).await;
-        while let Some(ended) = probes.try_join_next() {
-            if let Ok(runner) = ended {
+        tokio::select! {
+            Some(runner) = probes.next() => {
                 asked.remove(&runner);
             }
-        }
-        for runner in context.dispatch.runners_to_probe().await {
-            if asked.insert(runner.id.clone()) {
-                probes.spawn(probe(context.clone(), runner));
+            _ = looks.tick() => {
+                let due = context.dispatch.runners_to_probe().await;
+                let due = due.into_iter().filter(|runner| asked.insert(runner.id.clone()));
+                probes.extend(due.map(|runner| probe(&context, runner)));
             }
         }
     }
@@ -43,9 +45,9 @@
 
 /// Asks `runner` once, and returns its id once it may be asked again. An answer, whatever it says,
 /// is recorded by the call.
-async fn probe(context: Context, runner: Arc<Runner>) -> Arc<str> {
-    let request = probe_request(&context, &runner);
-    if let Err(error) = call(&context, &runner, "probe", request, || true).await {
+async fn probe(context: &Context, runner: Arc<Runner>) -> Arc<str> {
+    let request = probe_request(context, &runner);
+    if let Err(error) = call(context, &runner, "probe", request, || true).await {
         tracing::info!(event = "probe_unanswered", runner = &*runner.id, cause = %error);
     }
     sleep(PROBE_PAUSE).await;
