What runners hold keeps the size under which it was loaded, whatever is listed later

Cause: what a runner holds was sized by the present configuration (loading/memory.rs), as nothing if that does not list it, and freed nothing when it was to make room (loading/models.rs). Reports name models without sizes, and nothing kept them. Ruled out: an old report or entry (the report before the order names both models; without the change the same leader unloads first). Orders did not tell the memory counted as free, so that these looked alike; they say free_mb now.

Change: the largest size of each model is on record in the store, one key, for as long as a runner may hold such a copy. A leader loads nothing whose size is not on record, so that any later leader, of any life, has a bound for each copy. What this leader had loaded counts with the size of its order. What is no longer listed makes room first, for adapters as well; what has no known size fills its runner and is unloaded. The stand-in judged in the same way and could not show this: it keeps what a copy took when it was loaded, and counts adapters.

Weighed: the present way; models of unknown size first without a record (a size that shrinks under the same name is not seen after all gateways have restarted); the size of each copy in the store (a write before each load).

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -15,7 +15,10 @@
 use crate::kept_configuration::{self, ConfigurationKeeper, KEPT_CONFIGURATION_KEY};
 use crate::names::Names;
 use crate::peers::PeerHandle;
-use crate::placement::{LEADER_KEY, LEASE_ERA_KEY, LeaderRecord, PlacementHandle, decode_era};
+use crate::placement::{
+    LEADER_KEY, LEASE_ERA_KEY, LeaderRecord, MODEL_SIZES_KEY, PlacementHandle, RecordedSizes,
+    decode_era,
+};
 use crate::register::MEMBER_PREFIX;
 use crate::restore_tracker::{Decision, RestoreTracker};
 use crate::software_record::{self, RecordedVersions, SOFTWARE_PREFIX};
@@ -72,6 +75,8 @@
     pub restore_tracker: RestoreTracker,
     /// The software versions that the store has on record.
     pub recorded_software: watch::Sender<RecordedVersions>,
+    /// The record of models' sizes that the store shows.
+    pub recorded_sizes: watch::Sender<RecordedSizes>,
     /// Zones under evacuation, with the time until which the runners of each still
     /// serve models that are loaded nowhere else.
     pub evacuated_zones: BTreeMap<Arc<str>, Instant>,
@@ -146,6 +151,9 @@
         if !items.iter().any(|item| item.key == LEASE_ERA_KEY) {
             self.lease_era.send_replace(0);
         }
+        if !items.iter().any(|item| item.key == MODEL_SIZES_KEY) {
+            self.set_recorded_sizes(RecordedSizes::missing(era));
+        }
         self.update_recorded_software(RecordedVersions::clear);
         // A runner may have come and gone since the last change that is known.
         self.context.dispatch.record_unknown_software();
@@ -220,6 +228,10 @@
             self.lease_era.send_replace(decode_era(&item.value));
             return;
         }
+        if item.key == MODEL_SIZES_KEY {
+            self.set_recorded_sizes(RecordedSizes::decode(item));
+            return;
+        }
         if item.key == KEPT_CONFIGURATION_KEY {
             self.kept_revision = Some(item.revision);
             if let Some(kept) = kept_configuration::decode(&item.value) {
@@ -290,6 +302,9 @@
         let dialect = self.context.dialect.clone();
         if key == LEADER_KEY {
             self.leader.send_replace(None);
+        } else if key == MODEL_SIZES_KEY {
+            let era = self.recorded_sizes.borrow().era;
+            self.set_recorded_sizes(RecordedSizes::missing(era));
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
             self.peers.member_removed(name);
         } else if let Some(version) = software_record::decode_key(key) {
@@ -320,6 +335,11 @@
         self.placement.remove_runner(known.id.clone());
     }
 
+    fn set_recorded_sizes(&self, recorded: RecordedSizes) {
+        self.placement.set_recorded_sizes(recorded.clone());
+        self.recorded_sizes.send_replace(recorded);
+    }
+
     fn update_recorded_software(&self, change: impl FnOnce(&mut RecordedVersions)) {
         self.recorded_software.send_modify(change);
         let versions = software_record::versions_by_service(&self.recorded_software.borrow());
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,7 +34,7 @@
 use crate::names::Names;
 use crate::network::{Listener, Network};
 use crate::origins::OriginTask;
-use crate::placement::{self, LeaseKeeper, PlacementTask};
+use crate::placement::{self, LeaseKeeper, PlacementTask, RecordedSizes, SizeRecorder};
 use crate::prefill::PrefillTask;
 use crate::quota::QuotaTask;
 use crate::restore_tracker::RestoreTracker;
@@ -290,6 +290,8 @@
     let (lease_era_sender, lease_era) = watch::channel(0);
     let (lease, watched_lease) = watch::channel(None);
     let (recorded_sender, recorded) = watch::channel(RecordedVersions::new());
+    let (sizes_sender, recorded_sizes) = watch::channel(RecordedSizes::default());
+    let (wanted_sizes_sender, wanted_sizes) = watch::channel(None);
     let (changes_sender, changes) = mpsc::channel(CHANGE_QUEUE);
 
     let socket = network
@@ -337,6 +339,7 @@
         contradicting_entries: ContradictingEntries::default(),
         restore_tracker: RestoreTracker::default(),
         recorded_software: recorded_sender,
+        recorded_sizes: sizes_sender,
         evacuated_zones: BTreeMap::new(),
     };
     let seen_peers = peer_handle.seen_peers();
@@ -356,6 +359,7 @@
         planner,
         watched_lease,
         peer_handle,
+        wanted_sizes_sender,
         placement_handle.clone(),
         placement_inbox,
     );
@@ -373,6 +377,13 @@
         lease: lease.subscribe(),
         recorded,
     };
+    let size_recorder = SizeRecorder {
+        store: store.clone(),
+        lease: lease.subscribe(),
+        leader: leader.clone(),
+        recorded: recorded_sizes,
+        wanted: wanted_sizes,
+    };
     let lease_keeper = LeaseKeeper {
         context: context.clone(),
         store: store.clone(),
@@ -414,6 +425,7 @@
     );
     tasks.spawn("lease", lease_keeper.run());
     tasks.spawn("software_record", software_recorder.run());
+    tasks.spawn("size_record", size_recorder.run());
     tasks.spawn(
         "idle_connections",
         close_expired_connections(context.clone()),
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod order;
 mod reading_speeds;
 mod runners;
+mod size_record;
 mod summary;
 mod task;
 mod tracked_runner;
@@ -20,6 +21,7 @@
 use tokio::time::Instant;
 
 pub use lease::{LeaseKeeper, decode_era};
+pub use size_record::{MODEL_SIZES_KEY, RecordedSizes, SizeRecorder};
 pub use task::PlacementTask;
 
 use order::{OrderResult, ReportResult};
@@ -83,6 +85,7 @@
 /// Messages to the placement task.
 enum Command {
     Configure(Arc<Configuration>),
+    RecordedSizes(RecordedSizes),
     UpdateRunner(Arc<Runner>),
     RemoveRunner(Arc<str>),
     RetainRunners(Vec<Arc<str>>),
@@ -125,6 +128,11 @@
         self.send(Command::Configure(configuration));
     }
 
+    /// Passes the record of models' sizes that the store shows.
+    pub fn set_recorded_sizes(&self, recorded: RecordedSizes) {
+        self.send(Command::RecordedSizes(recorded));
+    }
+
     /// Adds or updates a runner after its entry in the store changed.
     pub fn update_runner(&self, runner: Arc<Runner>) {
         self.send(Command::UpdateRunner(runner));
--- a/crates/gateway/src/placement/runners.rs
+++ b/crates/gateway/src/placement/runners.rs
@@ -10,11 +10,11 @@
 
 use barleyspar_catalog::{Configuration, Runner, RunnerLimit, RunnerState};
 use barleyspar_dispatch::{Inventory, RunnerKey, runner_key};
-use barleyspar_loading::PossibleLoad;
+use barleyspar_loading::{HeldCopies, PossibleLoad};
 use tokio::time::Instant;
 
 use crate::dispatch::{AdvertisedLimits, DrainingRunners};
-use crate::placement::tracked_runner::{TrackedRunner, note_possible_load};
+use crate::placement::tracked_runner::{TrackedRunner, note_possible_load, ordered_spec};
 
 /// Maximum number of runners for which a new leader reads all reports at once. Each
 /// read costs a connection and a probe; with more runners, a report is read when the
@@ -85,6 +85,35 @@
         }
     }
 
+    /// Raises the sizes of the loads in progress to those that `configuration` lists: a runner
+    /// may load the size of the order or the newest one.
+    pub fn raise_loading_sizes(&mut self, configuration: &Configuration) {
+        for entry in self.tracked.values_mut() {
+            let order = entry.view.order_in_progress.as_ref();
+            let spec = order.and_then(|order| ordered_spec(configuration, &entry.view, order));
+            if let (Some(loading_mb), Some(spec)) = (&mut entry.loading_mb, spec) {
+                *loading_mb = loading_mb.max(spec.weights_mb);
+            }
+        }
+    }
+
+    /// Returns what the runners hold, load or may load.
+    pub fn held_copies(&self, configuration: &Configuration) -> HeldCopies {
+        let mut copies = HeldCopies::default();
+        for runner in self.known.values() {
+            for held in &runner.models {
+                copies.add_named(&runner.service, &held.model);
+            }
+        }
+        for entry in self.tracked.values() {
+            let service = configuration.services.get(&entry.view.service);
+            if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
+                copies.add_runner(&entry.view, engine);
+            }
+        }
+        copies
+    }
+
     /// Returns the tracked entry of `runner`, created if there is none; `reads_report`
     /// tells whether a new entry's report is read at once.
     fn entry(&mut self, runner: &Arc<Runner>, reads_report: bool) -> &mut TrackedRunner {
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use barleyspar_catalog::{Configuration, Order, OrderAction, OrderAnswer};
-use barleyspar_loading::{ClusterDemand, Lease, PlannedOrder, Planner, RunnerView};
+use barleyspar_loading::{
+    ClusterDemand, KnownSizes, Lease, ModelSizes, PlannedOrder, Planner, RunnerView,
+};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -18,9 +20,9 @@
 use crate::placement::runners::Runners;
 use crate::placement::summary::log_step;
 use crate::placement::tracked_runner::{
-    apply_accepted_order, apply_report, load_time, note_possible_load,
+    apply_accepted_order, apply_report, load_time, note_possible_load, ordered_spec,
 };
-use crate::placement::{Command, PlacementHandle, PlacementInbox};
+use crate::placement::{Command, PlacementHandle, PlacementInbox, RecordedSizes};
 use crate::runner_call::CallError;
 
 /// Time after which the leader's task takes a step even if nothing has changed.
@@ -63,6 +65,12 @@
     reading_speeds: ReadingSpeedsReader,
     configuration: Arc<Configuration>,
     runners: Runners,
+    /// The era of the store that showed the latest record of models' sizes.
+    sizes_era: u32,
+    recorded_sizes: ModelSizes,
+    known_sizes: KnownSizes,
+    /// Set to the sizes to be put on record while this node leads; `None` otherwise.
+    wanted_sizes: watch::Sender<Option<ModelSizes>>,
     lease: watch::Receiver<Option<Lease>>,
     /// The fencing token of the lease under which this node leads; `None` while it does
     /// not lead.
@@ -80,12 +88,14 @@
 }
 
 impl PlacementTask {
-    /// Creates a task that gives orders while `lease` is held.
+    /// Creates a task that gives orders while `lease` is held. It sets `wanted_sizes` to the
+    /// sizes of models that must be on record.
     pub fn new(
         context: Context,
         planner: Planner,
         lease: watch::Receiver<Option<Lease>>,
         peers: PeerHandle,
+        wanted_sizes: watch::Sender<Option<ModelSizes>>,
         handle: PlacementHandle,
         inbox: PlacementInbox,
     ) -> Self {
@@ -96,6 +106,10 @@
             reading_speeds: ReadingSpeedsReader::default(),
             configuration: Arc::default(),
             runners: Runners::default(),
+            sizes_era: 0,
+            recorded_sizes: ModelSizes::default(),
+            known_sizes: KnownSizes::default(),
+            wanted_sizes,
             lease,
             leading_token: None,
             fenced_token: 0,
@@ -170,8 +184,11 @@
                 self.configuration = configuration;
                 if self.leading_token.is_some() {
                     self.runners.track_engines(&self.configuration);
+                    self.runners.raise_loading_sizes(&self.configuration);
                 }
+                self.update_known_sizes();
             }
+            Command::RecordedSizes(recorded) => self.apply_recorded_sizes(recorded),
             Command::UpdateRunner(runner) => {
                 let leads = self.leading_token.is_some();
                 self.runners.update(runner, &self.configuration, leads);
@@ -203,6 +220,43 @@
         }
     }
 
+    /// Uses the record of models' sizes that the store shows. A store restored from a backup
+    /// may show an older record, so that the sizes known before stay.
+    fn apply_recorded_sizes(&mut self, recorded: RecordedSizes) {
+        let mut sizes = recorded.sizes;
+        if recorded.era > self.sizes_era {
+            sizes.raise(&self.recorded_sizes);
+        }
+        self.sizes_era = recorded.era;
+        self.recorded_sizes = sizes;
+        self.update_known_sizes();
+    }
+
+    fn update_known_sizes(&mut self) {
+        self.known_sizes = KnownSizes::new(self.recorded_sizes.clone(), &self.configuration);
+        self.want_sizes(self.known_sizes.bounds().clone());
+    }
+
+    /// Has `sizes` put on record if this node leads.
+    fn want_sizes(&self, sizes: ModelSizes) {
+        let wanted = self.leading_token.map(|_| sizes);
+        self.wanted_sizes.send_if_modified(|present| {
+            let is_new = *present != wanted;
+            *present = wanted;
+            is_new
+        });
+    }
+
+    /// Drops and lowers the recorded sizes that no held copy needs.
+    fn settle_sizes(&self) {
+        let mut sizes = self.known_sizes.bounds().clone();
+        sizes.settle(
+            &self.configuration,
+            &self.runners.held_copies(&self.configuration),
+        );
+        self.want_sizes(sizes);
+    }
+
     /// Starts or stops leading when the lease was acquired or lost.
     fn follow_lease(&mut self) {
         let token = self
@@ -219,6 +273,7 @@
             Some(_) => self.runners.start_leading(&self.configuration),
             None => self.runners.stop_leading(),
         }
+        self.update_known_sizes();
     }
 
     fn read_reports(&mut self) {
@@ -319,9 +374,13 @@
             .tracked()
             .map(|entry| entry.view.clone())
             .collect();
-        let orders = self
-            .planner
-            .plan(&self.configuration, &mut views, &mut self.demand, now());
+        let orders = self.planner.plan(
+            &self.configuration,
+            &self.known_sizes,
+            &mut views,
+            &mut self.demand,
+            now(),
+        );
         self.runners.request_reports(self.planner.reports_needed());
         for order in orders {
             self.send_order(order, lease.fencing_token);
@@ -332,6 +391,7 @@
         {
             self.summary_logged_at = Some(Instant::now());
             self.planner.summaries().iter().for_each(log_step);
+            self.settle_sizes();
         }
     }
 
@@ -346,6 +406,8 @@
         let duration = load_time(&self.configuration, &entry.view, &planned.action) + REPORT_LAG;
         entry.view.busy_until = Some(now() + duration);
         entry.view.order_in_progress = Some(planned.action.clone());
+        let spec = ordered_spec(&self.configuration, &entry.view, &planned.action);
+        entry.loading_mb = spec.map(|spec| spec.weights_mb);
         entry.report_at = None;
         let order = Order {
             runner: entry.runner.name.clone(),
@@ -361,6 +423,7 @@
             model = &**order.action.model(),
             adapter = order.action.adapter().map(|name| &**name),
             source = ?planned.source,
+            free_mb = planned.free_mb,
             wanted_by = &*planned.wanted_by,
             token,
             sequence = order.expected_sequence
@@ -410,6 +473,9 @@
                 tracing::info!(event = "order_unanswered", runner = &*result.runner, action, %error);
             }
         }
+        if !matches!(result.answer, Ok(OrderAnswer::Accepted)) {
+            entry.loading_mb = None;
+        }
         let later = |delay: Duration| Some(Instant::now() + delay);
         match result.answer {
             Ok(OrderAnswer::Accepted | OrderAnswer::AlreadyHolds) => {
--- a/crates/gateway/src/placement/tracked_runner.rs
+++ b/crates/gateway/src/placement/tracked_runner.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Configuration, Order, OrderAction, Report, Runner};
+use barleyspar_catalog::{Configuration, ModelSpec, Order, OrderAction, Report, Runner};
 use barleyspar_loading::{PossibleLoad, RunnerView};
 use tokio::time::Instant;
 
@@ -38,6 +38,10 @@
     pub report_in_progress: bool,
     /// Whether an order to the runner is in progress.
     pub order_in_progress: bool,
+    /// Megabytes that the model takes which this leader has ordered the runner to load: the
+    /// largest size listed since the order. `None` without such an order, or if the runner has
+    /// not accepted it.
+    pub loading_mb: Option<f64>,
     /// Until when the runner may not be called, because its rate limit is reached or it
     /// requested a pause; `None` if it may.
     pub no_calls_until: Option<Instant>,
@@ -64,6 +68,7 @@
             report_requested_at: Instant::now(),
             report_in_progress: false,
             order_in_progress: false,
+            loading_mb: None,
             no_calls_until: None,
         }
     }
@@ -101,7 +106,16 @@
             view.possible_load = Some(possible);
         }
     }
+    let models = &view.models;
+    let is_held = |model: &Arc<str>| models.iter().any(|held| held.model == *model);
+    view.ordered_weights_mb.retain(|model, _| is_held(model));
     if !entry.order_in_progress && !view.busy {
+        if let (Some(OrderAction::LoadModel { model }), Some(size_mb)) =
+            (&view.order_in_progress, entry.loading_mb.take())
+            && is_held(model)
+        {
+            view.ordered_weights_mb.insert(model.clone(), size_mb);
+        }
         view.order_in_progress = None;
         view.busy_until = None;
     }
@@ -139,6 +153,20 @@
     }
 }
 
+/// Returns what `configuration` lists for the model that the order loads; `None` for other
+/// orders and models that it does not list.
+pub fn ordered_spec<'a>(
+    configuration: &'a Configuration,
+    runner: &RunnerView,
+    action: &OrderAction,
+) -> Option<&'a ModelSpec> {
+    let OrderAction::LoadModel { model } = action else {
+        return None;
+    };
+    let service = configuration.services.get(&runner.service)?;
+    service.engine.as_ref()?.models.get(model)
+}
+
 /// Returns how long `runner` takes to load the model once it begins; zero for orders
 /// other than loading a known model.
 pub fn load_time(
@@ -146,15 +174,7 @@
     runner: &RunnerView,
     action: &OrderAction,
 ) -> Duration {
-    let OrderAction::LoadModel { model } = action else {
-        return Duration::ZERO;
-    };
-    let engine = configuration
-        .services
-        .get(&runner.service)
-        .and_then(|service| service.engine.as_ref());
-    let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
-        return Duration::ZERO;
-    };
-    runner.weight_source(model).load_time(spec)
+    ordered_spec(configuration, runner, action).map_or(Duration::ZERO, |spec| {
+        runner.weight_source(action.model()).load_time(spec)
+    })
 }
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -12,7 +12,9 @@
 };
 use barleyspar_dispatch::DemandItem;
 use barleyspar_domain::Switches;
-use barleyspar_loading::{ClusterDemand, LoadRateLimits, Planner, PlannerSettings, RunnerView};
+use barleyspar_loading::{
+    ClusterDemand, KnownSizes, LoadRateLimits, ModelSizes, Planner, PlannerSettings, RunnerView,
+};
 use barleyspar_policy::Program;
 
 /// Numbers of runners and models in the users' deployments, and in the largest planned
@@ -92,6 +94,7 @@
             memory: Vec::new(),
             disk: (0..ON_DISK).map(at).collect(),
         },
+        ordered_weights_mb: BTreeMap::new(),
         order_in_progress: None,
         busy_until: None,
         possible_load: None,
@@ -115,6 +118,9 @@
 fn main() {
     for (runners, models) in SIZES {
         let configuration = configuration(models);
+        let mut recorded = ModelSizes::default();
+        recorded.raise_to_listed(&configuration);
+        let sizes = KnownSizes::new(recorded, &configuration);
         let views: Vec<RunnerView> = (0..runners).map(|number| runner(number, models)).collect();
         let settings = PlannerSettings {
             policy: Program::compile(POLICY).expect("the policy compiles"),
@@ -131,6 +137,7 @@
         for _ in 0..STEPS {
             planner.plan(
                 &configuration,
+                &sizes,
                 &mut views.clone(),
                 &mut cluster_demand,
                 start,
--- a/crates/loading/src/adapters.rs
+++ b/crates/loading/src/adapters.rs
@@ -9,7 +9,8 @@
 use barleyspar_catalog::{EngineSpec, OrderAction, SoftwareVersion};
 
 use crate::demand::{ClusterDemand, ModelDemand};
-use crate::memory::{adapter_count, free_mb};
+use crate::memory::{adapter_count, free_mb, loaded_adapters_mb};
+use crate::model_sizes::KnownSizes;
 use crate::stream_demand::VersionNeed;
 use crate::value::priority_weight;
 use crate::view::RunnerView;
@@ -44,6 +45,8 @@
     pub service: &'a Arc<str>,
     /// Accelerator memory, adapter capacity and model sizes of the service's runners.
     pub engine: &'a EngineSpec,
+    /// What the models and adapters on the service's runners take.
+    pub sizes: &'a KnownSizes,
     /// Demand of the whole cluster, by model and adapter.
     pub demand: &'a BTreeMap<AdapterKey, ModelDemand>,
     /// Demand history, which tells how long an adapter has been idle.
@@ -98,8 +101,8 @@
     }
 
     /// Returns the next order towards loading the adapter `missing` and the index of its runner: the
-    /// load itself, or the unload of an adapter of less value if all runners of its model
-    /// are full. `None` if no runner holds the model and accepts the order, if a place
+    /// load itself or, if all runners of its model are full, the unload of an adapter of less
+    /// value or of a model that is no longer listed. `None` if no runner holds the model and accepts the order, if a place
     /// becomes free for the adapter by the orders in progress, or if no adapter is worth
     /// evicting for it. A place that becomes free for it is reserved in `places`.
     pub fn next_order(
@@ -109,7 +112,11 @@
         missing: &MissingAdapter,
     ) -> Option<(usize, OrderAction)> {
         let MissingAdapter { model, adapter, .. } = missing;
-        let size_mb = self.engine.models.get(model)?.adapter_mb;
+        let spec = self.engine.models.get(model)?;
+        if !self.sizes.is_recorded(self.service, model, spec) {
+            return None;
+        }
+        let size_mb = spec.adapter_mb;
         if let Some(index) = self.runner_with_place(runners, missing, size_mb) {
             let action = OrderAction::LoadAdapter {
                 model: model.clone(),
@@ -120,10 +127,17 @@
         if self.reserve_place(runners, places, missing, size_mb) {
             return None;
         }
-        let wanted_value = self.value(&(model.clone(), adapter.clone()));
-        let (index, (model, adapter)) = self.eviction(runners, missing, wanted_value)?;
+        let (index, action) = match self.eviction(runners, missing, size_mb) {
+            Some((index, (model, adapter))) => {
+                (index, OrderAction::UnloadAdapter { model, adapter })
+            }
+            None => {
+                let (index, model) = self.retired_model(runners, missing, size_mb)?;
+                (index, OrderAction::UnloadModel { model })
+            }
+        };
         places.reserve_at(index);
-        Some((index, OrderAction::UnloadAdapter { model, adapter }))
+        Some((index, action))
     }
 
     /// Returns the runners of the service that hold the model of `missing` and have the software
@@ -190,23 +204,33 @@
         if size_mb <= 0.0 {
             return by_count;
         }
-        let by_memory = (free_mb(runner, self.engine).max(0.0) / size_mb) as usize;
+        let by_memory = (free_mb(runner, self.engine, self.sizes).max(0.0) / size_mb) as usize;
         by_count.min(by_memory)
     }
 
-    /// Returns the adapter to unload for one of `wanted_value`, and its runner's index: the
-    /// adapter of the least value at the runners that hold `model`, of equal ones the one
-    /// that has been idle the longest. Adapters with requests in flight stay.
+    /// Returns whether unloading adapters at the runner can make room for one of `size_mb`:
+    /// its models alone may take more than there is, or an unknown amount.
+    fn has_room_without_adapters(&self, runner: &RunnerView, size_mb: f64) -> bool {
+        let free = free_mb(runner, self.engine, self.sizes);
+        free + loaded_adapters_mb(runner, self.sizes) >= size_mb
+    }
+
+    /// Returns the adapter to unload for the missing one, which takes `size_mb`, and its
+    /// runner's index: the adapter of the least value at the runners that hold the model, of
+    /// equal ones the one that has been idle the longest. Adapters with requests in flight
+    /// stay.
     fn eviction(
         &self,
         runners: &[RunnerView],
         missing: &MissingAdapter,
-        wanted_value: f64,
+        size_mb: f64,
     ) -> Option<(usize, AdapterKey)> {
+        let wanted_value = self.value(&(missing.model.clone(), missing.adapter.clone()));
         let mut victims: Vec<_> = self
             .holders(runners, missing)
             .filter(|(_, runner)| runner.accepts_orders_once_read())
             .filter(|(_, runner)| runner.pending_adapters.len() < MAXIMUM_PENDING)
+            .filter(|(_, runner)| self.has_room_without_adapters(runner, size_mb))
             .flat_map(|(index, runner)| loaded_adapters(runner).map(move |key| (index, key)))
             .filter(|(_, key)| !self.has_requests_in_flight(key))
             .map(|(index, key)| (self.value(&key), index, key))
@@ -223,6 +247,26 @@
         Some((index, key))
     }
 
+    /// Returns a model that is no longer listed, at a runner that lacks only the memory for the
+    /// missing adapter, and the runner's index.
+    fn retired_model(
+        &self,
+        runners: &[RunnerView],
+        missing: &MissingAdapter,
+        size_mb: f64,
+    ) -> Option<(usize, Arc<str>)> {
+        let capacity = self.engine.adapter_capacity as usize;
+        self.holders(runners, missing)
+            .filter(|(_, runner)| runner.accepts_orders_once_read())
+            .filter(|(_, runner)| adapter_count(runner) < capacity)
+            .filter(|(_, runner)| free_mb(runner, self.engine, self.sizes) < size_mb)
+            .find_map(|(index, runner)| {
+                let mut held = runner.models.iter().map(|held| &held.model);
+                let retired = held.find(|model| !self.engine.models.contains_key(*model));
+                Some((index, retired?.clone()))
+            })
+    }
+
     fn has_requests_in_flight(&self, key: &AdapterKey) -> bool {
         self.demand
             .get(key)
--- a/crates/loading/src/models.rs
+++ b/crates/loading/src/models.rs
@@ -10,6 +10,7 @@
 
 use crate::decisions::ReplicaDecision;
 use crate::demand::ModelDemand;
+use crate::model_sizes::KnownSizes;
 use crate::reading::ReadingSpeeds;
 use crate::replica_counts::ReplicaCounts;
 use crate::value::{ReplicaValue, priority_weight};
@@ -39,6 +40,8 @@
     pub service: &'a Arc<str>,
     /// Accelerator memory, slots and model sizes of the service's runners.
     pub engine: &'a EngineSpec,
+    /// What the models on the service's runners take.
+    pub sizes: &'a KnownSizes,
     /// Demand of the whole cluster, by model.
     pub demand: &'a BTreeMap<Arc<str>, ModelDemand>,
     /// Unserved requests of each model that has no reachable replica: one for each
@@ -125,11 +128,18 @@
         });
         of_models
             .chain(self.wanted_by_streams.iter().cloned())
-            .filter(|wanted| self.engine.models.contains_key(&wanted.model))
+            .filter(|wanted| self.may_be_loaded(&wanted.model))
             .filter(|wanted| self.is_wanted(counts, wanted))
             .collect()
     }
 
+    /// Returns whether `model` is listed and its size is on record. Without the record, a later
+    /// leader could count the copy as smaller than it is.
+    fn may_be_loaded(&self, model: &str) -> bool {
+        let spec = self.engine.models.get(model);
+        spec.is_some_and(|spec| self.sizes.is_recorded(self.service, model, spec))
+    }
+
     /// Returns whether the replica is still needed, and allowed by the policy.
     pub fn is_wanted(&self, counts: &ReplicaCounts, wanted: &WantedReplica) -> bool {
         match wanted.for_streams {
@@ -244,7 +254,7 @@
         let mut candidates: Vec<EvictionCandidate> = runner
             .models
             .iter()
-            .filter_map(|loaded| self.eviction_candidate(counts, &loaded.model))
+            .filter_map(|loaded| self.eviction_candidate(counts, runner, &loaded.model))
             .collect();
         let key = |candidate: &EvictionCandidate| candidate.loss + candidate.drain_seconds;
         candidates.sort_by(|a, b| {
@@ -255,27 +265,32 @@
         candidates
     }
 
-    /// Returns the eviction of `model` from a runner that holds it; `None` for the last
-    /// reachable replica of a model with waiting requests or requests in flight.
+    /// Returns the eviction of `model` from `runner`, which holds it; `None` for the last
+    /// reachable replica of a listed model with waiting requests or requests in flight, and
+    /// for a model of unknown size.
     fn eviction_candidate(
         &self,
         counts: &ReplicaCounts,
+        runner: &RunnerView,
         model: &Arc<str>,
     ) -> Option<EvictionCandidate> {
+        let weights_mb = self.sizes.weights_mb(runner, model)?;
         let demand = self.demand_for(model);
         let replicas = counts.for_model(model).reachable;
-        if replicas <= 1 && demand.is_active() {
+        let is_listed = self.engine.models.contains_key(model);
+        if is_listed && replicas <= 1 && demand.is_active() {
             return None;
         }
+        let loss = if is_listed {
+            self.value(model).loss(replicas)
+        } else {
+            0.0
+        };
         Some(EvictionCandidate {
             model: model.clone(),
-            loss: self.value(model).loss(replicas),
+            loss,
             drain_seconds: drain_seconds(&demand),
-            weights_mb: self
-                .engine
-                .models
-                .get(model)
-                .map_or(0.0, |spec| spec.weights_mb),
+            weights_mb,
             prompt_tokens: self.prompt_tokens_per_replica(model, replicas),
         })
     }
--- a/crates/loading/src/placement_index.rs
+++ b/crates/loading/src/placement_index.rs
@@ -247,7 +247,7 @@
 
     fn capacity(&self, runner: &RunnerView) -> RunnerCapacity {
         RunnerCapacity {
-            free_mb: free_mb(runner, self.plan.engine),
+            free_mb: free_mb(runner, self.plan.engine, self.plan.sizes),
             eviction_candidates: self.plan.eviction_candidates(&self.counts, runner),
             streams: self.plan.stream_load(&self.counts, runner),
             prompt_tokens: self.plan.prompt_tokens_at(&self.counts, runner),
--- a/crates/loading/src/planner.rs
+++ b/crates/loading/src/planner.rs
@@ -12,6 +12,8 @@
 use crate::decisions::{PolicyDecisions, PolicyQuery};
 use crate::demand::ClusterDemand;
 use crate::load_rate::{LoadRateLimiter, LoadRateLimits};
+use crate::memory::{free_mb, model_of_unknown_size};
+use crate::model_sizes::KnownSizes;
 use crate::models::{ModelPlan, Placement, WantedReplica};
 use crate::over_limit::mark_over_limit;
 use crate::placement_index::PlacementIndex;
@@ -50,6 +52,8 @@
     /// Model for which the order is given. Differs from the model of the action if an
     /// unload makes room for another model.
     pub wanted_by: Arc<str>,
+    /// Megabytes counted as free at the runner before the order; for the log only.
+    pub free_mb: f64,
 }
 
 /// State of one service that is kept between planning steps.
@@ -123,10 +127,12 @@
     }
 
     /// Plans one step. Returns the orders to give now, at most one for each runner, and
-    /// sets `order_in_progress` of their runners in `runners`.
+    /// sets `order_in_progress` of their runners in `runners`. `sizes`: what models and
+    /// adapters on runners take.
     pub fn plan(
         &mut self,
         configuration: &Configuration,
+        sizes: &KnownSizes,
         runners: &mut [RunnerView],
         cluster_demand: &mut ClusterDemand,
         now: Instant,
@@ -163,12 +169,14 @@
             let plan = AdapterPlan {
                 service: &service.name,
                 engine,
+                sizes,
                 demand: &adapters,
                 cluster_demand,
                 unmet_by_version: &unmet,
                 now,
             };
             self.plan_adapters(&plan, runners, &mut orders);
+            self.unload_unknown(&plan, runners, &mut orders);
             let mut state = self.take_service_state(&service.name);
             state.store_loads.set_longest_load(longest_load(engine));
             update_store_loads(&mut state.store_loads, runners, now);
@@ -192,6 +200,7 @@
             let plan = ModelPlan {
                 service: &service.name,
                 engine,
+                sizes,
                 demand: &models,
                 wanted_by_streams: &wanted_by_streams,
                 unserved: &state.unserved.by_model().clone(),
@@ -250,13 +259,43 @@
                 self.request_report_if_unread(runner);
                 continue;
             }
-            runner.order_in_progress = Some(action.clone());
             orders.push(PlannedOrder {
                 runner: runner.id.clone(),
-                action,
+                action: action.clone(),
                 source: WeightSource::Memory,
                 wanted_by: missing.model,
+                free_mb: free_mb(runner, plan.engine, plan.sizes),
             });
+            runner.order_in_progress = Some(action);
+        }
+    }
+
+    /// Orders the unload of models whose size is not known: they are not listed, so nobody
+    /// asks for them, and nothing can be loaded beside them.
+    fn unload_unknown(
+        &self,
+        plan: &AdapterPlan<'_>,
+        runners: &mut [RunnerView],
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let of_service = runners
+            .iter_mut()
+            .filter(|runner| runner.service == *plan.service && runner.accepts_orders());
+        for runner in of_service {
+            let Some(model) = model_of_unknown_size(runner, plan.sizes) else {
+                continue;
+            };
+            let action = OrderAction::UnloadModel {
+                model: model.clone(),
+            };
+            orders.push(PlannedOrder {
+                runner: runner.id.clone(),
+                action: action.clone(),
+                source: WeightSource::Memory,
+                wanted_by: model,
+                free_mb: free_mb(runner, plan.engine, plan.sizes),
+            });
+            runner.order_in_progress = Some(action);
         }
     }
 
@@ -314,14 +353,15 @@
             making_room += usize::from(evicted.is_some() && current.source == WeightSource::Remote);
             placements.apply_order(runners, current.runner, &model, evicted);
             let runner = &mut runners[current.runner];
-            runner.order_in_progress = Some(action.clone());
-            runner.busy_until = None;
             orders.push(PlannedOrder {
                 runner: runner.id.clone(),
                 source: current.source,
                 wanted_by: model.clone(),
-                action,
+                action: action.clone(),
+                free_mb: free_mb(runner, plan.engine, plan.sizes),
             });
+            runner.order_in_progress = Some(action);
+            runner.busy_until = None;
             let allow_remote = may_load_from_store(plan, state, making_room);
             if wanted.for_streams.is_none()
                 && plan.is_wanted(placements.counts(), &wanted)
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -1,5 +1,6 @@
 //! The planner's view of a model runner.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -87,6 +88,9 @@
     pub busy: bool,
     /// Models loaded on the runner, with their adapters.
     pub models: Vec<LoadedModel>,
+    /// Megabytes of the weights that the runner loaded by accepted orders of this leader, by
+    /// model; others may have been loaded under any configuration.
+    pub ordered_weights_mb: BTreeMap<Arc<str>, f64>,
     /// Adapters being loaded, as pairs of model and adapter.
     pub pending_adapters: Vec<(Arc<str>, Arc<str>)>,
     /// Models with a copy of their weights in the runner's host memory or on its disk.
@@ -124,6 +128,7 @@
             sequence: 0,
             busy: false,
             models: runner.models.clone(),
+            ordered_weights_mb: BTreeMap::new(),
             pending_adapters: Vec::new(),
             copies: runner.copies.clone(),
             order_in_progress: None,
--- a/crates/loading/tests/common/mod.rs
+++ b/crates/loading/tests/common/mod.rs
@@ -10,7 +10,9 @@
     SoftwareVersion, WeightCopies,
 };
 use barleyspar_dispatch::DemandItem;
-use barleyspar_loading::{ClusterDemand, LoadRateLimits, Planner, PlannerSettings, RunnerView};
+use barleyspar_loading::{
+    ClusterDemand, KnownSizes, LoadRateLimits, ModelSizes, Planner, PlannerSettings, RunnerView,
+};
 use barleyspar_policy::Program;
 
 pub const SERVICE: &str = "engine";
@@ -81,6 +83,7 @@
             .collect(),
         pending_adapters: Vec::new(),
         copies: WeightCopies::default(),
+        ordered_weights_mb: BTreeMap::new(),
         order_in_progress: None,
         busy_until: None,
         possible_load: None,
@@ -150,20 +153,42 @@
         }
     }
 
-    /// Plans one step and returns the ordered runners and actions.
+    /// Plans one step, with the sizes of the configuration on record, and returns the ordered
+    /// runners and actions.
     pub fn plan(
         &mut self,
         configuration: &Configuration,
         runners: &mut [RunnerView],
     ) -> Vec<(String, OrderAction)> {
+        self.plan_with_record(configuration, &recorded(&[configuration]), runners)
+    }
+
+    /// Plans one step with these sizes on record and returns the ordered runners and actions.
+    pub fn plan_with_record(
+        &mut self,
+        configuration: &Configuration,
+        recorded: &ModelSizes,
+        runners: &mut [RunnerView],
+    ) -> Vec<(String, OrderAction)> {
+        let sizes = KnownSizes::new(recorded.clone(), configuration);
+        let (demand, now) = (&mut self.cluster_demand, self.now);
         self.planner
-            .plan(configuration, runners, &mut self.cluster_demand, self.now)
+            .plan(configuration, &sizes, runners, demand, now)
             .into_iter()
             .map(|order| (order.runner.to_string(), order.action))
             .collect()
     }
 }
 
+/// The record of sizes that leaders leave which had these configurations.
+pub fn recorded(configurations: &[&Configuration]) -> ModelSizes {
+    let mut sizes = ModelSizes::default();
+    for configuration in configurations {
+        sizes.raise_to_listed(configuration);
+    }
+    sizes
+}
+
 /// A policy of one replica, and one more while it cannot be reached.
 pub const TARGET_ONE: &str = "fn decide(context) { #{ replicas: 2, target: 1 } }";
 
--- a/crates/loading/tests/planner.rs
+++ b/crates/loading/tests/planner.rs
@@ -10,11 +10,11 @@
 use barleyspar_dispatch::DemandItem;
 use barleyspar_domain::Switches;
 use barleyspar_loading::{
-    Lease, LeaseSettings, LoadRateLimiter, LoadRateLimits, RunnerView, free_mb,
+    KnownSizes, Lease, LeaseSettings, LoadRateLimiter, LoadRateLimits, RunnerView, free_mb,
 };
 use common::{
-    Case, SERVICE, TARGET_ONE, VALID_FOR, configuration, demand_item, finish_load, load, runner,
-    unload,
+    Case, SERVICE, TARGET_ONE, VALID_FOR, configuration, demand_item, finish_load, load, recorded,
+    runner, unload,
 };
 
 #[test]
@@ -87,7 +87,8 @@
         .engine
         .as_ref()
         .expect("the service has an engine");
-    assert!(free_mb(&runners[0], engine) < 10.0);
+    let sizes = KnownSizes::new(recorded(&[&configuration]), &configuration);
+    assert!(free_mb(&runners[0], engine, &sizes) < 10.0);
 }
 
 #[test]
--- a/crates/standin/src/runner/mod.rs
+++ b/crates/standin/src/runner/mod.rs
@@ -3,6 +3,7 @@
 
 mod brittle;
 mod guards;
+mod memory;
 mod orders;
 mod signals;
 
@@ -39,6 +40,7 @@
 
 use brittle::Brittle;
 use guards::OpenConnection;
+use memory::Engine;
 use signals::Signals;
 
 /// Time from a crash by rejections to the runner's restart.
@@ -194,7 +196,9 @@
     busy: bool,
     /// Model and name of each adapter that is being loaded.
     pending_adapters: Vec<(Arc<str>, Arc<str>)>,
-    /// Whether an order has ever exceeded the engine's memory.
+    /// The model engine and its memory; `None` for a plain runner.
+    engine: Option<Engine>,
+    /// Whether an order has ever exceeded the engine's memory, or its places for adapters.
     overcommitted: bool,
 }
 
@@ -215,7 +219,7 @@
 #[derive(Clone)]
 pub struct RunnerStandIn {
     state: Arc<Mutex<State>>,
-    engine: Option<EngineSpec>,
+    is_engine: bool,
     store: StoreStandIn,
     tasks: Arc<Mutex<Vec<AbortHandle>>>,
 }
@@ -272,6 +276,8 @@
             models: models.iter().map(loaded_model).collect(),
             copies: WeightCopies::default(),
         };
+        let engine = service.engine.as_ref();
+        let engine = engine.map(|listed| Engine::start(listed, &record.models));
         let runner = Self {
             state: Arc::new(Mutex::new(State {
                 record,
@@ -294,9 +300,10 @@
                 highest_token: 0,
                 busy: false,
                 pending_adapters: Vec::new(),
+                engine,
                 overcommitted: false,
             })),
-            engine: service.engine.clone(),
+            is_engine: service.engine.is_some(),
             store: store.clone(),
             tasks: Arc::default(),
         };
@@ -335,6 +342,11 @@
         tasks.push(task);
     }
 
+    /// Name of the service that the runner belongs to.
+    pub fn service(&self) -> Arc<str> {
+        self.lock().record.service.clone()
+    }
+
     /// Writes the runner's entry to the store, as a heartbeat does.
     pub fn publish_entry(&self) {
         let record = {
@@ -377,11 +389,23 @@
             state.highest_token = 0;
             state.busy = false;
             state.pending_adapters.clear();
+            let State { engine, record, .. } = &mut *state;
+            if let Some(engine) = engine {
+                engine.restart(&record.models);
+            }
             state.record.address
         };
         self.serve_connections(network.listen(address));
     }
 
+    /// Makes the engine load models with these sizes and times from now on. What it holds keeps
+    /// its size.
+    pub fn list_models(&self, listed: &EngineSpec) {
+        if let Some(engine) = &mut self.lock().engine {
+            engine.list(listed);
+        }
+    }
+
     /// Gives the runner's software this version, from its next stream on, and writes its entry.
     pub fn set_software(&self, version: &str) {
         self.lock().record.software = SoftwareVersion::new(version);
@@ -660,7 +684,7 @@
             return Ok(pause_response(&request_id, pause));
         }
         let lacks_model = value(names::MODEL).is_some_and(|model| !self.has_loaded(model));
-        if self.engine.is_some() && lacks_model {
+        if self.is_engine && lacks_model {
             return Ok(not_run_response(
                 StatusCode::MISDIRECTED_REQUEST,
                 &request_id,
@@ -680,7 +704,7 @@
         if self.triggers_crash(headers, &body) && !self.lock().crash_course.answers {
             std::future::pending::<()>().await;
         }
-        if self.engine.is_some() {
+        if self.is_engine {
             let after = value(names::AFTER_EVENT)
                 .and_then(|id| id.parse().ok())
                 .unwrap_or(0);
--- a/crates/standin/src/runner/orders.rs
+++ b/crates/standin/src/runner/orders.rs
@@ -1,6 +1,5 @@
 //! How a runner accepts, refuses and carries out orders.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use barleyspar_catalog::{LoadedModel, Order, OrderAction};
@@ -36,18 +35,33 @@
 
     async fn take_order(self, order: Order) -> StatusCode {
         self.wait_while_paused().await;
+        let load_time = self.load_time(&order.action);
         let code = self.accept_order(&order);
         if code == StatusCode::ACCEPTED {
-            tokio::spawn(self.carry_out(order.action));
+            tokio::spawn(self.carry_out(order.action, load_time));
         }
         code
     }
 
+    /// Returns the time that the load of a model takes if it begins now; zero for other orders.
+    fn load_time(&self, action: &OrderAction) -> Duration {
+        let state = self.lock();
+        let engine = state.engine.as_ref().expect("only engines take orders");
+        match action {
+            OrderAction::LoadModel { model } => engine
+                .spec(model)
+                .map_or(Duration::ZERO, |spec| spec.remote_load),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Records an order. Returns the status code that says whether it is accepted; an accepted
     /// order changes the runner's sequence number.
     fn accept_order(&self, order: &Order) -> StatusCode {
-        let mut state = self.lock();
+        let mut guard = self.lock();
+        let state = &mut *guard;
         state.orders.push((Instant::now(), order.clone()));
+        let engine = state.engine.as_mut().expect("only engines take orders");
         if order.fencing_token < state.highest_token {
             return StatusCode::PRECONDITION_FAILED;
         }
@@ -55,30 +69,28 @@
         if state.busy || order.expected_sequence != state.sequence {
             return StatusCode::CONFLICT;
         }
+        let is_load = matches!(
+            order.action,
+            OrderAction::LoadModel { .. } | OrderAction::LoadAdapter { .. }
+        );
+        if is_load && engine.spec(order.action.model()).is_none() {
+            return StatusCode::BAD_REQUEST;
+        }
         state.sequence += 1;
         match &order.action {
             OrderAction::LoadModel { model } => {
                 state.busy = true;
-                let engine = self.engine.as_ref().expect("only engines take orders");
-                let weight =
-                    |name: &Arc<str>| engine.models.get(name).map_or(0.0, |spec| spec.weights_mb);
-                let loaded_weights: f64 = state
-                    .record
-                    .models
-                    .iter()
-                    .map(|loaded| weight(&loaded.model))
-                    .sum();
-                if loaded_weights + weight(model) > engine.memory_mb {
-                    state.overcommitted = true;
-                }
+                state.overcommitted |= !engine.load(model, None);
             }
             OrderAction::UnloadModel { .. } => state.busy = true,
             OrderAction::LoadAdapter { model, adapter } => {
+                state.overcommitted |= !engine.load(model, Some(adapter));
                 state
                     .pending_adapters
                     .push((model.clone(), adapter.clone()));
             }
             OrderAction::UnloadAdapter { model, adapter } => {
+                engine.unload_adapter(model, adapter);
                 for loaded in state
                     .record
                     .models
@@ -94,19 +106,15 @@
 
     /// Carries out an accepted order, a load after its load time, and writes the runner's entry.
     /// The unload of an adapter is already done when the order is accepted.
-    async fn carry_out(self, action: OrderAction) {
-        let load_time = self
-            .engine
-            .as_ref()
-            .and_then(|engine| engine.models.get(action.model()))
-            .map_or(Duration::ZERO, |spec| spec.remote_load);
+    async fn carry_out(self, action: OrderAction, load_time: Duration) {
         match &action {
             OrderAction::LoadModel { .. } => sleep(load_time).await,
             OrderAction::LoadAdapter { .. } => sleep(ADAPTER_LOAD_TIME).await,
             _ => {}
         }
         {
-            let mut state = self.lock();
+            let mut guard = self.lock();
+            let state = &mut *guard;
             match action {
                 OrderAction::LoadModel { model } => {
                     state.busy = false;
@@ -119,6 +127,9 @@
                 OrderAction::UnloadModel { model } => {
                     state.busy = false;
                     state.record.models.retain(|loaded| loaded.model != model);
+                    if let Some(engine) = &mut state.engine {
+                        engine.unload_model(&model);
+                    }
                 }
                 OrderAction::LoadAdapter { model, adapter } => {
                     state
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -98,6 +98,17 @@
         change(&mut self.configuration);
         self.configuration.version += 1;
         self.publish_configuration();
+        self.list_models();
+    }
+
+    /// Makes the running engines load models with the sizes and times that are listed now.
+    fn list_models(&self) {
+        for runner in self.runners.values() {
+            let service = self.configuration.services.get(&runner.service());
+            if let Some(listed) = service.and_then(|service| service.engine.as_ref()) {
+                runner.list_models(listed);
+            }
+        }
     }
 
     /// Removes the configuration from the store, as if the operators had not written one yet.
@@ -294,15 +305,26 @@
     /// Starts a request to the gateway, path and model in `to`, in a task of its own that returns
     /// the answer; otherwise as [`Self::request`].
     pub fn spawn_request(
+        &self,
+        to: (u8, &'static str, Option<&'static str>),
+        id: &str,
+    ) -> JoinHandle<Answer> {
+        self.spawn_request_with_headers(to, id, Vec::new())
+    }
+
+    /// Starts a request with further headers, otherwise as [`Self::spawn_request`].
+    pub fn spawn_request_with_headers(
         &self,
         (number, path, model): (u8, &'static str, Option<&'static str>),
         id: &str,
+        extra: Vec<(&'static str, &'static str)>,
     ) -> JoinHandle<Answer> {
         let to = SocketAddr::new(Self::gateway_host(number), CALLER_PORT);
         let (network, id) = (self.network.clone(), id.to_owned());
         tokio::spawn(async move {
             let client_request = ClientRequest {
                 model,
+                extra: &extra,
                 ..ClientRequest::plain(CLIENT_HOST, to, path, &id)
             };
             send_request(&network, client_request).await
