An answer whose status is none of a final answer reaches no caller

Here 000 and its like end with 502, by the HTTP library alone; but 101 went to callers as the answer, directly and through a peer, and so by report did 600 and 999, which HTTP does not define.

Cause: a head was taken for an answer because the library parsed it.

Change: a connection hands out no head whose status is not 200 to 599. All answers pass there: of requests, resumed streams, tunnels, reports, orders, probes and the store. The request may have run.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -5,7 +5,7 @@
 
 use barleyspar_dispatch::Arrival;
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -60,6 +60,12 @@
     }
 }
 
+/// Returns whether HTTP defines `status` for the final answer to a request. 101 is one only where
+/// the request asks for another protocol, which the gateway never does.
+fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Opens a stream to `address` within `timeout`.
 pub async fn open_stream(
     network: &dyn Network,
@@ -133,7 +139,8 @@
     }
 
     /// Sends `request` and waits for the head of the answer. There is no timeout. Fails, as the
-    /// body does, if the peer sends too many bytes that belong to no body.
+    /// body does, if the peer sends too many bytes that belong to no body; fails as well if the
+    /// status is none of a final answer.
     pub async fn send(
         &mut self,
         request: Request<Bytes>,
@@ -146,6 +153,10 @@
         }
         self.socket.expect_answer();
         match self.sender.try_send_request(request).await {
+            Ok(response) if !is_final(response.status()) => Err(SendError {
+                arrival: Arrival::Pending,
+                cause: format!("{} is no status of a final answer", response.status()),
+            }),
             Ok(response) => {
                 let socket = self.socket.clone();
                 Ok(response.map(|body| ReceivedBody::new(body, socket)))
