Sizes on record are settled only if some differ from those listed; copies follow a larger listed size

Runners load the newest size. Now nothing is looked through while all bounds are the listed sizes, and each size of a copy that this leader ordered rises with the listed one.

No failure seen before; by reading.

--- a/crates/gateway/src/placement/runners.rs
+++ b/crates/gateway/src/placement/runners.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::dispatch::{AdvertisedLimits, DrainingRunners};
-use crate::placement::tracked_runner::{TrackedRunner, note_possible_load, ordered_spec};
+use crate::placement::tracked_runner::{TrackedRunner, note_possible_load};
 
 /// Maximum number of runners for which a new leader reads all reports at once. Each
 /// read costs a connection and a probe; with more runners, a report is read when the
@@ -85,15 +85,11 @@
         }
     }
 
-    /// Raises the sizes of the loads in progress to those that `configuration` lists: a runner
-    /// may load the size of the order or the newest one.
-    pub fn raise_loading_sizes(&mut self, configuration: &Configuration) {
+    /// Raises the sizes of the copies that this leader ordered to those that `configuration`
+    /// lists: a runner loads the newest size, which this node may have learned only later.
+    pub fn raise_ordered_sizes(&mut self, configuration: &Configuration) {
         for entry in self.tracked.values_mut() {
-            let order = entry.view.order_in_progress.as_ref();
-            let spec = order.and_then(|order| ordered_spec(configuration, &entry.view, order));
-            if let (Some(loading_mb), Some(spec)) = (&mut entry.loading_mb, spec) {
-                *loading_mb = loading_mb.max(spec.weights_mb);
-            }
+            entry.raise_ordered_sizes(configuration);
         }
     }
 
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -184,7 +184,7 @@
                 self.configuration = configuration;
                 if self.leading_token.is_some() {
                     self.runners.track_engines(&self.configuration);
-                    self.runners.raise_loading_sizes(&self.configuration);
+                    self.runners.raise_ordered_sizes(&self.configuration);
                 }
                 self.update_known_sizes();
             }
@@ -249,6 +249,9 @@
 
     /// Drops and lowers the recorded sizes that no held copy needs.
     fn settle_sizes(&self) {
+        if self.known_sizes.are_as_listed() {
+            return;
+        }
         let mut sizes = self.known_sizes.bounds().clone();
         sizes.settle(
             &self.configuration,
--- a/crates/gateway/src/placement/tracked_runner.rs
+++ b/crates/gateway/src/placement/tracked_runner.rs
@@ -58,6 +58,25 @@
         }
     }
 
+    /// Raises the sizes of the copies that this leader ordered to those that `configuration`
+    /// lists.
+    pub fn raise_ordered_sizes(&mut self, configuration: &Configuration) {
+        let service = configuration.services.get(&self.view.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return;
+        };
+        for (model, size_mb) in &mut self.view.ordered_weights_mb {
+            if let Some(spec) = engine.models.get(model) {
+                *size_mb = size_mb.max(spec.weights_mb);
+            }
+        }
+        let order = self.view.order_in_progress.as_ref();
+        let spec = order.and_then(|order| ordered_spec(configuration, &self.view, order));
+        if let (Some(loading_mb), Some(spec)) = (&mut self.loading_mb, spec) {
+            *loading_mb = loading_mb.max(spec.weights_mb);
+        }
+    }
+
     /// Tracks a runner of which only its entry in the store is known; its report is
     /// read at once.
     pub fn new(runner: &Arc<Runner>) -> Self {
--- a/crates/loading/src/adapters.rs
+++ b/crates/loading/src/adapters.rs
@@ -100,11 +100,12 @@
             })
     }
 
-    /// Returns the next order towards loading the adapter `missing` and the index of its runner: the
-    /// load itself or, if all runners of its model are full, the unload of an adapter of less
-    /// value or of a model that is no longer listed. `None` if no runner holds the model and accepts the order, if a place
-    /// becomes free for the adapter by the orders in progress, or if no adapter is worth
-    /// evicting for it. A place that becomes free for it is reserved in `places`.
+    /// Returns the next order towards loading the adapter `missing` and the index of its runner:
+    /// the load itself or, if all runners of its model are full, the unload of an adapter of less
+    /// value or of a model that is no longer listed. `None` if no runner holds the model and
+    /// accepts the order, if a place becomes free for the adapter by the orders in progress, or
+    /// if nothing is worth evicting for it. A place that becomes free for it is reserved in
+    /// `places`.
     pub fn next_order(
         &self,
         runners: &[RunnerView],
--- a/crates/loading/src/model_sizes.rs
+++ b/crates/loading/src/model_sizes.rs
@@ -105,15 +105,28 @@
 pub struct KnownSizes {
     recorded: ModelSizes,
     bounds: ModelSizes,
+    are_as_listed: bool,
 }
 
 impl KnownSizes {
     /// Creates them from the sizes on record, which outlast the leader, and the ones that
     /// the present configuration lists.
     pub fn new(recorded: ModelSizes, configuration: &Configuration) -> Self {
+        let mut listed = ModelSizes::default();
+        listed.raise_to_listed(configuration);
         let mut bounds = recorded.clone();
-        bounds.raise_to_listed(configuration);
-        Self { recorded, bounds }
+        bounds.raise(&listed);
+        let are_as_listed = bounds == listed;
+        Self {
+            recorded,
+            bounds,
+            are_as_listed,
+        }
+    }
+
+    /// Returns whether the upper bounds are the listed sizes: there is nothing to settle.
+    pub fn are_as_listed(&self) -> bool {
+        self.are_as_listed
     }
 
     /// Returns the largest sizes, recorded or listed: the upper bounds of what is held.
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -89,7 +89,8 @@
     /// Models loaded on the runner, with their adapters.
     pub models: Vec<LoadedModel>,
     /// Megabytes of the weights that the runner loaded by accepted orders of this leader, by
-    /// model; others may have been loaded under any configuration.
+    /// model: the largest size listed since the order. Others may have been loaded under any
+    /// configuration.
     pub ordered_weights_mb: BTreeMap<Arc<str>, f64>,
     /// Adapters being loaded, as pairs of model and adapter.
     pub pending_adapters: Vec<(Arc<str>, Arc<str>)>,
