Runners keep the memory and the places for adapters with which they were started

What callers would see: operators list larger runners while the ones before still serve, as in a rolling change of machines. The leader orders loads by the new figure at the old runners; they fall and cut their streams (LIMIT).

Cause: the class of held models: a runner's capacity was that of the present configuration. Ruled out: sizes of models, which do not change in this course.

Change: each gateway keeps for the runners that it knows what was listed before more came, and the planner takes the smaller of that and what is listed.

--- a/crates/gateway/src/placement/runners.rs
+++ b/crates/gateway/src/placement/runners.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use barleyspar_catalog::{Configuration, Runner, RunnerLimit, RunnerState};
+use barleyspar_catalog::{Configuration, EngineSpec, Runner, RunnerLimit, RunnerState};
 use barleyspar_dispatch::{Inventory, RunnerKey, runner_key};
-use barleyspar_loading::{HeldCopies, PossibleLoad};
+use barleyspar_loading::{HeldCopies, PossibleLoad, RunnerCapacity};
 use tokio::time::Instant;
 
 use crate::dispatch::{AdvertisedLimits, DrainingRunners};
@@ -36,6 +36,8 @@
     /// The last load that a leader published as ordered, by runner: model, and number of orders
     /// that the runner had accepted before.
     published_loads: BTreeMap<Arc<str>, (Arc<str>, u64)>,
+    /// Capacities of the runners that were known before more was listed for their service.
+    earlier_capacities: BTreeMap<Arc<str>, RunnerCapacity>,
 }
 
 impl Runners {
@@ -85,6 +87,27 @@
         }
     }
 
+    /// Keeps the capacities that `former` listed for the known runners whose service has more in
+    /// `configuration`: processes that run do not grow.
+    pub fn keep_capacities(&mut self, former: &Configuration, configuration: &Configuration) {
+        for runner in self.known.values() {
+            let engines = [former, configuration].map(|listing| engine_of(listing, runner));
+            let [Some(former), Some(present)] =
+                engines.map(|engine| engine.map(RunnerCapacity::of))
+            else {
+                continue;
+            };
+            if former.min(present) != present {
+                let kept = self.earlier_capacities.entry(runner.id.clone());
+                kept.and_modify(|kept| *kept = kept.min(former))
+                    .or_insert(former);
+            }
+        }
+        for (id, entry) in &mut self.tracked {
+            entry.view.earlier_capacity = self.earlier_capacities.get(id).copied();
+        }
+    }
+
     /// Raises the sizes of the copies that this leader ordered to those that `configuration`
     /// lists: a runner loads the newest size, which this node may have learned only later.
     pub fn raise_ordered_sizes(&mut self, configuration: &Configuration) {
@@ -102,8 +125,7 @@
             }
         }
         for entry in self.tracked.values() {
-            let service = configuration.services.get(&entry.view.service);
-            if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
+            if let Some(engine) = engine_of(configuration, &entry.runner) {
                 copies.add_runner(&entry.view, engine);
             }
         }
@@ -114,9 +136,11 @@
     /// tells whether a new entry's report is read at once.
     fn entry(&mut self, runner: &Arc<Runner>, reads_report: bool) -> &mut TrackedRunner {
         let evacuated = self.evacuated.contains(&runner.zone);
+        let earlier_capacity = self.earlier_capacities.get(&runner.id).copied();
         self.tracked.entry(runner.id.clone()).or_insert_with(|| {
             let mut entry = TrackedRunner::new(runner);
             entry.view.evacuated = evacuated;
+            entry.view.earlier_capacity = earlier_capacity;
             entry.view.report_unread = !reads_report;
             entry.report_at = reads_report.then(Instant::now);
             entry
@@ -170,6 +194,7 @@
         self.known.remove(id);
         self.tracked.remove(id);
         self.published_loads.remove(id);
+        self.earlier_capacities.remove(id);
     }
 
     /// Drops all runners whose ids are not in `kept`.
@@ -178,6 +203,7 @@
         self.known.retain(|id, _| kept.contains(id));
         self.tracked.retain(|id, _| kept.contains(id));
         self.published_loads.retain(|id, _| kept.contains(id));
+        self.earlier_capacities.retain(|id, _| kept.contains(id));
     }
 
     /// Sets the zones under evacuation. Their runners get no requests, so nothing is
@@ -290,6 +316,11 @@
 /// Whether the runner's service has an engine; false if the runner's entry names a
 /// service that is not configured.
 fn is_engine(configuration: &Configuration, runner: &Runner) -> bool {
-    let service = configuration.services.get(&runner.service);
-    service.is_some_and(|service| service.engine.is_some())
+    engine_of(configuration, runner).is_some()
+}
+
+/// What `configuration` lists of the engine of the runner's service; `None` if it lists none.
+fn engine_of<'a>(configuration: &'a Configuration, runner: &Runner) -> Option<&'a EngineSpec> {
+    let service = configuration.services.get(&runner.service)?;
+    service.engine.as_ref()
 }
--- a/crates/gateway/src/placement/task.rs
+++ b/crates/gateway/src/placement/task.rs
@@ -181,6 +181,8 @@
     fn handle_command(&mut self, command: Command) {
         match command {
             Command::Configure(configuration) => {
+                self.runners
+                    .keep_capacities(&self.configuration, &configuration);
                 self.configuration = configuration;
                 if self.leading_token.is_some() {
                     self.runners.track_engines(&self.configuration);
--- a/crates/loading/benches/planner.rs
+++ b/crates/loading/benches/planner.rs
@@ -95,6 +95,7 @@
             disk: (0..ON_DISK).map(at).collect(),
         },
         ordered_weights_mb: BTreeMap::new(),
+        earlier_capacity: None,
         order_in_progress: None,
         busy_until: None,
         possible_load: None,
--- a/crates/loading/src/adapters.rs
+++ b/crates/loading/src/adapters.rs
@@ -200,7 +200,7 @@
     /// Returns the number of adapters of this size for which the runner has room once its
     /// order in progress is carried out.
     fn free_places(&self, runner: &RunnerView, size_mb: f64) -> usize {
-        let capacity = self.engine.adapter_capacity as usize;
+        let capacity = runner.capacity(self.engine).adapters as usize;
         let by_count = capacity.saturating_sub(adapter_count(runner));
         if size_mb <= 0.0 {
             return by_count;
@@ -256,10 +256,11 @@
         missing: &MissingAdapter,
         size_mb: f64,
     ) -> Option<(usize, Arc<str>)> {
-        let capacity = self.engine.adapter_capacity as usize;
+        let has_place = |runner: &RunnerView| {
+            adapter_count(runner) < runner.capacity(self.engine).adapters as usize
+        };
         self.holders(runners, missing)
-            .filter(|(_, runner)| runner.accepts_orders_once_read())
-            .filter(|(_, runner)| adapter_count(runner) < capacity)
+            .filter(|(_, runner)| runner.accepts_orders_once_read() && has_place(runner))
             .filter(|(_, runner)| free_mb(runner, self.engine, self.sizes) < size_mb)
             .find_map(|(index, runner)| {
                 let mut held = runner.models.iter().map(|held| &held.model);
--- a/crates/loading/src/lib.rs
+++ b/crates/loading/src/lib.rs
@@ -30,4 +30,4 @@
 pub use model_sizes::{HeldCopies, KnownSizes, ModelSize, ModelSizes};
 pub use planner::{PlannedOrder, Planner, PlannerSettings};
 pub use summary::{MostWanted, StepSummary};
-pub use view::{PossibleLoad, RunnerView, WeightSource};
+pub use view::{PossibleLoad, RunnerCapacity, RunnerView, WeightSource};
--- a/crates/loading/src/memory.rs
+++ b/crates/loading/src/memory.rs
@@ -42,11 +42,11 @@
     Some(used)
 }
 
-/// Returns the megabytes that a new load may take: negative if more is held than the
-/// configuration allows, and without end if the size of what is held is not known.
+/// Returns the megabytes that a new load may take: negative if more is held than there is room
+/// for, and without end if the size of what is held is not known.
 pub fn free_mb(runner: &RunnerView, engine: &EngineSpec, sizes: &KnownSizes) -> f64 {
     let used = used_mb(runner, sizes).unwrap_or(f64::INFINITY);
-    engine.memory_mb - used - RESERVED_MB
+    runner.capacity(engine).memory_mb - used - RESERVED_MB
 }
 
 /// Returns the megabytes that the adapters loaded on the runner take; those of unknown size
--- a/crates/loading/src/view.rs
+++ b/crates/loading/src/view.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use barleyspar_catalog::{
-    LoadedModel, ModelSpec, OrderAction, Runner, RunnerState, SoftwareVersion, WeightCopies,
+    EngineSpec, LoadedModel, ModelSpec, OrderAction, Runner, RunnerState, SoftwareVersion,
+    WeightCopies,
 };
 
 /// Where a load reads the model's weights from, fastest first.
@@ -43,6 +44,33 @@
     pub until: Instant,
 }
 
+/// Accelerator memory of a runner and its places for adapters.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RunnerCapacity {
+    /// Megabytes for weights and adapters together.
+    pub memory_mb: f64,
+    /// Maximum number of adapters loaded at once.
+    pub adapters: u32,
+}
+
+impl RunnerCapacity {
+    /// Returns the capacity that `engine` lists.
+    pub fn of(engine: &EngineSpec) -> Self {
+        Self {
+            memory_mb: engine.memory_mb,
+            adapters: engine.adapter_capacity,
+        }
+    }
+
+    /// Returns what is in both.
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            adapters: self.adapters.min(other.adapters),
+        }
+    }
+}
+
 /// A model runner with the content of its latest report and the order in progress.
 #[derive(Debug, Clone)]
 pub struct RunnerView {
@@ -92,6 +120,9 @@
     /// model: the largest size listed since the order. Others may have been loaded under any
     /// configuration.
     pub ordered_weights_mb: BTreeMap<Arc<str>, f64>,
+    /// Capacity that was listed when the runner became known, or a lower one listed since;
+    /// `None` if it is what is listed now.
+    pub earlier_capacity: Option<RunnerCapacity>,
     /// Adapters being loaded, as pairs of model and adapter.
     pub pending_adapters: Vec<(Arc<str>, Arc<str>)>,
     /// Models with a copy of their weights in the runner's host memory or on its disk.
@@ -130,6 +161,7 @@
             busy: false,
             models: runner.models.clone(),
             ordered_weights_mb: BTreeMap::new(),
+            earlier_capacity: None,
             pending_adapters: Vec::new(),
             copies: runner.copies.clone(),
             order_in_progress: None,
@@ -157,6 +189,13 @@
         self.accepts_orders() || (self.report_unread && self.accepts_requests())
     }
 
+    /// Returns the runner's capacity: a running process gets no more than it was started with.
+    pub fn capacity(&self, engine: &EngineSpec) -> RunnerCapacity {
+        let listed = RunnerCapacity::of(engine);
+        self.earlier_capacity
+            .map_or(listed, |earlier| earlier.min(listed))
+    }
+
     /// Returns the loaded model of this name; `None` if the runner does not hold it.
     pub fn loaded_model(&self, model: &str) -> Option<&LoadedModel> {
         self.models.iter().find(|held| &*held.model == model)
--- a/crates/loading/tests/common/mod.rs
+++ b/crates/loading/tests/common/mod.rs
@@ -84,6 +84,7 @@
         pending_adapters: Vec::new(),
         copies: WeightCopies::default(),
         ordered_weights_mb: BTreeMap::new(),
+        earlier_capacity: None,
         order_in_progress: None,
         busy_until: None,
         possible_load: None,
--- a/crates/standin/tests/held_models.rs
+++ b/crates/standin/tests/held_models.rs
@@ -201,6 +201,22 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn engines_that_started_with_less_memory_than_is_listed_now_do_not_get_more() {
+    let mut world = world().await;
+    world.configure(|configuration| {
+        change_engine(configuration, |engine| {
+            (engine.memory_mb, engine.adapter_capacity) = (200.0, 20);
+        });
+    });
+    world.run_for(SECOND).await;
+    assert_served_within_memory(&world, &["c", "d", "a"]).await;
+    let started_since = world.start_runner("engine-3", "engine", &[]);
+    world.run_for(3 * SECOND).await;
+    started_since.publish_entry();
+    assert_served_within_memory(&world, &["a", "b", "c", "d"]).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_retired_model_that_callers_still_ask_for_is_unloaded_for_others() {
     let mut world = world().await;
