One site and one loop for the tests of odd answers and silent runners

odd_entries, unframed_answers, cut_answers, silent_runners and odd_statuses each built the same site of two plain runners and two engines, and three of them the same loop until a scripted runner has got a request. The tests keep their assertions; two sites get the route /read/ that they did not have, and the loop ends after 60 requests everywhere (40 in two before).

The five files' 22 tests pass, as before. Not measured otherwise; no product code.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 mod scripted_server;
 mod store;
 mod stream_client;
+mod two_of_each;
 mod world;
 
 pub use client::Answer;
--- a/crates/standin/tests/cut_answers.rs
+++ b/crates/standin/tests/cut_answers.rs
@@ -1,16 +1,8 @@
 //! An answer that its runner cuts short anywhere, in its head too, never looks whole to a client.
 
-use std::time::Duration;
+use barleyspar_standin::{Script, ScriptedServer, World};
 
-use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{
-    Cut, Script, ScriptedServer, World, engine_service, plain_service, route,
-};
-
-const SECOND: Duration = Duration::from_secs(1);
 const BODY: &str = "the answer";
-/// Largest number of requests until one comes to the runner that cuts its answers.
-const MOST_REQUESTS: usize = 40;
 
 /// An answer in full, and the length from which on it may look whole.
 struct FullAnswer {
@@ -70,27 +62,10 @@
     ]
 }
 
-async fn world() -> World {
-    let mut world = World::new(
-        vec![plain_service("plain"), engine_service("engine", &["a"])],
-        vec![
-            route("/write/", "plain", RequestKind::NonIdempotent),
-            route("/stream/", "engine", RequestKind::Streaming),
-        ],
-    );
-    for number in 1..=2 {
-        world.start_runner(&format!("plain-{number}"), "plain", &[]);
-        world.start_runner(&format!("engine-{number}"), "engine", &["a"]);
-    }
-    world.start_gateways(1..=2).await;
-    world.run_for(8 * SECOND).await;
-    world
-}
-
 /// Sends requests until one comes to a runner that cuts its answer after `cut` bytes. Returns
 /// whether its client took that for a whole success.
 async fn looks_whole(full: &FullAnswer, cut: usize, resets: bool, through_peer: bool) -> bool {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     let (runner, path, model) = match full.streams {
         true => ("engine-1", "/stream/x", Some("a")),
         false => ("plain-1", "/write/x", None),
@@ -103,22 +78,11 @@
     };
     let scripted = ScriptedServer::replace(&world.network, &world.runners[runner], script);
     if through_peer {
-        for runner in world.runners.values() {
-            let hosts = (World::gateway_host(1), runner.address().ip());
-            world.network.cut_in_way(hosts.0, hosts.1, Cut::Reset);
-        }
-        world.run_for(3 * SECOND).await;
-    }
-    for number in 0..MOST_REQUESTS {
-        let before = scripted.request_count();
-        let id = format!("q-{number}");
-        let answer = world.request(1, path, &id, model).await;
-        if scripted.request_count() > before {
-            let ran_elsewhere = world.run_count(&id) > 0;
-            return answer.code() == 200 && answer.complete && !ran_elsewhere;
-        }
+        world.cut_from_runners(1).await;
     }
-    panic!("no request came to the runner");
+    let (id, answer) = world.request_until_at(&scripted, (path, model)).await;
+    let ran_elsewhere = world.run_count(&id) > 0;
+    answer.code() == 200 && answer.complete && !ran_elsewhere
 }
 
 async fn assert_no_cut_looks_whole(through_peer: bool, step: usize) {
--- a/crates/standin/tests/odd_entries.rs
+++ b/crates/standin/tests/odd_entries.rs
@@ -3,32 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use barleyspar_catalog::{RequestKind, Runner, incarnation_id};
-use barleyspar_standin::{World, engine_service, plain_service, route};
+use barleyspar_catalog::{Runner, incarnation_id};
+use barleyspar_standin::World;
 use bytes::Bytes;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Number of requests of each kind.
 const REQUESTS: usize = 20;
 
-async fn world() -> World {
-    let mut world = World::new(
-        vec![plain_service("plain"), engine_service("engine", &["a"])],
-        vec![
-            route("/read/", "plain", RequestKind::Idempotent),
-            route("/write/", "plain", RequestKind::NonIdempotent),
-            route("/stream/", "engine", RequestKind::Streaming),
-        ],
-    );
-    for number in 1..=2 {
-        world.start_runner(&format!("plain-{number}"), "plain", &[]);
-        world.start_runner(&format!("engine-{number}"), "engine", &["a"]);
-    }
-    world.start_gateways(1..=2).await;
-    world.run_for(8 * SECOND).await;
-    world
-}
-
 fn encode(runner: &Runner) -> Bytes {
     let bytes = rmp_serde::to_vec_named(runner).expect("a runner is serializable");
     bytes.into()
@@ -117,12 +99,12 @@
 }
 
 async fn serve_beside_odd_entries_like(like: &str) {
-    let labels: Vec<&str> = odd_entries(&world().await, like)
+    let labels: Vec<&str> = odd_entries(&World::two_of_each(1..=2).await, like)
         .into_iter()
         .map(|(label, _)| label)
         .collect();
     for (index, label) in labels.into_iter().enumerate() {
-        let world = world().await;
+        let world = World::two_of_each(1..=2).await;
         let (_, value) = odd_entries(&world, like).swap_remove(index);
         world.store.put("runner/odd", value);
         world.run_for(3 * SECOND).await;
@@ -146,7 +128,7 @@
 
 /// Whether gateways use plain-1 again, the only runner left, after an odd entry under its own key.
 async fn is_used_after(make_odd: impl Fn(&Runner) -> Bytes) -> bool {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     world.store.remove("runner/plain-2");
     world.runners["plain-2"].crash(&world.network);
     let odd = make_odd(&entry(&world, "plain-1"));
--- a/crates/standin/tests/odd_statuses.rs
+++ b/crates/standin/tests/odd_statuses.rs
@@ -1,15 +1,7 @@
 //! A runner whose answers have a status that is no status of a final answer.
 
-use std::time::Duration;
+use barleyspar_standin::{Script, ScriptedServer, World};
 
-use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{
-    Cut, Script, ScriptedServer, World, engine_service, plain_service, route,
-};
-
-const SECOND: Duration = Duration::from_secs(1);
-/// Largest number of requests until one comes to the runner with the odd answers.
-const MOST_REQUESTS: usize = 40;
 /// Status lines that begin no final answer.
 const ODD_STATUS_LINES: [&str; 12] = [
     "1.1 000 OK",
@@ -28,24 +20,6 @@
 const HEADERS: [&str; 2] = ["signature: s\r\n", ""];
 const ENDS: [&str; 2] = ["content-length: 10\r\n\r\nthe answer", "\r\nthe answer"];
 
-async fn world() -> World {
-    let mut world = World::new(
-        vec![plain_service("plain"), engine_service("engine", &["a"])],
-        vec![
-            route("/write/", "plain", RequestKind::NonIdempotent),
-            route("/read/", "plain", RequestKind::Idempotent),
-            route("/stream/", "engine", RequestKind::Streaming),
-        ],
-    );
-    for number in 1..=2 {
-        world.start_runner(&format!("plain-{number}"), "plain", &[]);
-        world.start_runner(&format!("engine-{number}"), "engine", &["a"]);
-    }
-    world.start_gateways(1..=2).await;
-    world.run_for(8 * SECOND).await;
-    world
-}
-
 fn answers() -> impl Iterator<Item = String> {
     let heads = ODD_STATUS_LINES.into_iter().flat_map(|line| {
         HEADERS.map(|signature| format!("HTTP/{line}\r\nrequest-id: {{id}}\r\n{signature}"))
@@ -53,15 +27,6 @@
     heads.flat_map(|head| ENDS.map(|end| format!("{head}{end}")))
 }
 
-/// Has gateway 1 reach all runners through gateway 2 alone.
-async fn cut_from_runners(world: &World) {
-    for runner in world.runners.values() {
-        let (gateway, runner) = (World::gateway_host(1), runner.address().ip());
-        world.network.cut_in_way(gateway, runner, Cut::Reset);
-    }
-    world.run_for(3 * SECOND).await;
-}
-
 /// Sends requests until one comes to the runner that sends `answer`. Returns the status that its
 /// client got.
 async fn status_for(
@@ -69,21 +34,14 @@
     (runner, path, model): (&str, &str, Option<&str>),
     through_peer: bool,
 ) -> u16 {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     let script = Script::Close(answer.to_owned());
     let scripted = ScriptedServer::replace(&world.network, &world.runners[runner], script);
     if through_peer {
-        cut_from_runners(&world).await;
-    }
-    for number in 0..MOST_REQUESTS {
-        let before = scripted.request_count();
-        let id = format!("q-{number}");
-        let answer = world.request(1, path, &id, model).await;
-        if scripted.request_count() > before {
-            return answer.code();
-        }
+        world.cut_from_runners(1).await;
     }
-    panic!("no request came to the runner");
+    let (_, answer) = world.request_until_at(&scripted, (path, model)).await;
+    answer.code()
 }
 
 async fn assert_no_odd_status_reaches_clients(through_peer: bool) {
--- a/crates/standin/tests/silent_runners.rs
+++ b/crates/standin/tests/silent_runners.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{Answer, World, engine_service, plain_service, route};
+use barleyspar_standin::{Answer, World};
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
@@ -15,23 +14,6 @@
 const MID_STREAM: Duration = Duration::from_millis(400);
 const BEFORE_FIRST_EVENT: Duration = Duration::from_millis(30);
 
-async fn world() -> World {
-    let mut world = World::new(
-        vec![plain_service("plain"), engine_service("engine", &["a"])],
-        vec![
-            route("/write/", "plain", RequestKind::NonIdempotent),
-            route("/stream/", "engine", RequestKind::Streaming),
-        ],
-    );
-    for number in 1..=2 {
-        world.start_runner(&format!("plain-{number}"), "plain", &[]);
-        world.start_runner(&format!("engine-{number}"), "engine", &["a"]);
-    }
-    world.start_gateways(1..=GATEWAYS).await;
-    world.run_for(8 * SECOND).await;
-    world
-}
-
 /// Silences all runners for [`SILENCE`], `after` the requests were sent: three of `request` to
 /// each gateway. Returns their ids and answers.
 async fn send_into_silence(
@@ -70,7 +52,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_stream_goes_on_at_its_runner_after_a_short_silence() {
     for after in [MID_STREAM, BEFORE_FIRST_EVENT] {
-        let world = world().await;
+        let world = World::two_of_each(1..=GATEWAYS).await;
         let answers = send_into_silence(&world, ("/stream/x", Some("a")), after).await;
         assert_served_by_one_run(&world, &answers);
     }
@@ -78,14 +60,14 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_write_is_answered_after_a_short_silence() {
-    let world = world().await;
+    let world = World::two_of_each(1..=GATEWAYS).await;
     let answers = send_into_silence(&world, ("/write/x", None), SECOND / 100).await;
     assert_served_by_one_run(&world, &answers);
 }
 
 #[tokio::test(start_paused = true)]
 async fn requests_are_served_at_once_after_a_short_silence() {
-    let world = world().await;
+    let world = World::two_of_each(1..=GATEWAYS).await;
     send_into_silence(&world, ("/stream/x", Some("a")), MID_STREAM).await;
     for gateway in 1..=GATEWAYS {
         for (path, model) in [("/write/x", None), ("/stream/x", Some("a"))] {
--- a/crates/standin/tests/unframed_answers.rs
+++ b/crates/standin/tests/unframed_answers.rs
@@ -3,10 +3,7 @@
 
 use std::time::Duration;
 
-use barleyspar_catalog::RequestKind;
-use barleyspar_standin::{
-    Answer, Cut, Script, ScriptedServer, World, engine_service, plain_service, route,
-};
+use barleyspar_standin::{Cut, Script, ScriptedServer, World};
 use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -22,25 +19,6 @@
 const WRITE: Target = ("/write/x", None);
 const STREAM: Target = ("/stream/x", Some("a"));
 
-/// Two gateways, and two plain runners and two engines, of which the first ones are scripted.
-async fn world() -> World {
-    let mut world = World::new(
-        vec![plain_service("plain"), engine_service("engine", &["a"])],
-        vec![
-            route("/read/", "plain", RequestKind::Idempotent),
-            route("/write/", "plain", RequestKind::NonIdempotent),
-            route("/stream/", "engine", RequestKind::Streaming),
-        ],
-    );
-    for number in 1..=2 {
-        world.start_runner(&format!("plain-{number}"), "plain", &[]);
-        world.start_runner(&format!("engine-{number}"), "engine", &["a"]);
-    }
-    world.start_gateways(1..=2).await;
-    world.run_for(8 * SECOND).await;
-    world
-}
-
 fn script(world: &World, runner: &str, script: Script) -> ScriptedServer {
     ScriptedServer::replace(&world.network, &world.runners[runner], script)
 }
@@ -57,36 +35,18 @@
     format!("{HEAD}content-type: text/event-stream\r\n\r\n{events}{rest}")
 }
 
-/// Sends requests to gateway 1 until the scripted runner has got one. Returns the answer to
-/// that one.
-async fn send_until_scripted(
-    world: &World,
-    scripted: &ScriptedServer,
-    (path, model): Target,
-) -> Answer {
-    for number in 0..60 {
-        let before = scripted.request_count();
-        let id = format!("request-{number}");
-        let answer = world.request(1, path, &id, model).await;
-        if scripted.request_count() > before {
-            return answer;
-        }
-    }
-    panic!("the scripted runner got no request");
-}
-
 #[tokio::test(start_paused = true)]
 async fn a_plain_answer_that_ends_with_its_connection_is_whole() {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     let scripted = script(&world, "plain-1", Script::Close(unframed("the answer")));
-    let answer = send_until_scripted(&world, &scripted, PLAIN).await;
+    let (_, answer) = world.request_until_at(&scripted, PLAIN).await;
     assert_eq!((answer.code(), answer.complete), (200, true));
     assert_eq!(&*answer.body, b"the answer");
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_connection_that_ended_with_its_answer_is_not_used_again() {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     for runner in ["plain-1", "plain-2"] {
         script(&world, runner, Script::Close(unframed("the answer")));
     }
@@ -103,9 +63,9 @@
         ("plain-1", WRITE, unframed("half of the ans")),
         ("engine-1", STREAM, unframed_stream(3, "")),
     ] {
-        let world = world().await;
+        let world = World::two_of_each(1..=2).await;
         let scripted = script(&world, runner, Script::Reset(text));
-        let answer = send_until_scripted(&world, &scripted, target).await;
+        let (_, answer) = world.request_until_at(&scripted, target).await;
         let is_by_other = answer.event_ids().len() as u64 == 40;
         let looks_whole = answer.code() == 200 && answer.complete && !is_by_other;
         assert!(!looks_whole, "{runner}: {answer:?}");
@@ -114,19 +74,19 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_stream_that_ends_inside_an_event_goes_on_at_another_runner() {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     let text = unframed_stream(3, "id: 4\ndata: ha");
     let scripted = script(&world, "engine-1", Script::Close(text));
-    let answer = send_until_scripted(&world, &scripted, STREAM).await;
+    let (_, answer) = world.request_until_at(&scripted, STREAM).await;
     assert!(answer.complete, "{answer:?}");
     assert!(answer.event_ids().into_iter().eq(1..=40), "{answer:?}");
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_stream_that_ends_with_its_connection_between_two_events_is_whole() {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     let scripted = script(&world, "engine-1", Script::Close(unframed_stream(40, "")));
-    let answer = send_until_scripted(&world, &scripted, STREAM).await;
+    let (_, answer) = world.request_until_at(&scripted, STREAM).await;
     assert_eq!((answer.code(), answer.complete), (200, true));
     assert!(answer.event_ids().into_iter().eq(1..=40), "{answer:?}");
 }
@@ -155,14 +115,14 @@
         ),
     ];
     for (runner, target, text, is_whole) in cases {
-        let world = world().await;
+        let world = World::two_of_each(1..=2).await;
         let scripted = script(&world, runner, text);
         for runner in world.runners.values() {
             let hosts = (World::gateway_host(1), runner.address().ip());
             world.network.cut_in_way(hosts.0, hosts.1, Cut::Reset);
         }
         world.run_for(3 * SECOND).await;
-        let answer = send_until_scripted(&world, &scripted, target).await;
+        let (_, answer) = world.request_until_at(&scripted, target).await;
         let looks_whole = answer.code() == 200 && answer.complete;
         assert_eq!(looks_whole, is_whole, "{runner}: {answer:?}");
     }
@@ -281,10 +241,10 @@
 /// Asserts that no gateway reads any of the scripted answers for long.
 async fn assert_all_are_cut_off(scripts: Vec<(&'static str, Target, Script)>) {
     for (number, (runner, target, text)) in (0..).zip(scripts) {
-        let world = world().await;
+        let world = World::two_of_each(1..=2).await;
         let scripted = script(&world, runner, text);
         let sent = Instant::now();
-        send_until_scripted(&world, &scripted, target).await;
+        world.request_until_at(&scripted, target).await;
         let took = sent.elapsed();
         world.run_for(20 * SECOND).await;
         let bytes = scripted.most_bytes_sent();
@@ -295,7 +255,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_answer_of_the_store_without_end_is_cut_off() {
-    let world = world().await;
+    let world = World::two_of_each(1..=2).await;
     let head = "HTTP/1.1 200 OK\r\n\r\n".to_owned();
     let text = Script::Endless(head, "x".repeat(64 * 1024));
     let scripted = ScriptedServer::start(&world.network, World::store_address(), text);
